Add the world's objects and the deciding state machines

Cause: the start of the project; nothing stood before. Ruled out: deciding inside the server's tasks, since proofs could not drive it. Before: nothing. Conclusion: the decisions are free of I/O and take the time as an argument.

--- /dev/null
+++ b/model/src/code/mod.rs
@@ -0,0 +1,7 @@
+//! Numbered result codes and the three outcomes of a request.
+
+mod outcome;
+mod result_code;
+
+pub use outcome::Outcome;
+pub use result_code::ResultCode;
--- /dev/null
+++ b/model/src/note/check.rs
@@ -0,0 +1,122 @@
+//! Checks of values within a note and of references between objects.
+
+use std::sync::Arc;
+
+use super::NoteError;
+use super::Result;
+use crate::World;
+use crate::world::Closing;
+use crate::world::Customer;
+use crate::world::Named;
+use crate::world::Route;
+use crate::world::Service;
+use crate::world::Target;
+
+const MAX_NAME_BYTES: usize = 128;
+
+/// An object whose own values can be checked against the world around it.
+pub(super) trait Check: Named {
+    fn check(&self, world: &World) -> Result<()>;
+
+    fn wrong(&self, reason: &str) -> NoteError {
+        NoteError::Value {
+            kind: Self::KIND,
+            name: self.name().to_string(),
+            reason: reason.to_owned(),
+        }
+    }
+
+    fn require(&self, holds: bool, reason: &str) -> Result<()> {
+        if holds {
+            Ok(())
+        } else {
+            Err(self.wrong(reason))
+        }
+    }
+
+    fn check_name(&self) -> Result<()> {
+        let name = self.name();
+        let plain = |c: char| c.is_ascii_alphanumeric() || "-_./".contains(c);
+        self.require(
+            !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(plain),
+            "expected a name of 1 to 128 letters, digits and - _ . /",
+        )
+    }
+
+    fn require_service(&self, world: &World, service: &Arc<str>) -> Result<()> {
+        if world.services.contains_key(service) {
+            return Ok(());
+        }
+        Err(NoteError::Missing {
+            kind: Service::KIND,
+            name: service.to_string(),
+            by: format!("{} `{}`", Self::KIND, self.name()),
+        })
+    }
+}
+
+impl Check for Service {
+    fn check(&self, _world: &World) -> Result<()> {
+        self.check_name()?;
+        self.require(self.time_limit_ms > 0, "expected time_limit_ms above 0")?;
+        self.require(
+            (0.0..=1.0).contains(&self.floor_share),
+            "expected floor_share from 0 to 1",
+        )?;
+        self.require(
+            (0.0..=1.0).contains(&self.retry_share),
+            "expected retry_share from 0 to 1",
+        )?;
+        let rate = |rate: f64| rate > 0.0 && rate < 0.5;
+        self.require(
+            rate(self.false_ejection_rate),
+            "expected false_ejection_rate above 0 and below 0.5",
+        )?;
+        self.require(
+            rate(self.missed_detection_rate),
+            "expected missed_detection_rate above 0 and below 0.5",
+        )?;
+        self.require(
+            self.probe_path.starts_with('/'),
+            "expected probe_path to begin with /",
+        )
+    }
+}
+
+impl Check for Target {
+    fn check(&self, world: &World) -> Result<()> {
+        self.check_name()?;
+        self.require(self.slots > 0, "expected slots above 0")?;
+        self.require(self.connections > 0, "expected connections above 0")?;
+        self.require_service(world, &self.service)
+    }
+}
+
+impl Check for Route {
+    fn check(&self, world: &World) -> Result<()> {
+        self.check_name()?;
+        self.require(self.path.starts_with('/'), "expected path to begin with /")?;
+        let taken = world
+            .route_at(self)
+            .is_some_and(|other| other.name != self.name);
+        self.require(!taken, "another route has the same host and path")?;
+        self.require_service(world, &self.service)
+    }
+}
+
+impl Check for Customer {
+    fn check(&self, _world: &World) -> Result<()> {
+        self.check_name()?;
+        self.require(self.in_flight > 0, "expected in_flight above 0")
+    }
+}
+
+impl Check for Closing {
+    fn check(&self, world: &World) -> Result<()> {
+        self.check_name()?;
+        self.require(self.from_ms < self.until_ms, "expected from before until")?;
+        self.services
+            .iter()
+            .try_for_each(|service| self.require_service(world, service))
+    }
+}
--- /dev/null
+++ b/model/src/note/mod.rs
@@ -0,0 +1,13 @@
+//! Release notes: what operators submit as one unit.
+
+mod apply;
+mod check;
+mod delta;
+mod note;
+mod note_error;
+
+pub use delta::Delta;
+pub use note::MAX_NOTE_BYTES;
+pub use note::Note;
+pub use note_error::NoteError;
+pub use note_error::Result;
--- /dev/null
+++ b/model/src/world/customer.rs
@@ -0,0 +1,33 @@
+//! A customer on whose behalf callers send requests.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Named;
+
+/// A customer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Customer {
+    /// The customer's name, as callers send it in `sniperun-customer`.
+    pub name: Arc<str>,
+    /// Requests at once that one instance takes from the customer.
+    #[serde(default = "default_in_flight")]
+    pub in_flight: u32,
+}
+
+const DEFAULT_IN_FLIGHT: u32 = 256;
+
+fn default_in_flight() -> u32 {
+    DEFAULT_IN_FLIGHT
+}
+
+impl Named for Customer {
+    const KIND: &'static str = "customer";
+
+    fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+}
--- /dev/null
+++ b/model/src/world/mod.rs
@@ -0,0 +1,31 @@
+//! The objects that a configuration consists of.
+
+mod closing;
+mod customer;
+mod data_centre;
+mod route;
+mod service;
+mod snapshot;
+mod target;
+mod world;
+
+pub use closing::Closing;
+pub use customer::Customer;
+pub use data_centre::Link;
+pub use route::Route;
+pub use service::Class;
+pub use service::Repeat;
+pub use service::Service;
+pub use target::Target;
+pub use world::World;
+
+use std::sync::Arc;
+
+/// An object that is known by a name unique among its kind.
+pub trait Named {
+    /// The word for the kind in messages, such as `service`.
+    const KIND: &'static str;
+
+    /// The object's name.
+    fn name(&self) -> &Arc<str>;
+}
--- /dev/null
+++ b/model/src/world/snapshot.rs
@@ -0,0 +1,73 @@
+//! A configuration as a few parts that each fit into one value.
+
+use std::sync::Arc;
+
+use super::World;
+use crate::Note;
+use crate::note::Delta;
+use crate::note::Result;
+
+/// Objects that one part holds.
+const OBJECTS_PER_PART: usize = 3_000;
+
+impl World {
+    /// The configuration as parts; services come before what names them.
+    pub fn to_parts(&self) -> Vec<Note> {
+        let mut parts = vec![Note {
+            title: "snapshot".into(),
+            services: add(self.services.values()),
+            links: self.links.values().map(|link| (**link).clone()).collect(),
+            closings: add(self.closings.values()),
+            ..Note::default()
+        }];
+        for chunk in chunks(self.targets.values()) {
+            parts.push(Note {
+                targets: chunk,
+                ..Note::default()
+            });
+        }
+        for chunk in chunks(self.routes.values()) {
+            parts.push(Note {
+                routes: chunk,
+                ..Note::default()
+            });
+        }
+        for chunk in chunks(self.customers.values()) {
+            parts.push(Note {
+                customers: chunk,
+                ..Note::default()
+            });
+        }
+        parts
+    }
+
+    /// The configuration that parts hold, as of note `number`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`crate::NoteError`] if the parts do not fit together.
+    pub fn from_parts(number: u64, parts: &[Note]) -> Result<Self> {
+        let mut world = Self::default();
+        for part in parts {
+            world = part.apply(&world)?;
+        }
+        world.submissions.clear();
+        world.number = number;
+        Ok(world)
+    }
+}
+
+fn add<'a, T: Clone + 'a>(objects: impl Iterator<Item = &'a Arc<T>>) -> Delta<T> {
+    Delta {
+        add: objects.map(|object| (**object).clone()).collect(),
+        ..Delta::default()
+    }
+}
+
+fn chunks<'a, T: Clone + 'a>(objects: impl Iterator<Item = &'a Arc<T>>) -> Vec<Delta<T>> {
+    let objects: Vec<&Arc<T>> = objects.collect();
+    objects
+        .chunks(OBJECTS_PER_PART)
+        .map(|chunk| add(chunk.iter().copied()))
+        .collect()
+}
--- /dev/null
+++ b/policy/src/command/ticket_table.rs
@@ -0,0 +1,138 @@
+//! The tickets that an instance has issued, in its memory alone.
+//!
+//! Only the issuing instance ever sends a ticket's command, so at most once
+//! needs no agreement. A ticket that the table has forgotten never runs again.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use rand::Rng;
+use rand::RngExt;
+
+use super::ClaimState;
+use super::Ticket;
+
+/// How long a ticket is kept.
+const RETENTION_US: u64 = 3_600_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Unused,
+    Used(ClaimState),
+}
+
+#[derive(Debug)]
+struct Entry {
+    nonce: u64,
+    state: State,
+}
+
+/// What came of using a ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TicketAnswer {
+    /// The command may be sent, now and once.
+    Begin,
+    /// An earlier use is in this state.
+    Held(ClaimState),
+    /// The ticket is not known here: issued before a restart, forgotten or made up.
+    Lost,
+}
+
+/// The tickets of one start of an instance.
+#[derive(Debug)]
+pub struct TicketTable {
+    instance: Arc<str>,
+    started_ms: u64,
+    next: u64,
+    limit: usize,
+    entries: HashMap<u64, Entry>,
+    by_age: VecDeque<(u64, u64)>,
+}
+
+impl TicketTable {
+    /// An empty table for `limit` tickets.
+    pub fn new(instance: Arc<str>, started_ms: u64, limit: usize) -> Self {
+        Self {
+            instance,
+            started_ms,
+            next: 1,
+            limit,
+            entries: HashMap::new(),
+            by_age: VecDeque::new(),
+        }
+    }
+
+    /// Tickets in the table.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether the table is empty.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Issues a ticket; none while the table is full.
+    pub fn issue(&mut self, now_us: u64, rng: &mut impl Rng) -> Option<Ticket> {
+        self.expire(now_us);
+        if self.entries.len() >= self.limit {
+            return None;
+        }
+        let ticket = Ticket {
+            instance: self.instance.clone(),
+            started_ms: self.started_ms,
+            number: self.next,
+            nonce: rng.random(),
+        };
+        self.next += 1;
+        let state = State::Unused;
+        self.entries.insert(
+            ticket.number,
+            Entry {
+                nonce: ticket.nonce,
+                state,
+            },
+        );
+        self.by_age.push_back((now_us, ticket.number));
+        Some(ticket)
+    }
+
+    /// Uses a ticket for a command.
+    pub fn begin(&mut self, now_us: u64, ticket: &Ticket) -> TicketAnswer {
+        self.expire(now_us);
+        let Some(entry) = self.entry(ticket) else {
+            return TicketAnswer::Lost;
+        };
+        match entry.state {
+            State::Unused | State::Used(ClaimState::NotRun) => {
+                entry.state = State::Used(ClaimState::Begun);
+                TicketAnswer::Begin
+            }
+            State::Used(state) => TicketAnswer::Held(state),
+        }
+    }
+
+    /// Records what became of a ticket's command.
+    pub fn finish(&mut self, ticket: &Ticket, state: ClaimState) {
+        if let Some(entry) = self.entry(ticket) {
+            entry.state = State::Used(state);
+        }
+    }
+
+    fn entry(&mut self, ticket: &Ticket) -> Option<&mut Entry> {
+        let ours = ticket.instance == self.instance && ticket.started_ms == self.started_ms;
+        let entry = self.entries.get_mut(&ticket.number)?;
+        (ours && entry.nonce == ticket.nonce).then_some(entry)
+    }
+
+    fn expire(&mut self, now_us: u64) {
+        while let Some((issued_us, number)) = self.by_age.front().copied() {
+            if now_us.saturating_sub(issued_us) < RETENTION_US {
+                break;
+            }
+            self.by_age.pop_front();
+            self.entries.remove(&number);
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/evidence/sequential_test.rs
@@ -0,0 +1,135 @@
+//! A sequential probability ratio test on one target's outcomes.
+//!
+//! The ratio is computed anew from the counts since the test was last at its
+//! lower bound, so that a change of the background rate weighs earlier
+//! outcomes anew as well.
+
+use model::world::Service;
+
+use super::Tally;
+use super::tally::THINNING_STEPS;
+
+/// Background rate below which no service is assumed to be.
+const MIN_BACKGROUND: f64 = 0.02;
+/// Failing rate that a test looks for at least.
+const MIN_FAILING: f64 = 0.2;
+/// Failing rate that a test looks for at most.
+const MAX_FAILING: f64 = 0.9;
+/// How far above the background a failing rate is at least.
+const FAILING_FACTOR: f64 = 2.0;
+/// Allowance for the uncertainty of the background.
+const BACKGROUND_FACTOR: f64 = 1.25;
+
+/// The two rates between which a test decides.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rates {
+    /// Share of abnormal outcomes of a healthy target.
+    pub background: f64,
+    /// Share of abnormal outcomes of a failing target.
+    pub failing: f64,
+}
+
+impl Rates {
+    /// The rates for a service whose other targets show `share` abnormal outcomes.
+    ///
+    /// None where so many are abnormal that no target stands out.
+    pub fn for_background(share: f64) -> Option<Self> {
+        let background = (share * BACKGROUND_FACTOR).max(MIN_BACKGROUND);
+        let failing = (background * FAILING_FACTOR).clamp(MIN_FAILING, MAX_FAILING);
+        if background * 1.5 > failing {
+            return None;
+        }
+        Some(Self {
+            background,
+            failing,
+        })
+    }
+
+    /// The rates as they are seen when normal outcomes are thinned by `thinning` steps.
+    ///
+    /// All abnormal outcomes and one in 2ⁿ normal ones are still a sequence of
+    /// independent trials, so the test stays exact.
+    pub fn thinned(self, thinning: usize) -> Self {
+        let kept = 0.5f64.powi(thinning as i32);
+        let seen = |rate: f64| rate / (rate + kept * (1.0 - rate));
+        Self {
+            background: seen(self.background),
+            failing: seen(self.failing),
+        }
+    }
+
+    /// The logarithm of the likelihood ratio of `tally`: positive speaks for failing.
+    pub fn log_ratio(self, tally: Tally) -> f64 {
+        let abnormal = (self.failing / self.background).ln();
+        let normal = ((1.0 - self.failing) / (1.0 - self.background)).ln();
+        f64::from(tally.abnormal) * abnormal + f64::from(tally.normal) * normal
+    }
+}
+
+/// Bounds of a test and its counts.
+#[derive(Clone, Debug)]
+pub struct SequentialTest {
+    tallies: [Tally; THINNING_STEPS],
+    started_us: u64,
+}
+
+impl SequentialTest {
+    /// A test that starts at `now_us`.
+    pub fn new(now_us: u64) -> Self {
+        Self {
+            tallies: [Tally::default(); THINNING_STEPS],
+            started_us: now_us,
+        }
+    }
+
+    /// Upper bound of the log ratio for a service: beyond it the target fails.
+    pub fn upper_bound(service: &Service) -> f64 {
+        ((1.0 - service.missed_detection_rate) / service.false_ejection_rate).ln()
+    }
+
+    /// Lower bound of the log ratio for a service: beyond it the target is healthy.
+    pub fn lower_bound(service: &Service) -> f64 {
+        (service.missed_detection_rate / (1.0 - service.false_ejection_rate)).ln()
+    }
+
+    /// When the counts begin, in microseconds.
+    pub fn started_us(&self) -> u64 {
+        self.started_us
+    }
+
+    /// Counts outcomes, of which the normal ones were thinned by `thinning` steps.
+    pub fn add(&mut self, now_us: u64, thinning: usize, tally: Tally) {
+        if self.tallies.iter().all(|tally| tally.total() == 0) {
+            self.started_us = now_us;
+        }
+        self.tallies[thinning].add(tally);
+    }
+
+    /// The log ratio of the counts.
+    pub fn log_ratio(&self, rates: Rates) -> f64 {
+        let counted = self
+            .tallies
+            .iter()
+            .enumerate()
+            .filter(|(_, tally)| tally.total() > 0);
+        counted
+            .map(|(thinning, tally)| rates.thinned(thinning).log_ratio(*tally))
+            .sum()
+    }
+
+    /// Counts as (abnormal, total), with thinned normal outcomes weighed up.
+    pub fn weighted(&self) -> (f64, f64) {
+        let mut sum = (0.0, 0.0);
+        for (thinning, tally) in self.tallies.iter().enumerate() {
+            let normal = f64::from(tally.normal) * 2f64.powi(thinning as i32);
+            sum.0 += f64::from(tally.abnormal);
+            sum.1 += f64::from(tally.abnormal) + normal;
+        }
+        sum
+    }
+
+    /// Forgets the counts.
+    pub fn reset(&mut self, now_us: u64) {
+        *self = Self::new(now_us);
+    }
+}
--- /dev/null
+++ b/policy/src/exchange/exchange.rs
@@ -0,0 +1,390 @@
+//! The state machine of a request.
+//!
+//! It decides when a request is claimed, sent, sent again, passed on or
+//! refused, and what its caller is told of its effect. A request that may not
+//! be repeated is sent again only if no target can have run it.
+
+use std::sync::Arc;
+
+use model::Outcome;
+use model::ResultCode;
+use rand::Rng;
+
+use super::Failure;
+use super::attempt::Attempt;
+use crate::command::ClaimAnswer;
+use crate::invariant;
+use crate::invariant::Invariant;
+use crate::limits::Refusal;
+use crate::routing::Choice;
+use crate::routing::ServiceTable;
+use crate::routing::Slot;
+
+const MAX_ATTEMPTS: usize = 3;
+/// When to come back after a failure, in milliseconds.
+const RETRY_AFTER_FAILURE_MS: u64 = 1_000;
+/// When to come back while the platform is away, in milliseconds.
+const RETRY_AFTER_CLAIM_MS: u64 = 5_000;
+
+/// What is asked of an exchange.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// When the answer is of no more use, in microseconds.
+    pub deadline_us: u64,
+    /// Whether a key must be claimed before anything is sent.
+    pub claims_key: bool,
+    /// Whether the body can be sent a second time.
+    pub replayable: bool,
+}
+
+/// What happened to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It was accepted.
+    Begin,
+    /// The claim of its key was answered.
+    Claimed(ClaimAnswer),
+    /// Its turn in the queue has come.
+    Turn,
+    /// The queue does not take it.
+    Refused(Refusal),
+    /// An attempt failed before the head of an answer came.
+    Failed {
+        /// The attempt's number.
+        attempt: usize,
+        /// How.
+        failure: Failure,
+    },
+    /// The head of an answer came.
+    Head {
+        /// The attempt's number.
+        attempt: usize,
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The answer takes longer than nearly all others.
+    Slow,
+    /// The answer was passed on whole.
+    Ended,
+    /// The target cut the answer.
+    Cut,
+    /// The deadline has passed.
+    Deadline,
+    /// The caller went away.
+    CallerGone,
+}
+
+/// The final answer to a request that no target's answer is passed on for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// Why.
+    pub code: ResultCode,
+    /// What is known of the effect.
+    pub outcome: Outcome,
+    /// When it helps to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// What is to be done next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Claim the key.
+    Claim,
+    /// Wait in the queue.
+    Wait,
+    /// Send to the candidate.
+    Send {
+        /// The attempt's number.
+        attempt: usize,
+        /// The candidate's index in the table.
+        candidate: usize,
+    },
+    /// Pass on the answer of an attempt and cancel the others.
+    Pass {
+        /// The attempt's number.
+        attempt: usize,
+    },
+    /// Go on waiting.
+    Continue,
+    /// Answer the caller.
+    Reply(Reply),
+    /// The exchange is over; the caller has got what it gets.
+    Finish(Outcome),
+    /// Break the caller's connection, so that the cut shows.
+    Break,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    New,
+    Claiming,
+    Waiting,
+    Sent,
+    Passing,
+    Over,
+}
+
+/// A request in work.
+#[derive(Debug)]
+pub struct Exchange {
+    request: Request,
+    table: Arc<ServiceTable>,
+    state: State,
+    attempts: Vec<Attempt>,
+    tried: Vec<usize>,
+    may_have_run: bool,
+    outcome: Outcome,
+}
+
+impl Exchange {
+    /// An exchange that has not begun.
+    pub fn new(request: Request, table: Arc<ServiceTable>) -> Self {
+        Self {
+            request,
+            table,
+            state: State::New,
+            attempts: Vec::new(),
+            tried: Vec::new(),
+            may_have_run: false,
+            outcome: Outcome::NotRun,
+        }
+    }
+
+    /// The table that the exchange chooses from.
+    pub fn table(&self) -> &Arc<ServiceTable> {
+        &self.table
+    }
+
+    /// What is known of the effect; final once the exchange is over.
+    pub fn outcome(&self) -> Outcome {
+        self.outcome
+    }
+
+    /// Goes on after an event.
+    pub fn on(&mut self, now_us: u64, event: Event, rng: &mut impl Rng) -> Step {
+        match (self.state, event) {
+            (State::Over, _) => Step::Finish(self.outcome),
+            (State::New, Event::Begin) => self.begin(now_us, rng),
+            (State::Claiming, Event::Claimed(answer)) => self.claimed(now_us, answer, rng),
+            (State::Waiting, Event::Turn) => self.send(now_us, rng),
+            (State::Waiting, Event::Refused(refusal)) => {
+                self.refuse(refusal.code, Some(refusal.retry_after_ms))
+            }
+            (State::Sent, Event::Failed { attempt, failure }) => {
+                self.failed(now_us, attempt, failure, rng)
+            }
+            (State::Sent, Event::Head { attempt, status }) => {
+                self.head(now_us, attempt, status, rng)
+            }
+            (State::Sent, Event::Slow) => self.hedge(now_us, rng),
+            (State::Passing, Event::Ended) => self.finish(Outcome::Ran),
+            (State::Passing, Event::Cut | Event::Deadline) => {
+                self.finish(Outcome::Unknown);
+                Step::Break
+            }
+            (_, Event::Deadline) => self.deadline(),
+            (_, Event::CallerGone) => self.caller_gone(),
+            _ => Step::Continue,
+        }
+    }
+
+    fn begin(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
+        self.table.load.retries.earn();
+        if now_us >= self.request.deadline_us {
+            return self.refuse(ResultCode::DeadlineTooNear, Some(1));
+        }
+        if self.table.candidates.is_empty() {
+            return self.refuse(ResultCode::NoTarget, Some(RETRY_AFTER_FAILURE_MS));
+        }
+        if self.request.claims_key {
+            self.state = State::Claiming;
+            return Step::Claim;
+        }
+        self.send(now_us, rng)
+    }
+
+    fn claimed(&mut self, now_us: u64, answer: ClaimAnswer, rng: &mut impl Rng) -> Step {
+        match answer {
+            ClaimAnswer::Won => self.send(now_us, rng),
+            ClaimAnswer::Unavailable => {
+                self.refuse(ResultCode::ClaimUnavailable, Some(RETRY_AFTER_CLAIM_MS))
+            }
+            ClaimAnswer::TooMany => {
+                self.refuse(ResultCode::ClaimRateExceeded, Some(RETRY_AFTER_CLAIM_MS))
+            }
+            ClaimAnswer::Held(state) => {
+                let code = state.repeat_code().unwrap_or(ResultCode::AlreadyBegun);
+                self.answer(code, code.outcome(), None)
+            }
+        }
+    }
+
+    fn send(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
+        let repeatable = self.table.repeatable();
+        let once = repeatable || (!self.may_have_run && self.in_flight() == 0);
+        if !invariant::check(Invariant::AtMostOnce, once) {
+            return self.give_up(ResultCode::TargetCut);
+        }
+        match self.table.choose(now_us, repeatable, &self.tried, rng) {
+            Choice::Target(candidate, slot) => self.start_attempt(candidate, slot),
+            Choice::Busy => {
+                self.state = State::Waiting;
+                Step::Wait
+            }
+            Choice::Nothing => self.refuse(ResultCode::NoTarget, Some(RETRY_AFTER_FAILURE_MS)),
+        }
+    }
+
+    fn start_attempt(&mut self, candidate: usize, slot: Slot) -> Step {
+        self.state = State::Sent;
+        self.tried.push(candidate);
+        self.attempts.push(Attempt {
+            candidate,
+            slot: Some(slot),
+        });
+        Step::Send {
+            attempt: self.attempts.len() - 1,
+            candidate,
+        }
+    }
+
+    fn failed(
+        &mut self,
+        now_us: u64,
+        attempt: usize,
+        failure: Failure,
+        rng: &mut impl Rng,
+    ) -> Step {
+        self.end_attempt(attempt);
+        self.may_have_run |= failure.may_have_run();
+        if self.in_flight() > 0 {
+            return Step::Continue;
+        }
+        if self.may_try_again(now_us) {
+            return self.send(now_us, rng);
+        }
+        self.give_up(match failure {
+            Failure::NotSent => ResultCode::ConnectFailed,
+            Failure::Refused => ResultCode::TargetRefused,
+            Failure::Cut => ResultCode::TargetCut,
+            Failure::Malformed => ResultCode::TargetMalformed,
+        })
+    }
+
+    fn head(&mut self, now_us: u64, attempt: usize, status: u16, rng: &mut impl Rng) -> Step {
+        let candidate = self.attempts[attempt].candidate;
+        let refused = status == 503 && self.table.candidates[candidate].target.refusal_is_not_run;
+        if refused {
+            return self.failed(now_us, attempt, Failure::Refused, rng);
+        }
+        let failed = status >= 500;
+        if failed && self.table.repeatable() && self.may_try_again(now_us) && self.in_flight() == 1
+        {
+            self.end_attempt(attempt);
+            self.may_have_run = true;
+            return self.send(now_us, rng);
+        }
+        let first = invariant::check(Invariant::OwnAnswer, self.attempts[attempt].slot.is_some());
+        if !first {
+            return self.give_up(ResultCode::TargetMalformed);
+        }
+        self.state = State::Passing;
+        self.may_have_run = true;
+        for other in 0..self.attempts.len() {
+            if other != attempt {
+                self.end_attempt(other);
+            }
+        }
+        Step::Pass { attempt }
+    }
+
+    fn hedge(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
+        let may = self.table.repeatable() && self.in_flight() == 1 && self.may_try_again(now_us);
+        if !may {
+            return Step::Continue;
+        }
+        match self.table.choose(now_us, true, &self.tried, rng) {
+            Choice::Target(candidate, slot) => self.start_attempt(candidate, slot),
+            Choice::Busy | Choice::Nothing => Step::Continue,
+        }
+    }
+
+    fn deadline(&mut self) -> Step {
+        if self.in_flight() > 0 {
+            self.may_have_run = true;
+            return self.give_up(ResultCode::TargetTimeout);
+        }
+        self.give_up(ResultCode::DeadlineTooNear)
+    }
+
+    fn caller_gone(&mut self) -> Step {
+        if self.in_flight() > 0 {
+            self.may_have_run = true;
+        }
+        let outcome = self.honest(Outcome::NotRun);
+        self.finish(outcome)
+    }
+
+    fn may_try_again(&self, now_us: u64) -> bool {
+        let repeatable = self.table.repeatable() || !self.may_have_run;
+        repeatable
+            && self.request.replayable
+            && self.attempts.len() < MAX_ATTEMPTS
+            && now_us < self.request.deadline_us
+            && self.tried.len() < self.table.candidates.len()
+            && self.table.load.retries.take()
+    }
+
+    fn refuse(&mut self, code: ResultCode, retry_after_ms: Option<u64>) -> Step {
+        let outcome = self.honest(code.outcome());
+        self.answer(code, outcome, retry_after_ms)
+    }
+
+    fn give_up(&mut self, code: ResultCode) -> Step {
+        self.refuse(code, Some(RETRY_AFTER_FAILURE_MS))
+    }
+
+    /// The outcome to report: never `not-run` for what may have run.
+    fn honest(&self, outcome: Outcome) -> Outcome {
+        if outcome == Outcome::NotRun && self.may_have_run {
+            Outcome::Unknown
+        } else {
+            outcome
+        }
+    }
+
+    fn answer(&mut self, code: ResultCode, outcome: Outcome, retry_after_ms: Option<u64>) -> Step {
+        let honest = outcome != Outcome::NotRun || !self.may_have_run;
+        let outcome = if invariant::check(Invariant::NotRunIsTrue, honest) {
+            outcome
+        } else {
+            Outcome::Unknown
+        };
+        self.finish(outcome);
+        Step::Reply(Reply {
+            code,
+            outcome,
+            retry_after_ms,
+        })
+    }
+
+    fn finish(&mut self, outcome: Outcome) -> Step {
+        self.state = State::Over;
+        self.outcome = outcome;
+        for attempt in &mut self.attempts {
+            attempt.slot = None;
+        }
+        Step::Finish(outcome)
+    }
+
+    fn in_flight(&self) -> usize {
+        self.attempts
+            .iter()
+            .filter(|attempt| attempt.slot.is_some())
+            .count()
+    }
+
+    fn end_attempt(&mut self, attempt: usize) {
+        self.attempts[attempt].slot = None;
+    }
+}
--- /dev/null
+++ b/policy/src/exchange/mod.rs
@@ -0,0 +1,14 @@
+//! One request from its acceptance to its end.
+
+mod attempt;
+mod exchange;
+mod observation;
+
+pub use attempt::Failure;
+pub use exchange::Event;
+pub use exchange::Exchange;
+pub use exchange::Reply;
+pub use exchange::Request;
+pub use exchange::Step;
+pub use observation::AttemptEnd;
+pub use observation::Observation;
--- /dev/null
+++ b/policy/src/instance/action.rs
@@ -0,0 +1,106 @@
+//! What an instance wants done.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use model::world::Target;
+
+use super::Envelope;
+use crate::evidence::Standing;
+
+/// One thing to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send a message to a peer; it may get lost.
+    Send {
+        /// Id of the peer.
+        to: Arc<str>,
+        /// Address of the peer.
+        address: SocketAddr,
+        /// The message.
+        envelope: Envelope,
+    },
+    /// Ask a target's health path and report the result.
+    Probe {
+        /// The target.
+        target: Arc<Target>,
+        /// The path.
+        path: Arc<str>,
+    },
+    /// Call the platform and report its answer.
+    Call(PlatformCall),
+    /// Log that something happened.
+    Log(Happening),
+}
+
+/// A call to the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlatformCall {
+    /// Wait for notes after a number, for a limited time.
+    WatchNotes {
+        /// The number.
+        after: u64,
+        /// Whether to wait if there is none yet.
+        wait: bool,
+    },
+    /// Read the latest snapshot.
+    ReadSnapshot,
+    /// List the instances.
+    ListInstances,
+    /// Write a snapshot unless a later one stands.
+    WriteSnapshot {
+        /// Number of the note that it holds.
+        number: u64,
+        /// Its parts as JSON.
+        parts: Vec<Arc<str>>,
+    },
+}
+
+/// Something worth a line in the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Happening {
+    /// A note is in force.
+    NoteInForce {
+        /// Its number.
+        number: u64,
+    },
+    /// A note has no effect.
+    NoteVoid {
+        /// Its number.
+        number: u64,
+        /// Why.
+        reason: String,
+    },
+    /// The instance, as home, has changed its view of a target.
+    Judged {
+        /// The service's name.
+        service: Arc<str>,
+        /// The target's name.
+        target: Arc<str>,
+        /// The new view.
+        standing: Standing,
+        /// Data centres that it holds for; all if empty.
+        from: Vec<Arc<str>>,
+    },
+    /// The instance has changed the standing that it routes by.
+    Standing {
+        /// The target's name.
+        target: Arc<str>,
+        /// The new standing.
+        standing: Standing,
+    },
+    /// An instance has joined.
+    Joined {
+        /// Its id.
+        instance: Arc<str>,
+    },
+    /// An instance has left or died.
+    Gone {
+        /// Its id.
+        instance: Arc<str>,
+    },
+    /// The instance takes requests.
+    Ready,
+    /// The instance stops.
+    Draining,
+}
--- /dev/null
+++ b/policy/src/instance/input.rs
@@ -0,0 +1,61 @@
+//! What an instance is told.
+
+use std::sync::Arc;
+
+use super::Envelope;
+use crate::exchange::Observation;
+use crate::membership::Member;
+use crate::notes::NumberedNote;
+
+/// One thing that happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// A peer's message came.
+    Received(Envelope),
+    /// An attempt of a request ended.
+    Observed(Observation),
+    /// A probe that the instance asked for ended.
+    Probed {
+        /// The service's name.
+        service: Arc<str>,
+        /// The target's name.
+        target: Arc<str>,
+        /// Whether the target answered well.
+        good: bool,
+    },
+    /// The platform answered or did not.
+    Platform(PlatformAnswer),
+    /// The instance is to stop.
+    Drain,
+}
+
+/// What came of a call to the platform.
+#[derive(Clone, Debug)]
+pub enum PlatformAnswer {
+    /// Notes after the number asked for; empty if there was none in time.
+    Notes(Vec<NumberedNote>),
+    /// The latest snapshot: its number and parts as JSON; number 0 if none.
+    Snapshot {
+        /// Number of the note that it holds.
+        number: u64,
+        /// Its parts.
+        parts: Vec<Arc<str>>,
+    },
+    /// The instances that the platform lists.
+    Instances(Vec<Member>),
+    /// A snapshot was written, or somebody else's stands.
+    SnapshotWritten {
+        /// Its number.
+        number: u64,
+    },
+    /// The platform did not answer the call for notes.
+    NotesAway,
+    /// The platform did not answer the call for a snapshot.
+    SnapshotAway,
+    /// The platform did not answer the call for instances.
+    InstancesAway,
+    /// The platform did not take the snapshot.
+    SnapshotNotWritten,
+}
--- /dev/null
+++ b/policy/src/instance/message.rs
@@ -0,0 +1,89 @@
+//! What instances say to each other.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::evidence::Report;
+use crate::evidence::Verdict;
+use crate::membership::Member;
+use crate::notes::NumberedNote;
+use crate::notes::Span;
+
+/// A message and what travels with each one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Id of the sender.
+    pub from: Arc<str>,
+    /// Incarnation of the sender.
+    pub incarnation: u64,
+    /// Number of the note in force at the sender.
+    pub note: u64,
+    /// News of members.
+    pub news: Vec<Member>,
+    /// The message itself.
+    pub message: Message,
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Asks for an [`Message::Ack`].
+    Ping {
+        /// Number that the answer repeats.
+        sequence: u64,
+    },
+    /// Answers a ping.
+    Ack {
+        /// The ping's number.
+        sequence: u64,
+    },
+    /// Asks the receiver to ping a third instance.
+    PingFor {
+        /// Id of the instance to ping.
+        to: Arc<str>,
+        /// Number that the answer repeats.
+        sequence: u64,
+    },
+    /// Asks for members; answered by [`Message::Members`].
+    Join,
+    /// All members that the sender knows, in parts.
+    Members(Vec<Member>),
+    /// Outcomes of the sender's requests.
+    Reports(Vec<Report>),
+    /// A home's views of targets.
+    Verdicts {
+        /// Id of the home.
+        home: Arc<str>,
+        /// The views.
+        verdicts: Vec<Verdict>,
+        /// Whom the receiver passes them on to.
+        span: Option<Span>,
+    },
+    /// A new note.
+    NewNote {
+        /// The note.
+        note: NumberedNote,
+        /// Whom the receiver passes it on to.
+        span: Option<Span>,
+    },
+    /// Asks for the notes after a number.
+    PullNotes {
+        /// The number.
+        after: u64,
+    },
+    /// Notes in order.
+    Notes(Vec<NumberedNote>),
+    /// A part of the whole configuration.
+    SnapshotPart {
+        /// Number of the note that it holds.
+        number: u64,
+        /// Index of the part, from 0.
+        index: u32,
+        /// Number of parts.
+        count: u32,
+        /// The part as JSON.
+        text: Arc<str>,
+    },
+}
--- /dev/null
+++ b/policy/src/instance/mod.rs
@@ -0,0 +1,25 @@
+//! The control decisions of one instance behind one entry point.
+
+mod action;
+mod input;
+mod instance;
+mod message;
+mod notes;
+mod platform;
+mod readiness;
+mod settings;
+mod shared;
+mod steering;
+mod tables;
+
+pub use action::Action;
+pub use action::Happening;
+pub use action::PlatformCall;
+pub use input::Input;
+pub use input::PlatformAnswer;
+pub use instance::Instance;
+pub use instance::TICK_US;
+pub use message::Envelope;
+pub use message::Message;
+pub use settings::Settings;
+pub use shared::Shared;
--- /dev/null
+++ b/policy/src/instance/tables.rs
@@ -0,0 +1,93 @@
+//! Building the tables that the request path reads.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use model::World;
+use model::world::Service;
+use model::world::Target;
+
+use super::settings::same_load;
+use crate::evidence::VerdictBook;
+use crate::routing::Candidate;
+use crate::routing::ServiceLoad;
+use crate::routing::ServiceTable;
+use crate::routing::TargetLoad;
+use crate::routing::enforce;
+
+/// Counters that outlive the tables that name them.
+#[derive(Debug, Default)]
+pub(super) struct Tables {
+    targets: BTreeMap<Arc<str>, (Arc<Target>, Arc<TargetLoad>)>,
+    services: BTreeMap<Arc<str>, Arc<ServiceLoad>>,
+}
+
+impl Tables {
+    /// The counters of a target.
+    pub(super) fn load_of(&mut self, target: &Arc<Target>) -> Arc<TargetLoad> {
+        let known = self.targets.get(&target.name);
+        let load = match known {
+            Some((old, load)) if same_load(old, target) => load.clone(),
+            _ => Arc::new(TargetLoad::new(target.slots)),
+        };
+        if target.leaving {
+            load.close();
+        } else {
+            load.open();
+        }
+        self.targets
+            .insert(target.name.clone(), (target.clone(), load.clone()));
+        load
+    }
+
+    /// The counters of a service.
+    pub(super) fn service_load(&mut self, service: &Service) -> Arc<ServiceLoad> {
+        let fresh = || Arc::new(ServiceLoad::new(service.retry_share));
+        self.services
+            .entry(service.name.clone())
+            .or_insert_with(fresh)
+            .clone()
+    }
+
+    /// Closes a target that was withdrawn, for tables still in use.
+    pub(super) fn withdraw(&mut self, target: &str) {
+        if let Some((_, load)) = self.targets.remove(target) {
+            load.close();
+        }
+    }
+
+    /// Builds the table of one service.
+    pub(super) fn build(
+        &mut self,
+        world: &World,
+        service: &Arc<Service>,
+        book: &VerdictBook,
+        here: &str,
+    ) -> Arc<ServiceTable> {
+        let targets: Vec<Arc<Target>> = world.targets_of(&service.name).cloned().collect();
+        let judged = targets
+            .iter()
+            .map(|target| {
+                let standing = book.standing(&target.name);
+                let badness = self.load_of(target).steer();
+                (target.clone(), standing, badness)
+            })
+            .collect();
+        let set = enforce(service, judged);
+        let candidates = set
+            .members
+            .into_iter()
+            .map(|(target, standing)| Candidate {
+                load: self.load_of(&target),
+                round_trip_us: 2 * world.one_way_us(here, &target.data_centre),
+                target,
+                standing,
+            })
+            .collect();
+        Arc::new(ServiceTable {
+            service: service.clone(),
+            load: self.service_load(service),
+            candidates,
+        })
+    }
+}
--- /dev/null
+++ b/policy/src/limits/customers.rs
@@ -0,0 +1,49 @@
+//! Requests in flight by customer.
+//!
+//! Only customers with requests in flight take memory.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+
+/// Requests in flight, by customer.
+#[derive(Debug, Default)]
+pub struct Customers {
+    in_flight: Mutex<HashMap<Arc<str>, u32>>,
+}
+
+impl Customers {
+    /// Takes a place for a customer if it has fewer than `limit`.
+    pub fn take(self: &Arc<Self>, customer: &Arc<str>, limit: u32) -> Option<CustomerPlace> {
+        let mut in_flight = self.in_flight.lock();
+        let count = in_flight.entry(customer.clone()).or_default();
+        if *count >= limit {
+            return None;
+        }
+        *count += 1;
+        Some(CustomerPlace {
+            customers: self.clone(),
+            customer: customer.clone(),
+        })
+    }
+}
+
+/// A customer's place; given back when dropped.
+#[derive(Debug)]
+pub struct CustomerPlace {
+    customers: Arc<Customers>,
+    customer: Arc<str>,
+}
+
+impl Drop for CustomerPlace {
+    fn drop(&mut self) {
+        let mut in_flight = self.customers.in_flight.lock();
+        if let Some(count) = in_flight.get_mut(&self.customer) {
+            *count -= 1;
+            if *count == 0 {
+                in_flight.remove(&self.customer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/limits/mod.rs
@@ -0,0 +1,14 @@
+//! Limits that keep load from growing on itself.
+
+mod admission;
+mod customers;
+mod fair_queue;
+mod retry_budget;
+
+pub use admission::Admission;
+pub use admission::Admitted;
+pub use customers::CustomerPlace;
+pub use customers::Customers;
+pub use fair_queue::FairQueue;
+pub use fair_queue::Refusal;
+pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/policy/src/routing/candidate.rs
@@ -0,0 +1,62 @@
+//! A target as the choice sees it.
+
+use std::sync::Arc;
+
+use model::world::Target;
+
+use super::TargetLoad;
+use crate::evidence::Standing;
+
+const WEIGHT_RAMPING: f64 = 0.3;
+const WEIGHT_SUSPECT: f64 = 0.3;
+const WEIGHT_TRIAL: f64 = 0.1;
+const WEIGHT_EJECTED: f64 = 0.02;
+const STEERED_SHARE: f64 = 0.75;
+/// Running evidence up to which a target counts as unsuspected.
+const UNSUSPECTED: f64 = 0.05;
+
+/// A target, its standing and its load.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// The target.
+    pub target: Arc<Target>,
+    /// Its counters.
+    pub load: Arc<TargetLoad>,
+    /// How the homes see it.
+    pub standing: Standing,
+    /// Time to it and back, in microseconds.
+    pub round_trip_us: u64,
+}
+
+impl Candidate {
+    /// The share of work that the candidate is worth, above 0 to 1.
+    pub fn weight(&self) -> f64 {
+        let base = match self.standing {
+            Standing::Healthy => 1.0,
+            Standing::Ramping => WEIGHT_RAMPING,
+            Standing::Suspect => WEIGHT_SUSPECT,
+            Standing::Trial => WEIGHT_TRIAL,
+            Standing::Ejected => WEIGHT_EJECTED,
+        };
+        base * (1.0 - STEERED_SHARE * self.load.steer())
+    }
+
+    /// The rank for work that may not be repeated; lower is better.
+    pub fn rank(&self) -> u8 {
+        match self.standing {
+            Standing::Healthy if self.load.steer() <= UNSUSPECTED => 0,
+            Standing::Healthy => 1,
+            Standing::Ramping => 2,
+            Standing::Suspect => 3,
+            Standing::Trial => 4,
+            Standing::Ejected => 5,
+        }
+    }
+
+    /// The cost of one more request, in microseconds over the weight.
+    pub fn cost(&self, now_us: u64, median_us: u64) -> f64 {
+        let expected_us =
+            self.load.expected_us(now_us, median_us).max(1.0) + self.round_trip_us as f64;
+        expected_us * f64::from(self.load.in_flight() + 1) / self.weight()
+    }
+}
--- /dev/null
+++ b/policy/src/routing/floor.rs
@@ -0,0 +1,68 @@
+//! The floor: how much of a service stays in use whatever verdicts say.
+
+use std::sync::Arc;
+
+use model::world::Service;
+use model::world::Target;
+
+use crate::evidence::Standing;
+use crate::invariant;
+use crate::invariant::Invariant;
+
+/// The targets that an instance sends to, with their standings.
+#[derive(Clone, Debug, Default)]
+pub struct RoutingSet {
+    /// Targets in use.
+    pub members: Vec<(Arc<Target>, Standing)>,
+    /// Slots that the floor asks for.
+    pub required_slots: u32,
+}
+
+impl RoutingSet {
+    /// Slots of the targets in use.
+    pub fn slots(&self) -> u32 {
+        self.members.iter().map(|(target, _)| target.slots).sum()
+    }
+}
+
+/// Chooses the targets in use, the least bad ejected ones included where the
+/// floor asks for them.
+///
+/// `badness` orders ejected targets; leaving ones are never used.
+pub fn enforce(service: &Service, targets: Vec<(Arc<Target>, Standing, f64)>) -> RoutingSet {
+    let available: Vec<_> = targets
+        .into_iter()
+        .filter(|(target, _, _)| !target.leaving)
+        .collect();
+    let all_slots: u32 = available.iter().map(|(target, _, _)| target.slots).sum();
+    let required_slots = (f64::from(all_slots) * service.floor_share).ceil() as u32;
+    let (mut ejected, used): (Vec<_>, Vec<_>) = available
+        .into_iter()
+        .partition(|(_, standing, _)| matches!(standing, Standing::Ejected | Standing::Trial));
+    ejected.sort_by(|a, b| {
+        (a.1, a.2)
+            .partial_cmp(&(b.1, b.2))
+            .unwrap_or(std::cmp::Ordering::Equal)
+    });
+    let mut set = RoutingSet {
+        members: used
+            .into_iter()
+            .map(|(target, standing, _)| (target, standing))
+            .collect(),
+        required_slots,
+    };
+    let mut counted_slots = set.slots();
+    for (target, standing, _) in ejected {
+        if standing == Standing::Ejected && counted_slots >= required_slots {
+            continue;
+        }
+        if counted_slots < required_slots {
+            counted_slots += target.slots;
+        }
+        set.members.push((target, standing));
+    }
+    invariant::check(Invariant::Floor, set.slots() >= required_slots);
+    let none_leaves = set.members.iter().all(|(target, _)| !target.leaving);
+    invariant::check(Invariant::NoWorkForLeaving, none_leaves);
+    set
+}
--- /dev/null
+++ b/policy/src/routing/load.rs
@@ -0,0 +1,163 @@
+//! Counters of the request path, shared between successive tables.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use crate::limits::RetryBudget;
+
+const MILLI: u32 = 1_000;
+/// Smallest concurrency limit, in thousandths of a request.
+const MIN_LIMIT_MILLI: u32 = 100;
+/// Time after which a measured latency is half forgotten.
+const LATENCY_HALF_LIFE_US: f64 = 2_000_000.0;
+
+/// What an instance has in flight to a target, and what it knows of its speed.
+#[derive(Debug)]
+pub struct TargetLoad {
+    in_flight: AtomicU32,
+    slots: u32,
+    limit_milli: AtomicU32,
+    latency_us: AtomicU64,
+    updated_us: AtomicU64,
+    paused_until_us: AtomicU64,
+    steer_milli: AtomicU32,
+    closed: AtomicBool,
+}
+
+impl TargetLoad {
+    /// A target without load.
+    pub fn new(slots: u32) -> Self {
+        Self {
+            in_flight: AtomicU32::new(0),
+            slots,
+            limit_milli: AtomicU32::new(slots * MILLI),
+            latency_us: AtomicU64::new(0),
+            updated_us: AtomicU64::new(0),
+            paused_until_us: AtomicU64::new(0),
+            steer_milli: AtomicU32::new(0),
+            closed: AtomicBool::new(false),
+        }
+    }
+
+    /// Requests in flight from this instance.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Whether the target takes a request now.
+    pub fn has_room(&self, now_us: u64) -> bool {
+        let limit = (self.limit_milli.load(Ordering::Relaxed) / MILLI).max(1);
+        self.in_flight() < limit && now_us >= self.paused_until_us.load(Ordering::Relaxed)
+    }
+
+    /// Takes a slot if there is room and the target is open.
+    pub fn take(self: &Arc<Self>, now_us: u64) -> Option<Slot> {
+        if !self.has_room(now_us) || self.closed.load(Ordering::Acquire) {
+            return None;
+        }
+        let limit = (self.limit_milli.load(Ordering::Relaxed) / MILLI).max(1);
+        let below = |in_flight: u32| (in_flight < limit).then_some(in_flight + 1);
+        self.in_flight
+            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, below)
+            .ok()?;
+        Some(Slot { load: self.clone() })
+    }
+
+    /// Takes no new work from now on: the target is leaving.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+    }
+
+    /// Takes work again.
+    pub fn open(&self) {
+        self.closed.store(false, Ordering::Release);
+    }
+
+    /// Whether the target is leaving.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
+    /// Takes in the latency of an answer, and lets the limit grow.
+    pub fn answered(&self, now_us: u64, latency_us: u64) {
+        let old = self.latency_us.load(Ordering::Relaxed);
+        let new = if old == 0 {
+            latency_us
+        } else {
+            (old * 7 + latency_us) / 8
+        };
+        self.latency_us.store(new, Ordering::Relaxed);
+        self.updated_us.store(now_us, Ordering::Relaxed);
+        let limit = self.limit_milli.load(Ordering::Relaxed);
+        let grown = (limit + MILLI * MILLI / (4 * limit.max(MILLI))).min(self.slots * MILLI);
+        self.limit_milli.store(grown, Ordering::Relaxed);
+    }
+
+    /// Takes in that the target sheds load: fewer at once, after a pause.
+    pub fn shed(&self, now_us: u64, pause_us: u64) {
+        let limit = self.limit_milli.load(Ordering::Relaxed);
+        let cut = (limit * 7 / 10).max(MIN_LIMIT_MILLI);
+        self.limit_milli.store(cut, Ordering::Relaxed);
+        self.paused_until_us
+            .store(now_us + pause_us, Ordering::Relaxed);
+    }
+
+    /// The latency to expect, nearer to `median_us` the older the measurement.
+    pub fn expected_us(&self, now_us: u64, median_us: u64) -> f64 {
+        let measured = self.latency_us.load(Ordering::Relaxed);
+        let median = median_us as f64;
+        if measured == 0 {
+            return median;
+        }
+        let age_us = now_us.saturating_sub(self.updated_us.load(Ordering::Relaxed)) as f64;
+        median + (measured as f64 - median) * 0.5f64.powf(age_us / LATENCY_HALF_LIFE_US)
+    }
+
+    /// Sets the running evidence against the target, 0 to 1.
+    pub fn set_steer(&self, share: f64) {
+        let milli = (share.clamp(0.0, 1.0) * f64::from(MILLI)) as u32;
+        self.steer_milli.store(milli, Ordering::Relaxed);
+    }
+
+    /// The running evidence against the target, 0 to 1.
+    pub fn steer(&self) -> f64 {
+        f64::from(self.steer_milli.load(Ordering::Relaxed)) / f64::from(MILLI)
+    }
+}
+
+/// A request's place at a target; given back when dropped.
+#[derive(Debug)]
+pub struct Slot {
+    load: Arc<TargetLoad>,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.load.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// What an instance counts for a service as a whole.
+#[derive(Debug)]
+pub struct ServiceLoad {
+    /// Budget of retries and hedges.
+    pub retries: RetryBudget,
+    /// Median latency in microseconds; 0 while unknown.
+    pub median_us: AtomicU64,
+    /// Latency beyond which an answer is slow; 0 while unknown.
+    pub slow_us: AtomicU64,
+}
+
+impl ServiceLoad {
+    /// A service without load.
+    pub fn new(retry_share: f64) -> Self {
+        Self {
+            retries: RetryBudget::new(retry_share),
+            median_us: AtomicU64::new(0),
+            slow_us: AtomicU64::new(0),
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/routing/mod.rs
@@ -0,0 +1,18 @@
+//! Which targets requests may go to, and the choice among them.
+
+mod candidate;
+mod choice;
+mod floor;
+mod load;
+mod routing_table;
+mod service_table;
+
+pub use candidate::Candidate;
+pub use choice::Choice;
+pub use floor::RoutingSet;
+pub use floor::enforce;
+pub use load::ServiceLoad;
+pub use load::Slot;
+pub use load::TargetLoad;
+pub use routing_table::RoutingTable;
+pub use service_table::ServiceTable;
