--- /dev/null
+++ b/peers/src/lib.rs
@@ -0,0 +1,23 @@
+//! Messages between instances.
+//!
+//! A message is one tarpc call whose argument is the encoded envelope. It may
+//! get lost; the decisions allow for that. What cannot be read is refused and
+//! counted, and never ends the process.
+
+mod codec;
+mod counters;
+mod listener;
+mod sender;
+mod service;
+
+pub use codec::CodecError;
+pub use codec::MAX_MESSAGE_BYTES;
+pub use codec::VERSION;
+pub use codec::decode;
+pub use codec::encode;
+pub use counters::Counters;
+pub use listener::Handler;
+pub use listener::Listener;
+pub use sender::Sender;
+pub use service::Delivery;
+pub use service::Receipt;
--- a/policy/src/evidence/observer.rs
+++ b/policy/src/evidence/observer.rs
@@ -18,7 +18,7 @@
 use super::tally::THINNING_STEPS;
 
 /// Bytes a second that reports may cost.
-pub const REPORT_BUDGET_BYTES_PER_S: u64 = 1_500;
+pub(super) const REPORT_BUDGET_BYTES_PER_S: u64 = 1_500;
 
 const ADJUST_PERIOD_US: u64 = 2_000_000;
 
@@ -61,34 +61,19 @@
     /// Whether an answer is normal, given the service's own scale.
     pub fn classify(&mut self, service: &Arc<str>, good: bool, latency_us: u64) -> Tally {
         let counts = self.services.entry(service.clone()).or_default();
-        let slow = counts
-            .scale
-            .slow_us()
-            .is_some_and(|slow_us| latency_us > slow_us);
+        let slow = counts.scale.slow_us().is_some_and(|slow_us| latency_us > slow_us);
         if good {
             counts.scale.add(latency_us);
         }
         if good && !slow {
-            Tally {
-                normal: 1,
-                abnormal: 0,
-            }
+            Tally { normal: 1, abnormal: 0 }
         } else {
-            Tally {
-                normal: 0,
-                abnormal: 1,
-            }
+            Tally { normal: 0, abnormal: 1 }
         }
     }
 
     /// Counts one outcome of a target for the next report.
-    pub fn count(
-        &mut self,
-        service: &Arc<str>,
-        target: &Arc<str>,
-        tally: Tally,
-        rng: &mut ChaCha8Rng,
-    ) {
+    pub fn count(&mut self, service: &Arc<str>, target: &Arc<str>, tally: Tally, rng: &mut ChaCha8Rng) {
         let kept = tally.abnormal > 0 || rng.random_range(0..1u32 << self.thinning) == 0;
         if kept {
             let counts = self.services.entry(service.clone()).or_default();
--- a/policy/src/evidence/sequential_test.rs
+++ b/policy/src/evidence/sequential_test.rs
@@ -39,10 +39,7 @@
         if background * 1.5 > failing {
             return None;
         }
-        Some(Self {
-            background,
-            failing,
-        })
+        Some(Self { background, failing })
     }
 
     /// The rates as they are seen when normal outcomes are thinned by `thinning` steps.
@@ -107,11 +104,7 @@
 
     /// The log ratio of the counts.
     pub fn log_ratio(&self, rates: Rates) -> f64 {
-        let counted = self
-            .tallies
-            .iter()
-            .enumerate()
-            .filter(|(_, tally)| tally.total() > 0);
+        let counted = self.tallies.iter().enumerate().filter(|(_, tally)| tally.total() > 0);
         counted
             .map(|(thinning, tally)| rates.thinned(thinning).log_ratio(*tally))
             .sum()
--- a/policy/src/evidence/service_test.rs
+++ b/policy/src/evidence/service_test.rs
@@ -65,14 +65,7 @@
     /// Counts outcomes that an instance in `data_centre` has met.
     ///
     /// Normal outcomes were thinned by `thinning` steps.
-    pub fn count(
-        &mut self,
-        now_us: u64,
-        target: &Arc<str>,
-        data_centre: &Arc<str>,
-        thinning: usize,
-        tally: Tally,
-    ) {
+    pub fn count(&mut self, now_us: u64, target: &Arc<str>, data_centre: &Arc<str>, thinning: usize, tally: Tally) {
         let test = self
             .targets
             .entry(target.clone())
--- a/policy/src/evidence/tally.rs
+++ b/policy/src/evidence/tally.rs
@@ -26,7 +26,7 @@
 }
 
 /// Steps by which normal outcomes are thinned: step `n` keeps one in 2ⁿ.
-pub const THINNING_STEPS: usize = 8;
+pub(super) const THINNING_STEPS: usize = 8;
 
 const BUCKET_US: u64 = 100_000;
 const BUCKETS: usize = 20;
@@ -74,9 +74,6 @@
 
     /// Decayed counts as (abnormal, total).
     pub fn decayed(&self) -> (f64, f64) {
-        (
-            self.decayed_abnormal,
-            self.decayed_abnormal + self.decayed_normal,
-        )
+        (self.decayed_abnormal, self.decayed_abnormal + self.decayed_normal)
     }
 }
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -1,5 +1,6 @@
 //! The state of an instance and what each input does to it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -78,6 +79,7 @@
     readiness: Readiness,
     rng: ChaCha8Rng,
     shares_evidence: bool,
+    seeds: Vec<SocketAddr>,
     own_ids: Vec<Arc<str>>,
     next_flush_us: u64,
     next_join_us: u64,
@@ -107,6 +109,7 @@
             readiness: Readiness::default(),
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
             shares_evidence: settings.shares_evidence,
+            seeds: settings.seeds,
             own_ids: Vec::new(),
             next_flush_us: 0,
             next_join_us: 0,
@@ -145,11 +148,7 @@
             Input::Tick => self.tick(now_us),
             Input::Received(envelope) => self.received(now_us, envelope),
             Input::Observed(observation) => self.observed(now_us, &observation),
-            Input::Probed {
-                service,
-                target,
-                good,
-            } => self.probed(now_us, &service, &target, good),
+            Input::Probed { service, target, good } => self.probed(now_us, &service, &target, good),
             Input::Platform(answer) => self.platform_answered(now_us, answer),
             Input::Drain => self.drain(now_us),
         }
@@ -182,8 +181,7 @@
         for member in &envelope.news {
             self.membership.learn(now_us, member);
         }
-        self.membership
-            .heard_from(now_us, &from, envelope.incarnation);
+        self.membership.heard_from(now_us, &from, envelope.incarnation);
         self.readiness.heard(&from, envelope.note);
         self.members_changed();
         match envelope.message {
@@ -193,14 +191,8 @@
             Message::Join => self.give_members(now_us, &from),
             Message::Members(members) => self.learn_members(now_us, &members),
             Message::Reports(reports) => self.take_reports(now_us, &from, &reports),
-            Message::Verdicts {
-                home,
-                verdicts,
-                span,
-            } => self.verdicts_spread(now_us, &home, &verdicts, span.as_ref()),
-            Message::NewNote { note, span } => {
-                self.note_spread(now_us, &from, &note, span.as_ref())
-            }
+            Message::Verdicts { home, verdicts, span } => self.verdicts_spread(now_us, &home, &verdicts, span.as_ref()),
+            Message::NewNote { note, span } => self.note_spread(now_us, &from, &note, span.as_ref()),
             Message::PullNotes { after } => self.give_notes(now_us, &from, after),
             Message::Notes(notes) => self.take_notes(now_us, &notes, false),
             Message::SnapshotPart {
@@ -246,9 +238,7 @@
                 self.readiness.platform_away();
             }
             PlatformAnswer::InstancesAway => self.calls.instances_failed(now_us, &mut self.rng),
-            PlatformAnswer::SnapshotNotWritten => {
-                self.calls.write_ended(now_us, false, &mut self.rng)
-            }
+            PlatformAnswer::SnapshotNotWritten => self.calls.write_ended(now_us, false, &mut self.rng),
         }
         self.decide_readiness();
     }
@@ -272,13 +262,7 @@
         let Some(address) = self.membership.get(to).map(|member| member.peer_address) else {
             return;
         };
-        let envelope = Envelope {
-            from: self.membership.own().id.clone(),
-            incarnation: self.membership.own().incarnation,
-            note: self.log.number(),
-            news: self.membership.take_news(),
-            message,
-        };
+        let envelope = self.envelope(message);
         if envelope.from == *to {
             self.received(now_us, envelope);
             return;
@@ -290,6 +274,16 @@
         });
     }
 
+    fn envelope(&mut self, message: Message) -> Envelope {
+        Envelope {
+            from: self.membership.own().id.clone(),
+            incarnation: self.membership.own().incarnation,
+            note: self.log.number(),
+            news: self.membership.take_news(),
+            message,
+        }
+    }
+
     /// Ids of all others that are present, in order.
     pub(super) fn other_ids(&self) -> Vec<Arc<str>> {
         self.own_ids.clone()
@@ -298,11 +292,7 @@
     fn send_probe(&mut self, now_us: u64, probe: Probe) {
         match probe {
             Probe::Direct { to, sequence } => self.send(now_us, &to, Message::Ping { sequence }),
-            Probe::Indirect {
-                through,
-                to,
-                sequence,
-            } => self.send(now_us, &through, Message::PingFor { to, sequence }),
+            Probe::Indirect { through, to, sequence } => self.send(now_us, &through, Message::PingFor { to, sequence }),
         }
     }
 
@@ -334,18 +324,32 @@
         self.next_join_us = now_us + JOIN_PERIOD_US;
         let mut asked = Vec::new();
         for member in self.membership.present() {
-            let new = asked
-                .iter()
-                .all(|(data_centre, _)| *data_centre != member.data_centre);
+            let new = asked.iter().all(|(data_centre, _)| *data_centre != member.data_centre);
             if new && member.id != self.membership.own().id {
                 asked.push((member.data_centre.clone(), member.id.clone()));
             }
         }
+        if asked.is_empty() {
+            self.ask_seeds();
+        }
         for (_, id) in asked {
             self.send(now_us, &id, Message::Join);
         }
     }
 
+    /// Asks peers of whom only the addresses are known.
+    fn ask_seeds(&mut self) {
+        for address in self.seeds.clone() {
+            let mut envelope = self.envelope(Message::Join);
+            envelope.news.push(self.membership.own().clone());
+            self.actions.push(Action::Send {
+                to: "".into(),
+                address,
+                envelope,
+            });
+        }
+    }
+
     fn give_members(&mut self, now_us: u64, to: &Arc<str>) {
         let members: Vec<Member> = self.membership.present().cloned().collect();
         for chunk in members.chunks(MEMBERS_PER_MESSAGE) {
@@ -379,6 +383,11 @@
         self.own_ids = self.membership.present_ids();
         let own = self.membership.own().id.clone();
         self.own_ids.retain(|id| *id != own);
+        let directory = self
+            .membership
+            .present()
+            .map(|member| (member.id.clone(), member.clone()));
+        self.shared.publish_directory(directory.collect());
         let members = self.own_ids.len() as u64 + 1;
         self.home
             .set_suspicion_interval(members * SUSPICION_INTERVAL_PER_MEMBER_US);
@@ -393,9 +402,8 @@
             .filter(|service| !self.homes.of(service, &self.membership).contains(&own))
             .cloned()
             .collect();
-        self.home.retain(self.log.world(), |service| {
-            lost.iter().all(|name| **name != *service)
-        });
+        self.home
+            .retain(self.log.world(), |service| lost.iter().all(|name| **name != *service));
     }
 
     fn decide_readiness(&mut self) {
@@ -418,10 +426,7 @@
         };
         let load = self.tables.load_of(&target);
         let service_load = self.tables.service_load(&service);
-        let median_us = self
-            .observer
-            .median_us(&service.name)
-            .unwrap_or(ASSUMED_MEDIAN_US);
+        let median_us = self.observer.median_us(&service.name).unwrap_or(ASSUMED_MEDIAN_US);
         let tally = match observation.end {
             AttemptEnd::Answered { good, latency_us } => {
                 let tally = self.observer.classify(&service.name, good, latency_us);
@@ -440,26 +445,19 @@
                 return;
             }
             AttemptEnd::Cancelled => return,
-            AttemptEnd::NotSent | AttemptEnd::Cut | AttemptEnd::Overdue => Tally {
-                normal: 0,
-                abnormal: 1,
-            },
+            AttemptEnd::NotSent | AttemptEnd::Cut | AttemptEnd::Overdue => Tally { normal: 0, abnormal: 1 },
         };
         let slow_us = self.observer.slow_us(&service.name).unwrap_or(0);
         service_load.slow_us.store(slow_us, Ordering::Relaxed);
-        service_load.median_us.store(
-            self.observer.median_us(&service.name).unwrap_or(0),
-            Ordering::Relaxed,
-        );
+        service_load
+            .median_us
+            .store(self.observer.median_us(&service.name).unwrap_or(0), Ordering::Relaxed);
         if observation.counted {
             return;
         }
         let here = self.membership.own().data_centre.clone();
-        self.observer
-            .count(&service.name, &target.name, tally, &mut self.rng);
-        let failing = self
-            .steering
-            .count(now_us, &service, &target.name, &here, tally, &load);
+        self.observer.count(&service.name, &target.name, tally, &mut self.rng);
+        let failing = self.steering.count(now_us, &service, &target.name, &here, tally, &load);
         if !self.shares_evidence && failing {
             self.judge_alone(now_us, &service.name, &target.name);
         }
@@ -467,9 +465,7 @@
 
     /// Ejects a target by the instance's own evidence.
     fn judge_alone(&mut self, now_us: u64, service: &Arc<str>, target: &Arc<str>) {
-        let events = self
-            .home
-            .eject_alone(now_us, self.log.world(), service, target);
+        let events = self.home.eject_alone(now_us, self.log.world(), service, target);
         self.follow_home(now_us, events);
     }
 
@@ -504,25 +500,17 @@
     }
 
     fn take_reports(&mut self, now_us: u64, from: &Arc<str>, reports: &[Report]) {
-        let Some(data_centre) = self
-            .membership
-            .get(from)
-            .map(|member| member.data_centre.clone())
-        else {
+        let Some(data_centre) = self.membership.get(from).map(|member| member.data_centre.clone()) else {
             return;
         };
         for report in reports {
-            let events = self
-                .home
-                .report(now_us, self.log.world(), &data_centre, report);
+            let events = self.home.report(now_us, self.log.world(), &data_centre, report);
             self.follow_home(now_us, events);
         }
     }
 
     fn probed(&mut self, now_us: u64, service: &str, target: &Arc<str>, good: bool) {
-        let events = self
-            .home
-            .probed(now_us, self.log.world(), service, target, good);
+        let events = self.home.probed(now_us, self.log.world(), service, target, good);
         self.follow_home(now_us, events);
     }
 
@@ -555,9 +543,7 @@
 
     fn probe(&mut self, service: &str, target: &str) {
         let world = self.log.world();
-        if let (Some(service), Some(target)) =
-            (world.services.get(service), world.targets.get(target))
-        {
+        if let (Some(service), Some(target)) = (world.services.get(service), world.targets.get(target)) {
             self.actions.push(Action::Probe {
                 target: target.clone(),
                 path: service.probe_path.clone(),
@@ -565,13 +551,7 @@
         }
     }
 
-    fn verdicts_spread(
-        &mut self,
-        now_us: u64,
-        home: &Arc<str>,
-        verdicts: &[Verdict],
-        span: Option<&Span>,
-    ) {
+    fn verdicts_spread(&mut self, now_us: u64, home: &Arc<str>, verdicts: &[Verdict], span: Option<&Span>) {
         if let Some(span) = span {
             let ids = span.cut(&self.other_ids());
             self.spread_verdicts(now_us, home, verdicts, &ids);
@@ -579,13 +559,7 @@
         self.learn_verdicts(now_us, home, verdicts);
     }
 
-    fn spread_verdicts(
-        &mut self,
-        now_us: u64,
-        home: &Arc<str>,
-        verdicts: &[Verdict],
-        ids: &[Arc<str>],
-    ) {
+    fn spread_verdicts(&mut self, now_us: u64, home: &Arc<str>, verdicts: &[Verdict], ids: &[Arc<str>]) {
         for (to, span) in crate::notes::split(ids) {
             let message = Message::Verdicts {
                 home: home.clone(),
@@ -729,12 +703,7 @@
     let body: u64 = reports
         .iter()
         .map(|report| {
-            report.service.len() as u64
-                + report
-                    .targets
-                    .iter()
-                    .map(|target| entry(&target.target))
-                    .sum::<u64>()
+            report.service.len() as u64 + report.targets.iter().map(|target| entry(&target.target)).sum::<u64>()
         })
         .sum();
     body + REPORT_OVERHEAD_BYTES
--- a/policy/src/instance/settings.rs
+++ b/policy/src/instance/settings.rs
@@ -1,5 +1,7 @@
 //! What an instance is told about itself.
 
+use std::net::SocketAddr;
+
 use model::world::Target;
 
 use crate::membership::Member;
@@ -11,6 +13,8 @@
     pub own: Member,
     /// Seed of the instance's generator.
     pub seed: u64,
+    /// Addresses of peers to ask while the platform's list is not known.
+    pub seeds: Vec<SocketAddr>,
     /// Whether outcomes are reported to homes.
     pub shares_evidence: bool,
 }
@@ -21,6 +25,7 @@
         Self {
             own,
             seed,
+            seeds: Vec::new(),
             shares_evidence: true,
         }
     }
--- a/policy/src/instance/steering.rs
+++ b/policy/src/instance/steering.rs
@@ -19,7 +19,7 @@
 
 /// Evidence of the instance's own requests, by service.
 #[derive(Debug, Default)]
-pub struct Steering {
+pub(super) struct Steering {
     tests: BTreeMap<Arc<str>, ServiceTest>,
     steered: BTreeMap<Arc<str>, Arc<TargetLoad>>,
     next_decay_us: u64,
@@ -27,7 +27,7 @@
 
 impl Steering {
     /// Counts an outcome; true if the own evidence alone says that the target fails.
-    pub fn count(
+    pub(super) fn count(
         &mut self,
         now_us: u64,
         service: &Service,
@@ -55,7 +55,7 @@
     }
 
     /// Lets evidence wear off.
-    pub fn tick(&mut self, now_us: u64) {
+    pub(super) fn tick(&mut self, now_us: u64) {
         if now_us < self.next_decay_us {
             return;
         }
@@ -69,7 +69,7 @@
     }
 
     /// Drops services that are no longer in the configuration.
-    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+    pub(super) fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.tests.retain(|name, _| keep(name));
     }
 }
--- a/policy/src/limits/fair_queue.rs
+++ b/policy/src/limits/fair_queue.rs
@@ -22,16 +22,28 @@
 }
 
 /// The requests of one service that wait in one instance.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct FairQueue<T> {
     by_customer: HashMap<Arc<str>, VecDeque<(u64, T)>>,
     turns: VecDeque<Arc<str>>,
     len: usize,
-    /// Requests that left the queue lately, and the time that it took.
+    /// Time from one request's leaving to the next one's, while more wait.
     service_us: u64,
     last_pop_us: u64,
 }
 
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self {
+            by_customer: HashMap::new(),
+            turns: VecDeque::new(),
+            len: 0,
+            service_us: 0,
+            last_pop_us: 0,
+        }
+    }
+}
+
 impl<T> FairQueue<T> {
     /// Requests that wait.
     pub fn len(&self) -> usize {
--- a/policy/src/membership/membership.rs
+++ b/policy/src/membership/membership.rs
@@ -84,7 +84,8 @@
 impl Membership {
     /// A view that holds only the instance itself.
     pub fn new(own: Member) -> Self {
-        Self {
+        let id = own.id.clone();
+        let mut membership = Self {
             own,
             entries: BTreeMap::new(),
             ring: Vec::new(),
@@ -93,7 +94,9 @@
             next_ping_us: 0,
             news: VecDeque::new(),
             changes: Vec::new(),
-        }
+        };
+        membership.tell(id);
+        membership
     }
 
     /// The instance itself.
@@ -250,9 +253,8 @@
             member.status = Status::Dead;
             self.learn(now_us, &member);
         }
-        self.entries.retain(|_, entry| {
-            entry.member.is_present() || now_us.saturating_sub(entry.since_us) < TOMBSTONE_US
-        });
+        self.entries
+            .retain(|_, entry| entry.member.is_present() || now_us.saturating_sub(entry.since_us) < TOMBSTONE_US);
     }
 
     fn ask_others(&mut self, now_us: u64, rng: &mut ChaCha8Rng, probes: &mut Vec<Probe>) {
@@ -315,19 +317,12 @@
     fn next_in_ring(&mut self, rng: &mut ChaCha8Rng) -> Option<Arc<str>> {
         loop {
             if self.ring.is_empty() {
-                let present = self
-                    .entries
-                    .values()
-                    .filter(|entry| entry.member.is_present());
+                let present = self.entries.values().filter(|entry| entry.member.is_present());
                 self.ring = present.map(|entry| entry.member.id.clone()).collect();
                 self.ring.shuffle(rng);
             }
             let id = self.ring.pop()?;
-            if self
-                .entries
-                .get(&id)
-                .is_some_and(|entry| entry.member.is_present())
-            {
+            if self.entries.get(&id).is_some_and(|entry| entry.member.is_present()) {
                 return Some(id);
             }
         }
--- a/policy/src/notes/note_log.rs
+++ b/policy/src/notes/note_log.rs
@@ -72,10 +72,7 @@
                 Ok(next) => (next, Offered::Applied),
                 Err(error) => (parsed.skip(&self.world), Offered::Void(error.to_string())),
             },
-            Err(error) => (
-                Note::default().skip(&self.world),
-                Offered::Void(error.to_string()),
-            ),
+            Err(error) => (Note::default().skip(&self.world), Offered::Void(error.to_string())),
         };
         self.replace(next);
         self.keep(note);
--- /dev/null
+++ b/sniperun/src/cli/args.rs
@@ -0,0 +1,280 @@
+//! Commands and their options.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use argh::FromArgs;
+
+/// Drive a fleet of sniperun instances by release notes.
+///
+/// Examples:
+///   sniperun try
+///   sniperun note submit note.jsonc --platform 127.0.0.1:7000
+///   sniperun status --instance 127.0.0.1:7202
+#[derive(Debug, FromArgs)]
+pub struct Args {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Work with release notes.
+    Note(NoteArgs),
+    /// Work with settings.
+    Settings(SettingsArgs),
+    /// Show how instances see the world.
+    Status(StatusArgs),
+    /// Run everything once in this process.
+    Try(TryArgs),
+    /// Run a fake, for trials.
+    StandIn(StandInArgs),
+}
+
+/// Check, submit and read release notes.
+///
+/// Example: sniperun note in-force --platform 127.0.0.1:7000
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "note")]
+pub struct NoteArgs {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: NoteCommand,
+}
+
+/// What to do with release notes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum NoteCommand {
+    /// Check a note.
+    Check(CheckArgs),
+    /// Submit a note.
+    Submit(SubmitArgs),
+    /// Show which note is in force.
+    InForce(InForceArgs),
+    /// Show a note.
+    Show(ShowArgs),
+    /// List notes.
+    List(ListArgs),
+    /// Show what a note would change.
+    Diff(DiffArgs),
+}
+
+/// Check a note, against the configuration in force if a platform is given.
+///
+/// Example: sniperun note check note.jsonc
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckArgs {
+    /// file with the note, JSON with comments
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// address of the platform
+    #[argh(option)]
+    pub platform: Option<String>,
+}
+
+/// Submit a note as one unit. A lost answer ends in the true result.
+///
+/// Example: sniperun note submit note.jsonc --platform 127.0.0.1:7000
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "submit")]
+pub struct SubmitArgs {
+    /// file with the note, JSON with comments
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// address of the platform
+    #[argh(option)]
+    pub platform: String,
+    /// id of the submission; give the same one to submit again after a failure
+    #[argh(option)]
+    pub submission: Option<String>,
+}
+
+/// Show the number of the note in force.
+///
+/// Example: sniperun note in-force --platform 127.0.0.1:7000
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "in-force")]
+pub struct InForceArgs {
+    /// address of the platform
+    #[argh(option)]
+    pub platform: String,
+    /// administrative address of an instance to ask too; can be repeated
+    #[argh(option)]
+    pub instance: Vec<SocketAddr>,
+}
+
+/// Show a note.
+///
+/// Example: sniperun note show 3 --platform 127.0.0.1:7000
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct ShowArgs {
+    /// the note's number
+    #[argh(positional)]
+    pub number: u64,
+    /// address of the platform
+    #[argh(option)]
+    pub platform: String,
+}
+
+/// List notes, the latest last.
+///
+/// Example: sniperun note list --platform 127.0.0.1:7000 --last 10
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct ListArgs {
+    /// address of the platform
+    #[argh(option)]
+    pub platform: String,
+    /// how many notes to list (default 20)
+    #[argh(option, default = "20")]
+    pub last: u64,
+}
+
+/// Show what a note would change.
+///
+/// Example: sniperun note diff note.jsonc --platform 127.0.0.1:7000
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffArgs {
+    /// file with the note, JSON with comments
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// address of the platform
+    #[argh(option)]
+    pub platform: String,
+}
+
+/// Work with settings of instances.
+///
+/// Example: sniperun settings check settings.jsonc
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "settings")]
+pub struct SettingsArgs {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: SettingsCommand,
+}
+
+/// What to do with settings.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum SettingsCommand {
+    /// Check a file.
+    Check(SettingsCheckArgs),
+}
+
+/// Check the settings of an instance.
+///
+/// Example: sniperun settings check settings.jsonc
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct SettingsCheckArgs {
+    /// file with the settings, JSON with comments
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Show how instances see the world: note in force, readiness, targets.
+///
+/// Example: sniperun status --instance 127.0.0.1:7202 --instance 127.0.0.1:7212
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusArgs {
+    /// administrative address of an instance; can be repeated
+    #[argh(option)]
+    pub instance: Vec<SocketAddr>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// A deployment that a trial can describe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Deployment {
+    /// Rodopi.
+    Rodopi,
+    /// Kinderhut.
+    Kinderhut,
+}
+
+impl FromStr for Deployment {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "rodopi" => Ok(Self::Rodopi),
+            "kinderhut" => Ok(Self::Kinderhut),
+            _ => Err("expected rodopi or kinderhut".to_owned()),
+        }
+    }
+}
+
+/// Run fakes and three instances in this process, under load and faults.
+///
+/// Exits with a status other than 0 if a promise is broken.
+///
+/// Example: sniperun try --deployment kinderhut --seconds 20
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "try")]
+pub struct TryArgs {
+    /// how long the load lasts (default 15, at least 6)
+    #[argh(option, default = "15")]
+    pub seconds: u64,
+    /// seed of the load (default 1)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// rodopi or kinderhut (default rodopi)
+    #[argh(option, default = "Deployment::Rodopi")]
+    pub deployment: Deployment,
+}
+
+/// Run a fake platform or backend server, for trials with several processes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "stand-in")]
+pub struct StandInArgs {
+    /// what to run
+    #[argh(subcommand)]
+    pub command: StandInCommand,
+}
+
+/// A fake to run.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum StandInCommand {
+    /// The platform.
+    Platform(StandInPlatformArgs),
+    /// The backend servers of a note.
+    Backends(StandInBackendsArgs),
+}
+
+/// Run a fake platform.
+///
+/// Example: sniperun stand-in platform --address 127.0.0.1:7000
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub struct StandInPlatformArgs {
+    /// address to serve at
+    #[argh(option)]
+    pub address: SocketAddr,
+}
+
+/// Run a fake backend server for each target of a note.
+///
+/// Example: sniperun stand-in backends --note examples/rodopi/note.jsonc
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "backends")]
+pub struct StandInBackendsArgs {
+    /// file with the note
+    #[argh(option)]
+    pub note: PathBuf,
+}
--- /dev/null
+++ b/sniperun/src/cli/mod.rs
@@ -0,0 +1,15 @@
+//! The command line's form.
+
+mod args;
+
+pub use args::Args;
+pub use args::Command;
+pub use args::Deployment;
+pub use args::NoteArgs;
+pub use args::NoteCommand;
+pub use args::SettingsArgs;
+pub use args::SettingsCommand;
+pub use args::StandInArgs;
+pub use args::StandInCommand;
+pub use args::StatusArgs;
+pub use args::TryArgs;
--- /dev/null
+++ b/sniperun/src/commands/mod.rs
@@ -0,0 +1,13 @@
+//! What the commands do.
+
+mod command_error;
+mod fetch;
+mod note;
+mod run;
+mod settings;
+mod stand_in;
+mod status;
+
+pub use command_error::CommandError;
+pub use command_error::Result;
+pub use run::run;
--- /dev/null
+++ b/sniperun/src/commands/note.rs
@@ -0,0 +1,133 @@
+//! Commands on release notes.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+use model::Note;
+use model::World;
+use model::note::Delta;
+use model::world::Named;
+use platform::HttpPlatform;
+use platform::NoteStore;
+use sniperund::clock::unix_ms;
+
+use super::CommandError;
+use super::Result;
+use super::fetch;
+
+fn store(platform: &str) -> NoteStore {
+    NoteStore::new(Arc::new(HttpPlatform::new(platform)))
+}
+
+/// Checks a note by itself, or against the configuration in force.
+pub(super) async fn check(path: &Path, platform: Option<&str>) -> Result<String> {
+    let mut note = fetch::note(path)?;
+    note.submitted_at_ms = unix_ms();
+    let world = match platform {
+        Some(platform) => store(platform).world().await?,
+        None if is_additive(&note) => World::default(),
+        None => {
+            return Ok(format!(
+                "{}: well-formed; give --platform to check it against the note in force\n",
+                path.display()
+            ));
+        }
+    };
+    note.apply(&world)?;
+    Ok(format!("{}: in order after note {}\n", path.display(), world.number))
+}
+
+fn is_additive(note: &Note) -> bool {
+    fn adds_only<T>(delta: &Delta<T>) -> bool {
+        delta.change.is_empty() && delta.withdraw.is_empty()
+    }
+    adds_only(&note.services) && adds_only(&note.targets) && adds_only(&note.routes) && !note.services.add.is_empty()
+}
+
+/// Submits a note.
+pub(super) async fn submit(path: &Path, platform: &str, submission: Option<String>) -> Result<String> {
+    let mut note = fetch::note(path)?;
+    note.submitted_at_ms = unix_ms();
+    if let Some(submission) = submission {
+        note.submission = submission.into();
+    } else if note.submission.is_empty() {
+        note.submission = format!("{:016x}", rand::random::<u64>()).into();
+    }
+    eprintln!("submission {}", note.submission);
+    let submitted = store(platform).submit(&note).await?;
+    let when = if submitted.earlier {
+        "was accepted earlier"
+    } else {
+        "is accepted"
+    };
+    Ok(format!("note {} {when}\n", submitted.number))
+}
+
+/// Shows the note in force.
+pub(super) async fn in_force(platform: &str, instances: &[SocketAddr]) -> Result<String> {
+    let world = store(platform).world().await?;
+    let mut text = format!("platform: note {}\n", world.number);
+    for address in instances {
+        match fetch::status(*address).await {
+            Ok(status) => {
+                let _ = writeln!(text, "{}: note {}", status.instance, status.note);
+            }
+            Err(error) => {
+                let _ = writeln!(text, "{error}");
+            }
+        }
+    }
+    Ok(text)
+}
+
+/// Shows a note.
+pub(super) async fn show(platform: &str, number: u64) -> Result<String> {
+    let note = store(platform).read(number).await?;
+    let note = note.ok_or(CommandError::NoNote { number })?;
+    Ok(serde_json::to_string_pretty(&note).unwrap_or_default() + "\n")
+}
+
+/// Lists the latest notes.
+pub(super) async fn list(platform: &str, last: u64) -> Result<String> {
+    let store = store(platform);
+    let newest = store.world().await?.number;
+    let mut text = String::new();
+    for number in newest.saturating_sub(last)..newest {
+        if let Some(note) = store.read(number + 1).await? {
+            let _ = writeln!(text, "{:>6}  {:<24}  {}", number + 1, note.submission, note.title);
+        }
+    }
+    Ok(text)
+}
+
+/// Shows what a note would change, object by object.
+pub(super) async fn diff(path: &Path, platform: &str) -> Result<String> {
+    let mut note = fetch::note(path)?;
+    note.submitted_at_ms = unix_ms();
+    let world = store(platform).world().await?;
+    note.apply(&world)?;
+    let mut text = format!("after note {}:\n", world.number);
+    write_delta(&mut text, &note.services);
+    write_delta(&mut text, &note.targets);
+    write_delta(&mut text, &note.routes);
+    write_delta(&mut text, &note.customers);
+    write_delta(&mut text, &note.closings);
+    for link in &note.links {
+        let _ = writeln!(text, "  ~ link {} - {}: {} us", link.from, link.to, link.one_way_us);
+    }
+    Ok(text)
+}
+
+fn write_delta<T: Named>(text: &mut String, delta: &Delta<T>) {
+    for object in &delta.add {
+        let _ = writeln!(text, "  + {} {}", T::KIND, object.name());
+    }
+    for object in &delta.change {
+        let _ = writeln!(text, "  ~ {} {}", T::KIND, object.name());
+    }
+    for name in &delta.withdraw {
+        let _ = writeln!(text, "  - {} {name}", T::KIND);
+    }
+}
--- /dev/null
+++ b/sniperun/src/trial/scene.rs
@@ -0,0 +1,199 @@
+//! The fakes and instances of a trial.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use model::Note;
+use model::world::Class;
+use platform::HttpPlatform;
+use platform::NoteStore;
+use policy::evidence::Standing;
+use sniperund::App;
+use sniperund::Settings;
+use standin::Backend;
+use standin::PlatformServer;
+use standin::Script;
+
+use crate::cli::Deployment;
+use crate::commands::CommandError;
+use crate::commands::Result;
+
+const RODOPI: &str = include_str!("../../../examples/rodopi/note.jsonc");
+const KINDERHUT: &str = include_str!("../../../examples/kinderhut/note.jsonc");
+const INSTANCES: usize = 3;
+pub(super) const EXPORT_BYTES: usize = 256 * 1024;
+const START_LIMIT: Duration = Duration::from_secs(10);
+const LOOK_PERIOD: Duration = Duration::from_millis(10);
+
+/// The fakes and instances of a trial.
+pub(super) struct Scene {
+    pub(super) platform: PlatformServer,
+    pub(super) backends: Vec<Backend>,
+    pub(super) note: Note,
+    pub(super) apps: Vec<App>,
+    pub(super) store: NoteStore,
+}
+
+/// A service and the path of its requests.
+#[derive(Clone, Debug)]
+pub(super) struct Offer {
+    pub(super) service: Arc<str>,
+    pub(super) path: Arc<str>,
+}
+
+impl Scene {
+    /// Starts all and waits until the note is in force everywhere.
+    pub(super) async fn start(deployment: Deployment) -> Result<Self> {
+        let mut note = read_note(deployment)?;
+        let mut backends = Vec::new();
+        for target in &mut note.targets.add {
+            let export = class_of(&note.services.add, &target.service) == Some(Class::Export);
+            let script = Script {
+                answer_bytes: if export { EXPORT_BYTES } else { 64 },
+                chunk_pause_ms: if export { 5 } else { 0 },
+                ..Script::default()
+            };
+            let backend = Backend::bind(loopback(), &target.name, script)
+                .await
+                .map_err(bind_error)?;
+            target.address = backend.address();
+            backends.push(backend);
+        }
+        let platform = PlatformServer::bind(loopback()).await.map_err(bind_error)?;
+        let store = NoteStore::new(Arc::new(HttpPlatform::new(&platform.address().to_string())));
+        let mut scene = Self {
+            platform,
+            backends,
+            note,
+            apps: Vec::new(),
+            store,
+        };
+        scene.start_instances().await?;
+        let mut first = scene.note.clone();
+        first.submission = "trial-1".into();
+        scene.store.submit(&first).await?;
+        scene.wait_for_note(1).await?;
+        Ok(scene)
+    }
+
+    async fn start_instances(&mut self) -> Result<()> {
+        let names: BTreeSet<Arc<str>> = self
+            .note
+            .targets
+            .add
+            .iter()
+            .map(|target| target.data_centre.clone())
+            .collect();
+        for data_centre in names.into_iter().take(INSTANCES) {
+            let text = format!(
+                r#"{{"id": "{data_centre}-1", "data_centre": "{data_centre}", "callers": "127.0.0.1:0",
+                    "peers": "127.0.0.1:0", "admin": "127.0.0.1:0", "platform": "{}",
+                    "drain_grace_ms": 100}}"#,
+                self.platform.address()
+            );
+            let settings = Settings::parse(&text)?;
+            let app = App::start(&settings).await.map_err(trial_error)?;
+            self.platform.memory.list(app.member().clone());
+            self.apps.push(app);
+        }
+        Ok(())
+    }
+
+    /// Waits until a note is in force at all instances; returns the time that it took.
+    pub(super) async fn wait_for_note(&self, number: u64) -> Result<Duration> {
+        let began = Instant::now();
+        while !self
+            .all(|app| app.control().shared().table().world.number >= number && app.control().shared().table().ready)
+        {
+            if began.elapsed() > START_LIMIT {
+                return Err(CommandError::Trial(format!("note {number} is not in force in time")));
+            }
+            tokio::time::sleep(LOOK_PERIOD).await;
+        }
+        Ok(began.elapsed())
+    }
+
+    /// Whether no instance sends regular work to a target any more.
+    pub(super) fn is_avoided(&self, service: &str, target: &str) -> bool {
+        self.all(|app| !uses(app, service, target))
+    }
+
+    /// Whether some instance has taken a target out that is not leaving.
+    pub(super) fn is_ejected(&self, service: &str, target: &str) -> bool {
+        let leaving = |app: &App| {
+            let table = app.control().shared().table();
+            table.world.targets.get(target).is_none_or(|target| target.leaving)
+        };
+        self.apps.iter().any(|app| !leaving(app) && !uses(app, service, target))
+    }
+
+    fn all(&self, holds: impl Fn(&App) -> bool) -> bool {
+        self.apps.iter().all(holds)
+    }
+
+    /// The offers of a class, in the order of the note.
+    pub(super) fn offers(&self, class: Class) -> Vec<Offer> {
+        let services = self.note.services.add.iter().filter(|service| service.class == class);
+        let routes = services.filter_map(|service| {
+            let route = self
+                .note
+                .routes
+                .add
+                .iter()
+                .find(|route| route.service == service.name)?;
+            Some(Offer {
+                service: service.name.clone(),
+                path: route.path.clone(),
+            })
+        });
+        routes.collect()
+    }
+
+    /// Index of the `nth` target of a service.
+    pub(super) fn target_of(&self, service: &str, nth: usize) -> usize {
+        let targets = self.note.targets.add.iter().enumerate();
+        let mut own = targets.filter(|(_, target)| *target.service == *service);
+        own.nth(nth).map_or(0, |(at, _)| at)
+    }
+}
+
+fn uses(app: &App, service: &str, target: &str) -> bool {
+    let table = app.control().shared().table();
+    let Some(service) = table.services.get(service) else {
+        return false;
+    };
+    let mut candidates = service.candidates.iter();
+    candidates.any(|candidate| {
+        let out = matches!(candidate.standing, Standing::Ejected | Standing::Trial);
+        *candidate.target.name == *target && !out
+    })
+}
+
+fn read_note(deployment: Deployment) -> Result<Note> {
+    let text = match deployment {
+        Deployment::Rodopi => RODOPI,
+        Deployment::Kinderhut => KINDERHUT,
+    };
+    Ok(model::document::read(text)?)
+}
+
+fn class_of(services: &[model::world::Service], name: &str) -> Option<Class> {
+    let service = services.iter().find(|service| *service.name == *name);
+    service.map(|service| service.class)
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn bind_error(source: std::io::Error) -> CommandError {
+    let address = loopback();
+    CommandError::Bind { address, source }
+}
+
+fn trial_error(error: impl std::fmt::Display) -> CommandError {
+    CommandError::Trial(error.to_string())
+}
--- /dev/null
+++ b/sniperund/src/admin/admin.rs
@@ -0,0 +1,106 @@
+//! The administrative address.
+//!
+//! `/live`, `/ready`, `/metrics` and `/status`.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
+
+use crate::control::ControlHandle;
+use crate::metrics::Metrics;
+
+const MAX_CONNECTIONS: usize = 64;
+
+/// Serves the administrative address until it is dropped.
+pub struct Admin {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+#[derive(Clone)]
+struct Shown {
+    control: ControlHandle,
+    metrics: Arc<Metrics>,
+}
+
+impl Admin {
+    /// Serves at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn bind(address: SocketAddr, control: ControlHandle, metrics: Arc<Metrics>) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let shown = Shown { control, metrics };
+        let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let Ok(place) = places.clone().try_acquire_owned() else {
+                    continue;
+                };
+                let shown = shown.clone();
+                let service = service_fn(move |request| answer(shown.clone(), request));
+                let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                tokio::spawn(async move {
+                    let _ = connection.await;
+                    drop(place);
+                });
+            }
+        });
+        Ok(Self { address, task })
+    }
+
+    /// The address served at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Admin {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn answer(shown: Shown, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (status, text) = match request.uri().path() {
+        "/live" => (StatusCode::OK, "live\n".to_owned()),
+        "/ready" => ready(&shown),
+        "/metrics" => (StatusCode::OK, shown.metrics.text()),
+        "/status" => match shown.control.status().await {
+            Some(status) => (StatusCode::OK, serde_json::to_string(&status).unwrap_or_default()),
+            None => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        },
+        _ => (
+            StatusCode::NOT_FOUND,
+            "expected /live, /ready, /metrics or /status\n".to_owned(),
+        ),
+    };
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    Ok(response)
+}
+
+fn ready(shown: &Shown) -> (StatusCode, String) {
+    let table = shown.control.shared().table();
+    if table.ready && !table.draining {
+        (StatusCode::OK, "ready\n".to_owned())
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
+    }
+}
--- /dev/null
+++ b/sniperund/src/admin/mod.rs
@@ -0,0 +1,5 @@
+//! Administration: readiness, metrics and status.
+
+mod admin;
+
+pub use admin::Admin;
--- /dev/null
+++ b/sniperund/src/callers/listener.rs
@@ -0,0 +1,110 @@
+//! Callers' connections.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tower::ServiceBuilder;
+
+use super::Entry;
+use super::check::CheckLayer;
+use super::service::CallerService;
+
+const HEADER_READ_LIMIT: Duration = Duration::from_secs(10);
+/// Buffer beyond the limit of headers, so that an excess is answered with a code.
+const BUFFER_FACTOR: usize = 4;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes callers' connections until it is told to stop.
+pub struct CallerListener {
+    address: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    task: JoinHandle<()>,
+}
+
+impl CallerListener {
+    /// Listens at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn bind(address: SocketAddr, entry: Arc<Entry>) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = oneshot::channel();
+        let task = tokio::spawn(accept(listener, entry, stopped));
+        Ok(Self {
+            address,
+            stop: Some(stop),
+            task,
+        })
+    }
+
+    /// The address listened at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes no new connections and waits until all requests have ended.
+    pub async fn drain(mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for CallerListener {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, entry: Arc<Entry>, mut stopped: oneshot::Receiver<()>) {
+    let graceful = GracefulShutdown::new();
+    let places = Arc::new(Semaphore::new(entry.limits.connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = &mut stopped => break,
+        };
+        let Ok((stream, caller)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let service = ServiceBuilder::new()
+            .layer(CheckLayer {
+                header_bytes: entry.limits.header_bytes,
+            })
+            .service(CallerService {
+                entry: entry.clone(),
+                caller: caller.ip(),
+            });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_READ_LIMIT)
+            .max_buf_size(entry.limits.header_bytes * BUFFER_FACTOR)
+            .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            let _ = connection.await;
+            drop(place);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
--- /dev/null
+++ b/sniperund/src/callers/mod.rs
@@ -0,0 +1,23 @@
+//! Callers' requests, from the connection to the answer.
+
+mod background;
+mod body;
+mod check;
+mod command;
+mod entry;
+mod headers;
+mod listener;
+mod owner;
+mod pass_body;
+mod reply;
+mod runner;
+mod service;
+mod waiting_room;
+
+pub use background::Background;
+pub use body::AnswerBody;
+pub use body::BoxError;
+pub use entry::Entry;
+pub use headers::names;
+pub use listener::CallerListener;
+pub use waiting_room::WaitingRoom;
--- /dev/null
+++ b/sniperund/src/callers/runner.rs
@@ -0,0 +1,356 @@
+//! Running an exchange: its steps carried out, its events brought in.
+
+use std::sync::Arc;
+
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::Response;
+use hyper::Uri;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use hyper::http::request::Parts;
+use model::Outcome;
+use model::ResultCode;
+use model::world::Target;
+use policy::Input;
+use policy::exchange::AttemptEnd;
+use policy::exchange::Event;
+use policy::exchange::Exchange;
+use policy::exchange::Failure;
+use policy::exchange::Observation;
+use policy::exchange::Reply;
+use policy::exchange::Step;
+use policy::limits::Admitted;
+use policy::limits::CustomerPlace;
+
+use super::Entry;
+use super::body::AnswerBody;
+use super::body::CallerBody;
+use super::command::CommandRecord;
+use super::headers::names;
+use super::headers::remove_hop_by_hop;
+use super::headers::remove_own;
+use super::headers::remove_reserved;
+use super::pass_body::PassBody;
+use super::pass_body::PassedAnswer;
+use super::reply::answer;
+use super::reply::outcome_value;
+use crate::metrics::RequestLabels;
+use crate::targets::Connection;
+use crate::targets::SendFailure;
+
+const MICROS_PER_MILLI: u64 = 1_000;
+
+/// A request's places, given back when it ends.
+#[derive(Debug)]
+pub(super) struct Places {
+    pub(super) _admitted: Admitted,
+    pub(super) _customer: Option<CustomerPlace>,
+}
+
+/// A request that is ready to run.
+pub(super) struct Call {
+    pub(super) parts: Parts,
+    pub(super) body: CallerBody,
+    pub(super) exchange: Exchange,
+    pub(super) record: CommandRecord,
+    pub(super) places: Places,
+    pub(super) customer: Arc<str>,
+    pub(super) deadline_us: u64,
+    pub(super) began_us: u64,
+}
+
+struct Head {
+    response: Response<Incoming>,
+    connection: Connection,
+}
+
+struct Ended {
+    attempt: usize,
+    result: Result<Head, SendFailure>,
+}
+
+/// An exchange in progress.
+pub(super) struct Runner {
+    entry: Arc<Entry>,
+    call: Call,
+    attempts: FuturesUnordered<BoxFuture<'static, Ended>>,
+    sent: Vec<SentAttempt>,
+    head: Option<Head>,
+    slow_us: Option<u64>,
+}
+
+struct SentAttempt {
+    target: Arc<Target>,
+    sent_us: u64,
+    counted: bool,
+}
+
+impl Runner {
+    pub(super) fn new(entry: Arc<Entry>, call: Call) -> Self {
+        Self {
+            entry,
+            call,
+            attempts: FuturesUnordered::new(),
+            sent: Vec::new(),
+            head: None,
+            slow_us: None,
+        }
+    }
+
+    /// Runs the exchange up to the head of the answer.
+    pub(super) async fn run(mut self) -> Response<AnswerBody> {
+        let mut step = self.on(Event::Begin);
+        loop {
+            step = match step {
+                Step::Claim => self.claim().await,
+                Step::Wait => self.wait().await,
+                Step::Send { attempt, candidate } => {
+                    self.send(attempt, candidate);
+                    self.next_event().await
+                }
+                Step::Continue => self.next_event().await,
+                Step::Pass { attempt } => return self.pass(attempt),
+                Step::Reply(reply) => return self.reply(reply),
+                Step::Finish(outcome) => return self.reply(gone(outcome)),
+                Step::Break => return self.reply(gone(Outcome::Unknown)),
+            };
+        }
+    }
+
+    fn on(&mut self, event: Event) -> Step {
+        let now_us = self.entry.clock.now_us();
+        let step = self.call.exchange.on(now_us, event, &mut rand::rng());
+        if matches!(event, Event::Failed { .. } | Event::Head { .. } | Event::Deadline) {
+            self.entry.waiting.freed();
+        }
+        step
+    }
+
+    async fn claim(&mut self) -> Step {
+        let deadline = self.entry.clock.instant(self.call.deadline_us);
+        let claimed = tokio::time::timeout_at(deadline, self.call.record.make_claim()).await;
+        match claimed {
+            Ok(answer) => self.on(Event::Claimed(answer)),
+            Err(_) => self.on(Event::Deadline),
+        }
+    }
+
+    async fn wait(&mut self) -> Step {
+        let now_us = self.entry.clock.now_us();
+        let table = self.call.exchange.table().clone();
+        let entered = self
+            .entry
+            .waiting
+            .enter(now_us, &table, &self.call.customer, self.call.deadline_us);
+        let turn = match entered {
+            Ok(turn) => turn,
+            Err(refusal) => return self.on(Event::Refused(refusal)),
+        };
+        let deadline = self.entry.clock.instant(self.call.deadline_us);
+        match tokio::time::timeout_at(deadline, turn).await {
+            Ok(_) => self.on(Event::Turn),
+            Err(_) => {
+                self.entry.waiting.leave(&table.service.name, &self.call.customer);
+                self.on(Event::Deadline)
+            }
+        }
+    }
+
+    fn send(&mut self, attempt: usize, candidate: usize) {
+        let table = self.call.exchange.table();
+        let target = table.candidates[candidate].target.clone();
+        let now_us = self.entry.clock.now_us();
+        self.slow_us = table.slow_us().map(|slow_us| now_us + slow_us);
+        self.sent.push(SentAttempt {
+            target: target.clone(),
+            sent_us: now_us,
+            counted: false,
+        });
+        let fresh = !table.repeatable();
+        let left_ms = self.call.deadline_us.saturating_sub(now_us) / MICROS_PER_MILLI;
+        let parts = outgoing(&self.call.parts, left_ms);
+        let body = self.call.body.clone();
+        let entry = self.entry.clone();
+        let sending = async move {
+            let result = attempt_once(&entry, &target, fresh, parts, &body).await;
+            Ended { attempt, result }
+        };
+        self.attempts.push(sending.boxed());
+    }
+
+    async fn next_event(&mut self) -> Step {
+        let clock = self.entry.clock;
+        let deadline = clock.instant(self.call.deadline_us);
+        let slow = clock.instant(self.slow_us.unwrap_or(u64::MAX / 4));
+        tokio::select! {
+            Some(ended) = self.attempts.next() => self.attempt_ended(ended),
+            () = tokio::time::sleep_until(slow), if self.slow_us.is_some() => {
+                self.slow_us = None;
+                self.observe_overdue();
+                self.on(Event::Slow)
+            }
+            () = tokio::time::sleep_until(deadline) => {
+                self.observe_overdue();
+                self.on(Event::Deadline)
+            }
+        }
+    }
+
+    fn attempt_ended(&mut self, ended: Ended) -> Step {
+        let attempt = ended.attempt;
+        let replayable = self.call.body.is_replayable();
+        self.call.exchange.set_replayable(replayable);
+        match ended.result {
+            Ok(head) => {
+                let status = head.response.status().as_u16();
+                self.observe(attempt, self.end_of(attempt, &head.response));
+                self.head = Some(head);
+                self.on(Event::Head { attempt, status })
+            }
+            Err(failure) => {
+                let (end, failure) = match failure {
+                    SendFailure::NotSent => (AttemptEnd::NotSent, Failure::NotSent),
+                    SendFailure::Cut => (AttemptEnd::Cut, Failure::Cut),
+                    SendFailure::Malformed => (AttemptEnd::Cut, Failure::Malformed),
+                };
+                self.observe(attempt, end);
+                self.on(Event::Failed { attempt, failure })
+            }
+        }
+    }
+
+    fn end_of(&self, attempt: usize, response: &Response<Incoming>) -> AttemptEnd {
+        let status = response.status().as_u16();
+        let sent = &self.sent[attempt];
+        let sheds = sent.target.refusal_is_not_run || response.headers().contains_key(RETRY_AFTER);
+        if status == 503 && sheds {
+            return AttemptEnd::Shed;
+        }
+        AttemptEnd::Answered {
+            good: status < 500,
+            latency_us: self.entry.clock.now_us().saturating_sub(sent.sent_us),
+        }
+    }
+
+    fn observe(&mut self, attempt: usize, end: AttemptEnd) {
+        let sent = &mut self.sent[attempt];
+        let observation = Observation {
+            service: sent.target.service.clone(),
+            target: sent.target.name.clone(),
+            end,
+            counted: sent.counted,
+        };
+        sent.counted = true;
+        self.entry.control.tell(Input::Observed(observation));
+    }
+
+    fn observe_overdue(&mut self) {
+        for attempt in 0..self.sent.len() {
+            if !self.sent[attempt].counted {
+                self.observe(attempt, AttemptEnd::Overdue);
+            }
+        }
+    }
+
+    fn pass(mut self, attempt: usize) -> Response<AnswerBody> {
+        let Some(head) = self.head.take() else {
+            return self.reply(gone(Outcome::Unknown));
+        };
+        let sent = &self.sent[attempt];
+        let now_us = self.entry.clock.now_us();
+        let answer_us = now_us.saturating_sub(self.call.began_us);
+        let target_us = now_us.saturating_sub(sent.sent_us);
+        let service = self.call.exchange.table().service.clone();
+        self.entry
+            .metrics
+            .answered(&service.name, service.class.as_str(), answer_us, answer_us - target_us);
+        let answer = PassedAnswer {
+            entry: self.entry.clone(),
+            exchange: self.call.exchange,
+            record: self.call.record,
+            target: sent.target.name.clone(),
+            connection: Some(head.connection),
+            places: self.call.places,
+        };
+        let (mut parts, incoming) = head.response.into_parts();
+        remove_hop_by_hop(&mut parts.headers);
+        remove_reserved(&mut parts.headers);
+        parts.headers.insert(names::OUTCOME, outcome_value(Outcome::Ran));
+        parts.headers.insert(names::CODE, ResultCode::Served.number().into());
+        parts.version = hyper::Version::HTTP_11;
+        Response::from_parts(parts, PassBody::new(incoming, answer).boxed())
+    }
+
+    fn reply(mut self, reply: Reply) -> Response<AnswerBody> {
+        self.call.record.finish(reply.outcome);
+        let service = &self.call.exchange.table().service;
+        self.entry.metrics.request(&RequestLabels {
+            service: service.name.to_string(),
+            class: service.class.as_str().to_owned(),
+            code: reply.code.number(),
+            outcome: reply.outcome.to_string(),
+        });
+        log::debug!(
+            "event=request-refused code={} outcome={} service={}",
+            reply.code.number(),
+            reply.outcome,
+            service.name
+        );
+        answer(reply)
+    }
+}
+
+fn gone(outcome: Outcome) -> Reply {
+    Reply {
+        code: ResultCode::CallerGone,
+        outcome,
+        retry_after_ms: None,
+    }
+}
+
+/// The head of the request to the target.
+fn outgoing(parts: &Parts, left_ms: u64) -> Request<()> {
+    let mut request = Request::new(());
+    *request.method_mut() = parts.method.clone();
+    *request.uri_mut() = origin_form(&parts.uri);
+    *request.headers_mut() = parts.headers.clone();
+    let headers = request.headers_mut();
+    if let Some(authority) = parts.uri.authority()
+        && let Ok(host) = HeaderValue::from_str(authority.as_str())
+    {
+        headers.insert("host", host);
+    }
+    remove_hop_by_hop(headers);
+    remove_own(headers);
+    headers.insert(names::DEADLINE_MS, left_ms.into());
+    request
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_default()
+}
+
+async fn attempt_once(
+    entry: &Entry,
+    target: &Target,
+    fresh: bool,
+    head: Request<()>,
+    body: &CallerBody,
+) -> Result<Head, SendFailure> {
+    let opened = if fresh {
+        Connection::open(target.address).await
+    } else {
+        entry.pool.take(target.address).await
+    };
+    let mut connection = opened.map_err(|_| SendFailure::NotSent)?;
+    let body = body.take().ok_or(SendFailure::NotSent)?;
+    let response = connection.send(head.map(|()| body)).await?;
+    Ok(Head { response, connection })
+}
--- /dev/null
+++ b/sniperund/src/callers/service.rs
@@ -0,0 +1,284 @@
+//! What is done with one request.
+
+use std::convert::Infallible;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
+use hyper::header::HeaderValue;
+use model::ResultCode;
+use policy::command::TicketAnswer;
+use policy::exchange::Exchange;
+use policy::routing::RoutingTable;
+use policy::routing::ServiceTable;
+use tower::Service;
+
+use super::Entry;
+use super::body::AnswerBody;
+use super::body::CallerBody;
+use super::body::whole;
+use super::command::CommandName;
+use super::command::CommandRecord;
+use super::headers::names;
+use super::owner::relay_to_owner;
+use super::reply::refuse;
+use super::runner::Call;
+use super::runner::Places;
+use super::runner::Runner;
+use crate::metrics::RequestLabels;
+
+const TICKETS_PATH: &str = "/sniperun/tickets";
+const RETRY_AFTER_LOAD_MS: u64 = 1_000;
+const RETRY_AFTER_START_MS: u64 = 2_000;
+const MICROS_PER_MILLI: u64 = 1_000;
+const MAX_DEADLINE_MS: u64 = 24 * 3_600_000;
+
+/// Serves the requests of one connection.
+#[derive(Clone)]
+pub(super) struct CallerService {
+    pub(super) entry: Arc<Entry>,
+    pub(super) caller: IpAddr,
+}
+
+impl Service<Request<Incoming>> for CallerService {
+    type Response = Response<AnswerBody>;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<Self::Response, Infallible>>;
+
+    fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
+        let entry = self.entry.clone();
+        let caller = self.caller;
+        async move { Ok(serve(entry, caller, request).await) }.boxed()
+    }
+}
+
+async fn serve(entry: Arc<Entry>, caller: IpAddr, request: Request<Incoming>) -> Response<AnswerBody> {
+    if request.uri().path() == TICKETS_PATH {
+        return issue_ticket(&entry, request.method());
+    }
+    let table = entry.control.shared().table();
+    match route(&entry, &table, request).await {
+        Ok(Routed::Answer(response)) => response,
+        Ok(Routed::Run(found)) => run(entry, &table, caller, *found).await,
+        Err(refused) => {
+            entry.metrics.request(&RequestLabels {
+                service: refused.service.map(|service| service.to_string()).unwrap_or_default(),
+                class: String::new(),
+                code: refused.code.number(),
+                outcome: refused.code.outcome().to_string(),
+            });
+            refuse(refused.code, refused.retry_after_ms)
+        }
+    }
+}
+
+struct Refused {
+    code: ResultCode,
+    retry_after_ms: Option<u64>,
+    service: Option<Arc<str>>,
+}
+
+impl From<ResultCode> for Refused {
+    fn from(code: ResultCode) -> Self {
+        Self {
+            code,
+            retry_after_ms: None,
+            service: None,
+        }
+    }
+}
+
+struct Found {
+    request: Request<Incoming>,
+    service: Arc<ServiceTable>,
+    record: CommandRecord,
+    began_us: u64,
+    deadline_us: u64,
+}
+
+enum Routed {
+    Answer(Response<AnswerBody>),
+    Run(Box<Found>),
+}
+
+/// Finds the service, the deadline and the command behind a request.
+async fn route(entry: &Arc<Entry>, table: &RoutingTable, request: Request<Incoming>) -> Result<Routed, Refused> {
+    let began_us = entry.clock.now_us();
+    if !table.ready {
+        return Err(Refused {
+            retry_after_ms: Some(RETRY_AFTER_START_MS),
+            ..ResultCode::NotReady.into()
+        });
+    }
+    let host = host_of(&request);
+    let route = table
+        .world
+        .route(host, request.uri().path())
+        .ok_or(ResultCode::NoRoute)?;
+    let service = table.services.get(&route.service).ok_or(ResultCode::NoRoute)?.clone();
+    let name = CommandName::read(request.headers())?;
+    let limit_ms = deadline_ms(request.headers())?.unwrap_or(service.service.time_limit_ms);
+    let deadline_us = began_us + limit_ms * MICROS_PER_MILLI;
+    let record = match name {
+        Some(CommandName::Key(key)) if !service.repeatable() => {
+            let customer = customer_header(request.headers()).unwrap_or("-");
+            let key = format!("claims/{}/{customer}/{key}", service.service.name);
+            CommandRecord::claim(entry.clone(), key.into())
+        }
+        Some(CommandName::Ticket(ticket)) if !service.repeatable() => {
+            if ticket.instance != entry.id && !request.headers().contains_key(names::RELAYED) {
+                return Ok(Routed::Answer(relay_to_owner(entry, &ticket, request).await));
+            }
+            let answer = entry.tickets.lock().begin(began_us, &ticket);
+            match answer {
+                TicketAnswer::Begin => CommandRecord::ticket(entry.clone(), ticket),
+                TicketAnswer::Held(state) => {
+                    return Err(state.repeat_code().unwrap_or(ResultCode::AlreadyBegun).into());
+                }
+                TicketAnswer::Lost => return Err(ResultCode::TicketLost.into()),
+            }
+        }
+        _ => CommandRecord::none(entry.clone()),
+    };
+    Ok(Routed::Run(Box::new(Found {
+        request,
+        service,
+        record,
+        began_us,
+        deadline_us,
+    })))
+}
+
+/// Admits a request and runs its exchange.
+async fn run(entry: Arc<Entry>, table: &RoutingTable, caller: IpAddr, mut found: Found) -> Response<AnswerBody> {
+    let places = match admit(&entry, table, &found) {
+        Ok(places) => places,
+        Err(code) => {
+            found.record.finish(code.outcome());
+            let service = &found.service.service;
+            entry.metrics.request(&RequestLabels {
+                service: service.name.to_string(),
+                class: service.class.as_str().to_owned(),
+                code: code.number(),
+                outcome: code.outcome().to_string(),
+            });
+            return refuse(code, Some(RETRY_AFTER_LOAD_MS));
+        }
+    };
+    let customer: Arc<str> = match customer_header(found.request.headers()) {
+        Some(name) => name.into(),
+        None => caller.to_string().into(),
+    };
+    let named = found.record.is_named();
+    let (parts, incoming) = found.request.into_parts();
+    let Ok(body) = CallerBody::read(incoming, entry.limits.kept_body_bytes).await else {
+        found.record.finish(ResultCode::BadRequest.outcome());
+        return refuse(ResultCode::BadRequest, None);
+    };
+    let request = policy::exchange::Request {
+        deadline_us: found.deadline_us,
+        claims_key: found.record.claims_key(),
+        replayable: body.is_replayable(),
+    };
+    let runner = Runner::new(
+        entry.clone(),
+        Call {
+            parts,
+            body,
+            exchange: Exchange::new(request, found.service),
+            record: found.record,
+            places,
+            customer,
+            deadline_us: found.deadline_us,
+            began_us: found.began_us,
+        },
+    );
+    if !named {
+        return runner.run().await;
+    }
+    // A named command goes on without its caller, so that a repeat hears its true end.
+    let (sender, answer) = tokio::sync::oneshot::channel();
+    entry.background.spawn(async move {
+        if let Err(unheard) = sender.send(runner.run().await) {
+            let _ = unheard.into_body().collect().await;
+        }
+    });
+    answer
+        .await
+        .unwrap_or_else(|_| refuse(ResultCode::EarlierUnknown, None))
+}
+
+fn admit(entry: &Arc<Entry>, table: &RoutingTable, found: &Found) -> Result<Places, ResultCode> {
+    let customer = match customer_header(found.request.headers()) {
+        Some(name) => {
+            let customer = table.world.customers.get(name).ok_or(ResultCode::UnknownCustomer)?;
+            let place = entry.customers.take(&customer.name, customer.in_flight);
+            Some(place.ok_or(ResultCode::CustomerOverLimit)?)
+        }
+        None => None,
+    };
+    let admitted = entry.admission.admit(found.service.service.class);
+    Ok(Places {
+        _admitted: admitted.ok_or(ResultCode::QueueFull)?,
+        _customer: customer,
+    })
+}
+
+fn issue_ticket(entry: &Arc<Entry>, method: &Method) -> Response<AnswerBody> {
+    if method != Method::POST {
+        return refuse(ResultCode::BadRequest, None);
+    }
+    let table = entry.control.shared().table();
+    if !table.ready {
+        return refuse(ResultCode::NotReady, Some(RETRY_AFTER_START_MS));
+    }
+    if table.draining {
+        return refuse(ResultCode::Draining, Some(RETRY_AFTER_LOAD_MS));
+    }
+    let now_us = entry.clock.now_us();
+    let issued = entry.tickets.lock().issue(now_us, &mut rand::rng());
+    let Some(ticket) = issued else {
+        return refuse(ResultCode::TicketTableFull, Some(RETRY_AFTER_LOAD_MS));
+    };
+    let mut response = Response::new(whole(format!("{{\"ticket\":\"{ticket}\"}}\n")));
+    *response.status_mut() = StatusCode::CREATED;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+fn host_of(request: &Request<Incoming>) -> &str {
+    let header = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = request.uri().host().or(header).unwrap_or("");
+    host.split(':').next().unwrap_or("")
+}
+
+fn customer_header(headers: &HeaderMap) -> Option<&str> {
+    headers.get(names::CUSTOMER)?.to_str().ok()
+}
+
+fn deadline_ms(headers: &HeaderMap) -> Result<Option<u64>, ResultCode> {
+    let Some(value) = headers.get(names::DEADLINE_MS) else {
+        return Ok(None);
+    };
+    let bad = ResultCode::BadDeadline;
+    let limit_ms: u64 = value.to_str().map_err(|_| bad)?.parse().map_err(|_| bad)?;
+    Ok(Some(limit_ms.min(MAX_DEADLINE_MS)))
+}
--- /dev/null
+++ b/sniperund/src/control/driver.rs
@@ -0,0 +1,131 @@
+//! Doing what the decisions ask for.
+
+use std::sync::Arc;
+
+use model::world::Target;
+use peers::Sender;
+use platform::NoteStore;
+use platform::Platform;
+use platform::SnapshotStore;
+use policy::Action;
+use policy::Input;
+use policy::evidence::Standing;
+use policy::instance::Happening;
+use policy::instance::PlatformAnswer;
+use policy::instance::PlatformCall;
+
+use super::ControlHandle;
+use crate::metrics::Metrics;
+use crate::targets::Prober;
+
+/// Time that a watch for notes waits, in milliseconds.
+const WATCH_MS: u64 = 20_000;
+
+/// What actions are carried out with.
+pub(super) struct Driver {
+    pub(super) id: Arc<str>,
+    pub(super) handle: ControlHandle,
+    pub(super) sender: Sender,
+    pub(super) platform: Arc<dyn Platform>,
+    pub(super) prober: Prober,
+    pub(super) metrics: Arc<Metrics>,
+}
+
+impl Driver {
+    /// Carries out an action without waiting for its result.
+    pub(super) fn act(&self, action: Action) {
+        match action {
+            Action::Send { address, envelope, .. } => self.sender.send(address, &envelope),
+            Action::Probe { target, path } => self.probe(target, path),
+            Action::Call(call) => self.call(call),
+            Action::Log(happening) => self.log(&happening),
+        }
+    }
+
+    fn probe(&self, target: Arc<Target>, path: Arc<str>) {
+        let handle = self.handle.clone();
+        let prober = self.prober;
+        tokio::spawn(async move {
+            let good = prober.probe(target.address, &path).await;
+            handle.tell(Input::Probed {
+                service: target.service.clone(),
+                target: target.name.clone(),
+                good,
+            });
+        });
+    }
+
+    fn call(&self, call: PlatformCall) {
+        self.metrics.platform_calls.inc();
+        let handle = self.handle.clone();
+        let platform = self.platform.clone();
+        let id = self.id.clone();
+        tokio::spawn(async move {
+            let answer = answer(platform, call, &id).await;
+            handle.tell(Input::Platform(answer));
+        });
+    }
+
+    fn log(&self, happening: &Happening) {
+        match happening {
+            Happening::NoteInForce { number } => {
+                self.metrics.note_in_force.set(*number as i64);
+                log::info!("event=note-in-force note={number}");
+            }
+            Happening::NoteVoid { number, reason } => {
+                log::warn!("event=note-void note={number} reason=\"{reason}\"");
+            }
+            Happening::Judged {
+                service,
+                target,
+                standing,
+                from,
+            } => {
+                if *standing == Standing::Ejected {
+                    self.metrics.ejection(service);
+                }
+                let from = from.join(",");
+                log::info!(
+                    "event=target-judged service={service} target={target} standing={standing:?} from=\"{from}\""
+                );
+            }
+            Happening::Standing { target, standing } => {
+                log::info!("event=target-standing target={target} standing={standing:?}");
+            }
+            Happening::Joined { instance } => log::info!("event=instance-joined instance={instance}"),
+            Happening::Gone { instance } => log::info!("event=instance-gone instance={instance}"),
+            Happening::Ready => log::info!("event=ready"),
+            Happening::Draining => log::info!("event=draining"),
+        }
+    }
+}
+
+async fn answer(platform: Arc<dyn Platform>, call: PlatformCall, id: &str) -> PlatformAnswer {
+    match call {
+        PlatformCall::WatchNotes { after, wait } => {
+            let wait_ms = if wait { WATCH_MS } else { 0 };
+            match NoteStore::new(platform).after(after, wait_ms).await {
+                Ok(notes) => PlatformAnswer::Notes(notes),
+                Err(_) => PlatformAnswer::NotesAway,
+            }
+        }
+        PlatformCall::ReadSnapshot => match SnapshotStore::new(platform).read().await {
+            Ok(Some((number, parts))) => PlatformAnswer::Snapshot { number, parts },
+            Ok(None) => PlatformAnswer::Snapshot {
+                number: 0,
+                parts: Vec::new(),
+            },
+            Err(_) => PlatformAnswer::SnapshotAway,
+        },
+        PlatformCall::ListInstances => match platform.instances().await {
+            Ok(members) => PlatformAnswer::Instances(members),
+            Err(_) => PlatformAnswer::InstancesAway,
+        },
+        PlatformCall::WriteSnapshot { number, parts } => {
+            match SnapshotStore::new(platform).write(number, &parts, id).await {
+                Ok(()) => PlatformAnswer::SnapshotWritten { number },
+                Err(_) => PlatformAnswer::SnapshotNotWritten,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sniperund/src/control/mod.rs
@@ -0,0 +1,14 @@
+//! The loop that drives the decisions.
+
+mod control_loop;
+mod driver;
+mod handle;
+mod status;
+
+pub use control_loop::Control;
+pub use control_loop::ControlParts;
+pub use handle::ControlHandle;
+pub use handle::ControlMessage;
+pub use status::MemberStatus;
+pub use status::Status;
+pub use status::TargetStatus;
--- /dev/null
+++ b/sniperund/src/metrics/metrics.rs
@@ -0,0 +1,168 @@
+//! Counters and histograms.
+//!
+//! Labels come from the configuration and from the table of codes, never from
+//! callers, so their number is bounded.
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use peers::Counters;
+use policy::invariant;
+use policy::invariant::Invariant;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+/// Labels of a request's end.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// The service; empty if no route fits.
+    pub service: String,
+    /// The class.
+    pub class: String,
+    /// Number of the result code.
+    pub code: u16,
+    /// What is known of the effect.
+    pub outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+    class: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EjectionLabels {
+    service: String,
+}
+
+type Histograms = Family<ServiceLabels, Histogram, fn() -> Histogram>;
+
+/// The metrics of an instance.
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    answer_seconds: Histograms,
+    added_seconds: Histograms,
+    ejections: Family<EjectionLabels, Counter>,
+    /// Number of the note in force.
+    pub note_in_force: Gauge,
+    /// Calls to the platform.
+    pub platform_calls: Counter,
+    /// Messages between instances.
+    pub peers: Arc<Counters>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("sniperun");
+        let requests = Family::<RequestLabels, Counter>::default();
+        let answer_seconds: Histograms = Family::new_with_constructor(answer_histogram);
+        let added_seconds: Histograms = Family::new_with_constructor(added_histogram);
+        let ejections = Family::<EjectionLabels, Counter>::default();
+        let note_in_force = Gauge::default();
+        let platform_calls = Counter::default();
+        registry.register("requests", "Requests by their end", requests.clone());
+        registry.register(
+            "answer_seconds",
+            "Time from request to the head of the answer",
+            answer_seconds.clone(),
+        );
+        registry.register(
+            "added_seconds",
+            "Part of that time that the instance added",
+            added_seconds.clone(),
+        );
+        registry.register("ejections", "Ejections decided here as home", ejections.clone());
+        registry.register("note_in_force", "Number of the note in force", note_in_force.clone());
+        registry.register("platform_calls", "Calls to the platform", platform_calls.clone());
+        Self {
+            registry,
+            requests,
+            answer_seconds,
+            added_seconds,
+            ejections,
+            note_in_force,
+            platform_calls,
+            peers: Arc::new(Counters::default()),
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts the end of a request.
+    pub fn request(&self, labels: &RequestLabels) {
+        self.requests.get_or_create(labels).inc();
+    }
+
+    /// Takes in the time to the head of an answer, and the part that was added.
+    pub fn answered(&self, service: &str, class: &str, answer_us: u64, added_us: u64) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+            class: class.to_owned(),
+        };
+        let seconds = |time_us: u64| time_us as f64 / 1e6;
+        self.answer_seconds.get_or_create(&labels).observe(seconds(answer_us));
+        self.added_seconds.get_or_create(&labels).observe(seconds(added_us));
+    }
+
+    /// Counts an ejection.
+    pub fn ejection(&self, service: &str) {
+        let labels = EjectionLabels {
+            service: service.to_owned(),
+        };
+        self.ejections.get_or_create(&labels).inc();
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let _ = encode(&mut text, &self.registry);
+        let end = text.trim_end().trim_end_matches("# EOF").len();
+        text.truncate(end);
+        self.add_counters(&mut text);
+        text.push_str("# EOF\n");
+        text
+    }
+
+    fn add_counters(&self, text: &mut String) {
+        let load = |counter: &std::sync::atomic::AtomicU64| counter.load(std::sync::atomic::Ordering::Relaxed);
+        let peers = &self.peers;
+        let counters = [
+            ("peer_messages_sent", load(&peers.sent)),
+            ("peer_bytes_sent", load(&peers.sent_bytes)),
+            ("peer_messages_received", load(&peers.received)),
+            ("peer_bytes_received", load(&peers.received_bytes)),
+            ("peer_messages_dropped", load(&peers.dropped)),
+            ("peer_messages_refused", load(&peers.refused)),
+        ];
+        for (name, value) in counters {
+            let _ = writeln!(text, "# TYPE sniperun_{name} counter");
+            let _ = writeln!(text, "sniperun_{name}_total {value}");
+        }
+        let _ = writeln!(text, "# TYPE sniperun_violations counter");
+        for invariant in Invariant::ALL {
+            let name = invariant.as_str();
+            let value = invariant::violations(invariant);
+            let _ = writeln!(text, "sniperun_violations_total{{invariant=\"{name}\"}} {value}");
+        }
+    }
+}
+
+const FIRST_BUCKET_S: f64 = 0.000_1;
+const BUCKET_FACTOR: f64 = 2.0;
+const BUCKETS: u16 = 18;
+
+fn answer_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S * 10.0, BUCKET_FACTOR, BUCKETS))
+}
+
+fn added_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S / 4.0, BUCKET_FACTOR, BUCKETS))
+}
--- /dev/null
+++ b/sniperund/src/metrics/mod.rs
@@ -0,0 +1,6 @@
+//! Metrics of an instance.
+
+mod metrics;
+
+pub use metrics::Metrics;
+pub use metrics::RequestLabels;
--- /dev/null
+++ b/sniperund/src/targets/connection.rs
@@ -0,0 +1,99 @@
+//! One connection to a target, with one exchange at a time.
+//!
+//! A connection that is dropped is closed, so an exchange that was cancelled
+//! never leaves an answer behind for the next one.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use http_body_util::combinators::BoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// The body of a request to a target.
+pub type OutBody = BoxBody<Bytes, hyper::Error>;
+
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Why no head of an answer came.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum SendFailure {
+    /// No byte of the request has left.
+    #[display("not sent")]
+    NotSent,
+    /// The connection ended early.
+    #[display("cut")]
+    Cut,
+    /// The answer was malformed.
+    #[display("malformed")]
+    Malformed,
+}
+
+/// A connection to a target.
+#[derive(Debug)]
+pub struct Connection {
+    address: SocketAddr,
+    sender: http1::SendRequest<OutBody>,
+    task: JoinHandle<()>,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of connecting, or of its time limit.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
+        let task = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Self { address, sender, task })
+    }
+
+    /// The target's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether the connection can take a request now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendFailure`] if no head came.
+    pub async fn send(&mut self, request: Request<OutBody>) -> Result<Response<Incoming>, SendFailure> {
+        self.sender.ready().await.map_err(|_| SendFailure::NotSent)?;
+        self.sender.try_send_request(request).await.map_err(|mut error| {
+            if error.take_message().is_some() {
+                SendFailure::NotSent
+            } else if error.error().is_parse() {
+                SendFailure::Malformed
+            } else {
+                SendFailure::Cut
+            }
+        })
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,20 @@
+//! Small fakes for tests and for `sniperun try`: the platform, and backend
+//! servers that can be told to fail.
+
+mod backend;
+mod http;
+mod key_values;
+mod memory_platform;
+mod platform_server;
+mod script;
+
+pub use backend::Backend;
+pub use backend::BackendCounts;
+pub use http::Body;
+pub use http::Server;
+pub use http::full;
+pub use key_values::KeyValues;
+pub use memory_platform::MemoryPlatform;
+pub use platform_server::PlatformServer;
+pub use script::PlatformFault;
+pub use script::Script;
--- /dev/null
+++ b/standin/src/memory_platform.rs
@@ -0,0 +1,157 @@
+//! The platform within the process, with faults.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use parking_lot::Mutex;
+use platform::Created;
+use platform::Entry;
+use platform::Platform;
+use platform::PlatformError;
+use platform::RangeQuery;
+use platform::Result;
+use platform::Swapped;
+use platform::Written;
+use policy::membership::Member;
+use tokio::sync::watch;
+
+use super::KeyValues;
+use super::PlatformFault;
+
+const AWAY_PAUSE: Duration = Duration::from_millis(20);
+
+/// The fake platform.
+pub struct MemoryPlatform {
+    keys: Mutex<KeyValues>,
+    instances: Mutex<Vec<Member>>,
+    fault: Mutex<PlatformFault>,
+    writes: watch::Sender<u64>,
+    calls: AtomicU64,
+    started: Instant,
+}
+
+impl Default for MemoryPlatform {
+    fn default() -> Self {
+        Self {
+            keys: Mutex::new(KeyValues::default()),
+            instances: Mutex::new(Vec::new()),
+            fault: Mutex::new(PlatformFault::default()),
+            writes: watch::channel(0).0,
+            calls: AtomicU64::new(0),
+            started: Instant::now(),
+        }
+    }
+}
+
+impl MemoryPlatform {
+    /// Sets how the platform behaves from now on.
+    pub fn set_fault(&self, fault: PlatformFault) {
+        *self.fault.lock() = fault;
+        self.writes.send_modify(|count| *count += 1);
+    }
+
+    /// Lists an instance.
+    pub fn list(&self, member: Member) {
+        let mut instances = self.instances.lock();
+        instances.retain(|other| other.id != member.id);
+        instances.push(member);
+    }
+
+    /// Takes an instance off the list.
+    pub fn unlist(&self, id: &str) {
+        self.instances.lock().retain(|other| *other.id != *id);
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Reads a key whatever the fault, for tests.
+    pub fn peek(&self, key: &str) -> Option<Entry> {
+        self.keys.lock().get(self.now_ms(), key)
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    async fn arrive(&self) -> Result<PlatformFault> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let fault = *self.fault.lock();
+        if fault.slow_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(fault.slow_ms)).await;
+        }
+        if fault.away {
+            tokio::time::sleep(AWAY_PAUSE).await;
+            return Err(away("the platform is away"));
+        }
+        Ok(fault)
+    }
+
+    async fn write<T>(&self, change: impl FnOnce(&mut KeyValues, u64) -> T) -> Result<T> {
+        let fault = self.arrive().await?;
+        let result = change(&mut self.keys.lock(), self.now_ms());
+        self.writes.send_modify(|count| *count += 1);
+        if fault.loses_answers {
+            return Err(away("the answer was lost"));
+        }
+        Ok(result)
+    }
+}
+
+fn away(reason: &str) -> PlatformError {
+    PlatformError::Away {
+        reason: reason.to_owned(),
+    }
+}
+
+impl Platform for MemoryPlatform {
+    fn get(&self, key: Arc<str>) -> BoxFuture<'_, Result<Option<Entry>>> {
+        async move {
+            self.arrive().await?;
+            Ok(self.keys.lock().get(self.now_ms(), &key))
+        }
+        .boxed()
+    }
+
+    fn create(&self, written: Written) -> BoxFuture<'_, Result<Created>> {
+        self.write(move |keys, now_ms| keys.create(now_ms, written)).boxed()
+    }
+
+    fn swap(&self, written: Written, version: u64) -> BoxFuture<'_, Result<Swapped>> {
+        self.write(move |keys, now_ms| keys.swap(now_ms, written, version))
+            .boxed()
+    }
+
+    fn range(&self, query: RangeQuery) -> BoxFuture<'_, Result<Vec<Entry>>> {
+        async move {
+            self.arrive().await?;
+            let mut writes = self.writes.subscribe();
+            let until = tokio::time::Instant::now() + Duration::from_millis(query.wait_ms);
+            loop {
+                let entries = self.keys.lock().range(self.now_ms(), &query);
+                if self.fault.lock().away {
+                    return Err(away("the platform went away"));
+                }
+                if !entries.is_empty() || tokio::time::timeout_at(until, writes.changed()).await.is_err() {
+                    return Ok(entries);
+                }
+            }
+        }
+        .boxed()
+    }
+
+    fn instances(&self) -> BoxFuture<'_, Result<Vec<Member>>> {
+        async move {
+            self.arrive().await?;
+            Ok(self.instances.lock().clone())
+        }
+        .boxed()
+    }
+}
