--- /dev/null
+++ b/proof/src/deployment.rs
@@ -0,0 +1,209 @@
+//! The users' deployments at their sizes of today.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use model::Note;
+use model::note::Delta;
+use model::world::Class;
+use model::world::Link;
+use model::world::Repeat;
+use model::world::Route;
+use model::world::Service;
+use model::world::Target;
+
+use super::MILLI_US;
+
+/// A service's load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Load {
+    /// The service's name.
+    pub service: Arc<str>,
+    /// Requests a second in all.
+    pub per_s: f64,
+    /// Mean time of a request, in microseconds.
+    pub work_us: u64,
+    /// Share of requests that fail at a healthy target.
+    pub background: f64,
+}
+
+/// Data centres, instances, services and loads.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Names of the data centres.
+    pub data_centres: Vec<Arc<str>>,
+    /// Time between data centres, in microseconds.
+    pub one_way_us: u64,
+    /// Entry instances.
+    pub instances: usize,
+    /// The note that describes all services.
+    pub note: Note,
+    /// Loads of the services.
+    pub loads: Vec<Load>,
+}
+
+const INSTANCES: usize = 36;
+const WORK_US: u64 = 25 * MILLI_US;
+const EXPORT_US: u64 = 400 * MILLI_US;
+const SLOTS: u32 = 6;
+const CONNECTIONS: u32 = 300;
+
+struct Row {
+    name: &'static str,
+    class: Class,
+    repeat: Repeat,
+    targets: usize,
+    per_s: f64,
+    work_us: u64,
+    floor_share: f64,
+}
+
+impl Deployment {
+    /// Rodopi: detection time counts most.
+    pub fn rodopi() -> Self {
+        let rows = [
+            row("dashboards", Class::Live, Repeat::Idempotent, 7, 840.0, WORK_US, 0.5),
+            row("gates", Class::Command, Repeat::Never, 15, 20.0, WORK_US, 0.6),
+            row("exports", Class::Export, Repeat::Idempotent, 6, 20.0, EXPORT_US, 0.5),
+        ];
+        Self::build(&["smolyan", "devin", "chepelare"], 3 * MILLI_US, &rows, 1e-5, 1e-3)
+    }
+
+    /// Kinderhut: false ejections count most.
+    pub fn kinderhut() -> Self {
+        let rows = [
+            row("search", Class::Live, Repeat::Idempotent, 10, 600.0, WORK_US, 0.6),
+            row("booking", Class::Command, Repeat::Never, 15, 10.0, WORK_US, 0.7),
+            row("archives", Class::Export, Repeat::Idempotent, 8, 20.0, EXPORT_US, 0.5),
+        ];
+        let data_centres = ["zurich", "winterthur", "baden", "schaffhausen"];
+        Self::build(&data_centres, 5 * MILLI_US, &rows, 1e-8, 1e-2)
+    }
+
+    /// Keeps only one service.
+    pub fn only(mut self, service: &str) -> Self {
+        self.note.services.add.retain(|other| &*other.name == service);
+        self.note.targets.add.retain(|target| &*target.service == service);
+        self.note.routes.add.retain(|route| &*route.service == service);
+        self.loads.retain(|load| &*load.service == service);
+        self
+    }
+
+    /// Sets the requests a second of a service.
+    pub fn load(mut self, service: &str, per_s: f64) -> Self {
+        for load in &mut self.loads {
+            if &*load.service == service {
+                load.per_s = per_s;
+            }
+        }
+        self
+    }
+
+    /// Sets the number of instances.
+    pub fn instances(mut self, instances: usize) -> Self {
+        self.instances = instances;
+        self
+    }
+
+    /// Sets the share of requests that fail at healthy targets.
+    pub fn background(mut self, share: f64) -> Self {
+        for load in &mut self.loads {
+            load.background = share;
+        }
+        self
+    }
+
+    fn build(data_centres: &[&str], one_way_us: u64, rows: &[Row], false_ejections: f64, missed: f64) -> Self {
+        let data_centres: Vec<Arc<str>> = data_centres.iter().map(|name| (*name).into()).collect();
+        let mut note = Note {
+            title: "all services".into(),
+            submission: "first".into(),
+            links: links(&data_centres, one_way_us),
+            ..Note::default()
+        };
+        for (at, row) in rows.iter().enumerate() {
+            note.services.add.push(service(row, false_ejections, missed));
+            note.routes.add.push(Route {
+                name: row.name.into(),
+                host: None,
+                path: format!("/{}", row.name).into(),
+                service: row.name.into(),
+            });
+            for number in 0..row.targets {
+                note.targets.add.push(Target {
+                    name: format!("{}-{number:02}", row.name).into(),
+                    service: row.name.into(),
+                    data_centre: data_centres[number % data_centres.len()].clone(),
+                    address: SocketAddr::from(([127, 0, at as u8 + 1, number as u8], 80)),
+                    slots: SLOTS,
+                    connections: CONNECTIONS,
+                    refusal_is_not_run: true,
+                    leaving: false,
+                });
+            }
+        }
+        let load = |row: &Row| Load {
+            service: row.name.into(),
+            per_s: row.per_s,
+            work_us: row.work_us,
+            background: 0.0,
+        };
+        Self {
+            data_centres,
+            one_way_us,
+            instances: INSTANCES,
+            note,
+            loads: rows.iter().map(load).collect(),
+        }
+    }
+}
+
+fn row(name: &'static str, class: Class, repeat: Repeat, targets: usize, per_s: f64, work_us: u64, floor: f64) -> Row {
+    Row {
+        name,
+        class,
+        repeat,
+        targets,
+        per_s,
+        work_us,
+        floor_share: floor,
+    }
+}
+
+fn service(row: &Row, false_ejection_rate: f64, missed_detection_rate: f64) -> Service {
+    Service {
+        name: row.name.into(),
+        class: row.class,
+        repeat: row.repeat,
+        time_limit_ms: if row.class == Class::Export { 60_000 } else { 5_000 },
+        floor_share: row.floor_share,
+        false_ejection_rate,
+        missed_detection_rate,
+        retry_share: 0.2,
+        queue: 200,
+        probe_path: "/health".into(),
+    }
+}
+
+fn links(data_centres: &[Arc<str>], one_way_us: u64) -> Vec<Link> {
+    let mut links = Vec::new();
+    for (at, from) in data_centres.iter().enumerate() {
+        for to in &data_centres[at + 1..] {
+            links.push(Link {
+                from: from.clone(),
+                to: to.clone(),
+                one_way_us,
+            });
+        }
+    }
+    links
+}
+
+/// A delta that only changes targets.
+pub(super) fn change_targets(targets: Vec<Target>, withdraw: Vec<Arc<str>>) -> Delta<Target> {
+    Delta {
+        add: Vec::new(),
+        change: targets,
+        withdraw,
+    }
+}
