Test against a mixture and decide on sides with own counts

Cause: suspicion without an end starved booking's evidence; a data centre was cleared on five outcomes, and a failing side was drowned by healthy ones. Ruled out: the transport and the flush period, since dashboards were in time. Booking 5x slow is still never found: single instances see too few answers to know what is slow.

--- a/policy/src/evidence/home.rs
+++ b/policy/src/evidence/home.rs
@@ -29,6 +29,8 @@
 const RAMP_US: u64 = 10_000_000;
 /// Share of the ejecting evidence from which others are told.
 const SUSPECT_SHARE: f64 = 0.5;
+/// A suspicion that starves its own evidence ends by itself; the counts stay.
+const SUSPICION_US: u64 = 2_000_000;
 const REFRESH_US: u64 = 10_000_000;
 
 /// What a home wants done.
@@ -48,7 +50,7 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Phase {
     Healthy,
-    Suspect,
+    Suspect { until_us: u64 },
     Ejected { until_us: u64 },
     Probing { next_us: u64, good: u32 },
     Trial { until_us: u64 },
@@ -67,7 +69,7 @@
     fn standing(&self) -> Standing {
         match self.phase {
             Phase::Healthy => Standing::Healthy,
-            Phase::Suspect => Standing::Suspect,
+            Phase::Suspect { .. } => Standing::Suspect,
             Phase::Ejected { .. } | Phase::Probing { .. } => Standing::Ejected,
             Phase::Trial { .. } => Standing::Trial,
             Phase::Ramping { .. } => Standing::Ramping,
@@ -75,6 +77,14 @@
     }
 }
 
+/// What outcomes are counted for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    Ignored,
+    Tried,
+    Tested,
+}
+
 #[derive(Debug, Default)]
 struct Ward {
     test: ServiceTest,
@@ -118,13 +128,21 @@
             let target = world.targets.get(name);
             target.is_some_and(|target| target.service == report.service)
         };
-        for entry in report.targets.iter().filter(|entry| known(&entry.target)) {
-            ward.test
-                .count(now_us, &entry.target, data_centre, thinning, entry.tally);
+        let entries: Vec<_> = report.targets.iter().filter(|entry| known(&entry.target)).collect();
+        for entry in &entries {
+            match ward.role(&entry.target, data_centre) {
+                Role::Ignored => {}
+                Role::Tried => ward.test.count_trial(now_us, &entry.target, thinning, entry.tally),
+                Role::Tested => ward.test.count(now_us, &entry.target, data_centre, thinning, entry.tally),
+            }
         }
         let mut events = Vec::new();
-        for entry in report.targets.iter().filter(|entry| known(&entry.target)) {
-            ward.decide(now_us, service, &entry.target, &mut self.pace, &mut events);
+        for entry in &entries {
+            match ward.role(&entry.target, data_centre) {
+                Role::Ignored => {}
+                Role::Tried => ward.judge_trial(now_us, service, &entry.target, &mut events),
+                Role::Tested => ward.judge(now_us, service, &entry.target, &mut self.pace, &mut events),
+            }
         }
         events
     }
@@ -223,6 +241,10 @@
 }
 
 impl Case {
+    fn is_out(&self) -> bool {
+        matches!(self.phase, Phase::Ejected { .. } | Phase::Probing { .. } | Phase::Trial { .. })
+    }
+
     fn tell(&self, service: &Arc<str>, target: &Arc<str>) -> HomeEvent {
         HomeEvent::Tell(Verdict {
             service: service.clone(),
@@ -234,42 +256,31 @@
 }
 
 impl Ward {
-    fn decide(
-        &mut self,
-        now_us: u64,
-        service: &Service,
-        target: &Arc<str>,
-        pace: &mut SuspicionPace,
-        events: &mut Vec<HomeEvent>,
-    ) {
-        let phase = self.cases.get(target).map(|case| case.phase.clone());
-        match phase.unwrap_or(Phase::Healthy) {
-            Phase::Ejected { .. } | Phase::Probing { .. } => self.test.reset(now_us, target),
-            Phase::Trial { .. } => self.judge_trial(now_us, service, target, events),
-            Phase::Healthy | Phase::Suspect | Phase::Ramping { .. } => {
-                let finding = self.test.decide(now_us, service, target);
-                self.follow(now_us, service, target, finding, pace, events);
-            }
+    /// What outcomes of a target that a data centre has met are counted for.
+    fn role(&self, target: &str, data_centre: &Arc<str>) -> Role {
+        let Some(case) = self.cases.get(target) else {
+            return Role::Tested;
+        };
+        let concerned = case.from.is_empty() || case.from.contains(data_centre);
+        match case.phase {
+            Phase::Ejected { .. } | Phase::Probing { .. } if concerned => Role::Ignored,
+            Phase::Trial { .. } if concerned => Role::Tried,
+            _ => Role::Tested,
         }
     }
 
-    fn follow(
-        &mut self,
-        now_us: u64,
-        service: &Service,
-        target: &Arc<str>,
-        finding: Finding,
-        pace: &mut SuspicionPace,
-        events: &mut Vec<HomeEvent>,
-    ) {
+    /// Follows what the test says of a target.
+    fn judge(&mut self, now_us: u64, service: &Service, target: &Arc<str>, pace: &mut SuspicionPace, events: &mut Vec<HomeEvent>) {
+        let finding = self.test.decide(now_us, service, target);
         let phase = self.cases.get(target).map(|case| case.phase.clone());
-        match (finding, phase) {
+        match (finding, phase.unwrap_or(Phase::Healthy)) {
             (Finding::Failing, _) => self.eject(now_us, service, target, Vec::new(), events),
             (Finding::FailingFrom(from), _) => self.eject(now_us, service, target, from, events),
-            (Finding::Running(share), None | Some(Phase::Healthy)) if share >= SUSPECT_SHARE && pace.take(now_us) => {
-                self.enter(service, target, Phase::Suspect, events);
+            (Finding::Running(share), Phase::Healthy) if share >= SUSPECT_SHARE && pace.take(now_us) => {
+                let until_us = now_us + SUSPICION_US;
+                self.enter(service, target, Phase::Suspect { until_us }, events);
             }
-            (Finding::Running(share), Some(Phase::Suspect)) if share <= 0.0 => {
+            (Finding::Running(share), Phase::Suspect { .. }) if share <= 0.0 => {
                 self.enter(service, target, Phase::Healthy, events);
             }
             (Finding::Running(_), _) => {}
@@ -281,10 +292,15 @@
         now_us: u64,
         service: &Service,
         target: &Arc<str>,
-        from: Vec<Arc<str>>,
+        mut from: Vec<Arc<str>>,
         events: &mut Vec<HomeEvent>,
     ) {
         let previous = self.cases.get(target);
+        if let Some(case) = previous.filter(|case| case.is_out() && !from.is_empty()) {
+            from.extend(case.from.iter().cloned());
+            from.sort();
+            from.dedup();
+        }
         let length_us = previous
             .filter(|case| {
                 case.length_us > 0 && now_us.saturating_sub(case.ejected_us) < GOOD_CONDUCT_US + 2 * case.length_us
@@ -378,7 +394,7 @@
                 });
             }
             Phase::Trial { until_us } if now_us >= until_us => self.ramp(now_us, service, target, events),
-            Phase::Ramping { until_us } if now_us >= until_us => {
+            Phase::Suspect { until_us } | Phase::Ramping { until_us } if now_us >= until_us => {
                 self.enter(service, target, Phase::Healthy, events);
             }
             _ => {}
--- a/policy/src/evidence/mod.rs
+++ b/policy/src/evidence/mod.rs
@@ -14,6 +14,7 @@
 pub use observer::Observer;
 pub use observer::Report;
 pub use observer::TargetReport;
+pub use sequential_test::Alternatives;
 pub use sequential_test::Rates;
 pub use sequential_test::SequentialTest;
 pub use service_test::Finding;
