Share what is slow and set it by the spread of latencies

Cause: instances that see few answers did not know what is slow, and links and connecting shifted the median, so that seven medians were beyond a five times slower target. Ruled out: waiting for own answers, 108 s for booking at one instance.

--- a/policy/src/evidence/home.rs
+++ b/policy/src/evidence/home.rs
@@ -12,6 +12,8 @@
 use model::world::Service;
 
 use super::Finding;
+use super::Latencies;
+use super::LatencyScale;
 use super::Report;
 use super::SequentialTest;
 use super::ServiceTest;
@@ -88,6 +90,7 @@
 #[derive(Debug, Default)]
 struct Ward {
     test: ServiceTest,
+    scale: LatencyScale,
     cases: BTreeMap<Arc<str>, Case>,
 }
 
@@ -128,12 +131,17 @@
             let target = world.targets.get(name);
             target.is_some_and(|target| target.service == report.service)
         };
+        for latency_us in &report.samples_us {
+            ward.scale.add(u64::from(*latency_us));
+        }
         let entries: Vec<_> = report.targets.iter().filter(|entry| known(&entry.target)).collect();
         for entry in &entries {
             match ward.role(&entry.target, data_centre) {
                 Role::Ignored => {}
                 Role::Tried => ward.test.count_trial(now_us, &entry.target, thinning, entry.tally),
-                Role::Tested => ward.test.count(now_us, &entry.target, data_centre, thinning, entry.tally),
+                Role::Tested => ward
+                    .test
+                    .count(now_us, &entry.target, data_centre, thinning, entry.tally),
             }
         }
         let mut events = Vec::new();
@@ -147,6 +155,12 @@
         events
     }
 
+    /// What is known of the latencies of a service.
+    pub fn latencies(&self, service: &str) -> Latencies {
+        let ward = self.wards.get(service);
+        ward.map(|ward| ward.scale.known()).unwrap_or_default()
+    }
+
     /// Sets how long it takes at least from one told suspicion to the next.
     pub fn set_suspicion_interval(&mut self, interval_us: u64) {
         self.pace.interval_us = interval_us;
@@ -242,7 +256,10 @@
 
 impl Case {
     fn is_out(&self) -> bool {
-        matches!(self.phase, Phase::Ejected { .. } | Phase::Probing { .. } | Phase::Trial { .. })
+        matches!(
+            self.phase,
+            Phase::Ejected { .. } | Phase::Probing { .. } | Phase::Trial { .. }
+        )
     }
 
     fn tell(&self, service: &Arc<str>, target: &Arc<str>) -> HomeEvent {
@@ -270,13 +287,22 @@
     }
 
     /// Follows what the test says of a target.
-    fn judge(&mut self, now_us: u64, service: &Service, target: &Arc<str>, pace: &mut SuspicionPace, events: &mut Vec<HomeEvent>) {
+    fn judge(
+        &mut self,
+        now_us: u64,
+        service: &Service,
+        target: &Arc<str>,
+        pace: &mut SuspicionPace,
+        events: &mut Vec<HomeEvent>,
+    ) {
         let finding = self.test.decide(now_us, service, target);
         let phase = self.cases.get(target).map(|case| case.phase.clone());
         match (finding, phase.unwrap_or(Phase::Healthy)) {
             (Finding::Failing, _) => self.eject(now_us, service, target, Vec::new(), events),
             (Finding::FailingFrom(from), _) => self.eject(now_us, service, target, from, events),
-            (Finding::Running(share), Phase::Healthy) if share >= SUSPECT_SHARE && pace.take(now_us) => {
+            (Finding::Running(share), Phase::Healthy)
+                if share >= SUSPECT_SHARE && service.repeat == Repeat::Idempotent && pace.take(now_us) =>
+            {
                 let until_us = now_us + SUSPICION_US;
                 self.enter(service, target, Phase::Suspect { until_us }, events);
             }
--- a/policy/src/evidence/mod.rs
+++ b/policy/src/evidence/mod.rs
@@ -10,6 +10,7 @@
 
 pub use home::Home;
 pub use home::HomeEvent;
+pub use latency::Latencies;
 pub use latency::LatencyScale;
 pub use observer::Observer;
 pub use observer::Report;
--- a/policy/src/evidence/observer.rs
+++ b/policy/src/evidence/observer.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Latencies;
 use super::LatencyScale;
 use super::Tally;
 use super::tally::THINNING_STEPS;
@@ -20,6 +21,10 @@
 /// Bytes a second that reports may cost.
 pub(super) const REPORT_BUDGET_BYTES_PER_S: u64 = 1_500;
 
+/// Latencies that a report carries while its sender knows too few.
+const MAX_SAMPLES: usize = 8;
+/// Latencies that a report carries otherwise.
+const FEW_SAMPLES: usize = 2;
 const ADJUST_PERIOD_US: u64 = 2_000_000;
 
 /// Counts of one target in a report.
@@ -38,6 +43,11 @@
     pub service: Arc<str>,
     /// Steps by which normal outcomes were thinned.
     pub thinning: u8,
+    /// Whether the sender knows what is slow.
+    pub knows_latencies: bool,
+    /// A few latencies of good answers in microseconds, so that instances that
+    /// see few answers learn what is slow.
+    pub samples_us: Vec<u32>,
     /// Counts by target.
     pub targets: Vec<TargetReport>,
 }
@@ -45,9 +55,31 @@
 #[derive(Debug, Default)]
 struct ServiceCounts {
     scale: LatencyScale,
+    samples_us: Vec<u32>,
+    told: Latencies,
     pending: BTreeMap<Arc<str>, Tally>,
 }
 
+impl ServiceCounts {
+    /// What is known by own answers or, while they are few, from a home.
+    fn latencies(&self) -> Latencies {
+        let own = self.scale.known();
+        if own.is_known() { own } else { self.told }
+    }
+
+    fn add_latency(&mut self, latency_us: u64) {
+        self.scale.add(latency_us);
+        let limit = if self.scale.known().is_known() {
+            FEW_SAMPLES
+        } else {
+            MAX_SAMPLES
+        };
+        if self.samples_us.len() < limit {
+            self.samples_us.push(latency_us.min(u64::from(u32::MAX)) as u32);
+        }
+    }
+}
+
 /// Counts of an instance's own requests.
 #[derive(Debug, Default)]
 pub struct Observer {
@@ -61,9 +93,10 @@
     /// Whether an answer is normal, given the service's own scale.
     pub fn classify(&mut self, service: &Arc<str>, good: bool, latency_us: u64) -> Tally {
         let counts = self.services.entry(service.clone()).or_default();
-        let slow = counts.scale.slow_us().is_some_and(|slow_us| latency_us > slow_us);
+        let known = counts.latencies();
+        let slow = known.is_known() && latency_us > known.slow_us;
         if good {
-            counts.scale.add(latency_us);
+            counts.add_latency(latency_us);
         }
         if good && !slow {
             Tally { normal: 1, abnormal: 0 }
@@ -81,15 +114,17 @@
         }
     }
 
-    /// The latency beyond which an answer of a service is slow, if known.
-    pub fn slow_us(&self, service: &str) -> Option<u64> {
-        self.services.get(service)?.scale.slow_us()
+    /// What is known of the latencies of a service.
+    pub fn latencies(&self, service: &str) -> Latencies {
+        let counts = self.services.get(service);
+        counts.map(ServiceCounts::latencies).unwrap_or_default()
     }
 
-    /// The median latency of a service, if known.
-    pub fn median_us(&self, service: &str) -> Option<u64> {
-        let median_us = self.services.get(service)?.scale.median_us();
-        (median_us > 0).then_some(median_us)
+    /// Takes in what a home tells of the latencies of a service.
+    pub fn told(&mut self, service: &Arc<str>, latencies: Latencies) {
+        if let Some(counts) = self.services.get_mut(service) {
+            counts.told = latencies;
+        }
     }
 
     /// Takes what is to be reported.
@@ -106,6 +141,8 @@
             reports.push(Report {
                 service: service.clone(),
                 thinning: self.thinning,
+                knows_latencies: counts.scale.known().is_known(),
+                samples_us: std::mem::take(&mut counts.samples_us),
                 targets,
             });
         }
--- a/policy/src/evidence/service_test.rs
+++ b/policy/src/evidence/service_test.rs
@@ -90,7 +90,10 @@
     /// The data centres whose own counts reach a bound.
     fn failing_sides(&self, alternatives: Alternatives, bound: f64) -> Vec<Arc<str>> {
         let bound = bound + (self.sides.len().max(1) as f64).ln();
-        let failing = self.sides.iter().filter(|(_, side)| side.own.log_ratio(alternatives) >= bound);
+        let failing = self
+            .sides
+            .iter()
+            .filter(|(_, side)| side.own.log_ratio(alternatives) >= bound);
         failing.map(|(data_centre, _)| data_centre.clone()).collect()
     }
 }
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -17,6 +17,7 @@
 use super::PlatformAnswer;
 use super::Settings;
 use super::Shared;
+use super::ToldLatencies;
 use super::notes::Incoming;
 use super::platform::Calls;
 use super::readiness::Readiness;
@@ -24,6 +25,7 @@
 use super::tables::Tables;
 use crate::evidence::Home;
 use crate::evidence::HomeEvent;
+use crate::evidence::Latencies;
 use crate::evidence::Observer;
 use crate::evidence::Report;
 use crate::evidence::Tally;
@@ -191,6 +193,7 @@
             Message::Join => self.give_members(now_us, &from),
             Message::Members(members) => self.learn_members(now_us, &members),
             Message::Reports(reports) => self.take_reports(now_us, &from, &reports),
+            Message::Latencies(told) => self.learn_latencies(told),
             Message::Verdicts { home, verdicts, span } => self.verdicts_spread(now_us, &home, &verdicts, span.as_ref()),
             Message::NewNote { note, span } => self.note_spread(now_us, &from, &note, span.as_ref()),
             Message::PullNotes { after } => self.give_notes(now_us, &from, after),
@@ -425,8 +428,12 @@
             return;
         };
         let load = self.tables.load_of(&target);
-        let service_load = self.tables.service_load(&service);
-        let median_us = self.observer.median_us(&service.name).unwrap_or(ASSUMED_MEDIAN_US);
+        let known = self.observer.latencies(&service.name);
+        let median_us = if known.is_known() {
+            known.median_us
+        } else {
+            ASSUMED_MEDIAN_US
+        };
         let tally = match observation.end {
             AttemptEnd::Answered { good, latency_us } => {
                 let tally = self.observer.classify(&service.name, good, latency_us);
@@ -447,11 +454,7 @@
             AttemptEnd::Cancelled => return,
             AttemptEnd::NotSent | AttemptEnd::Cut | AttemptEnd::Overdue => Tally { normal: 0, abnormal: 1 },
         };
-        let slow_us = self.observer.slow_us(&service.name).unwrap_or(0);
-        service_load.slow_us.store(slow_us, Ordering::Relaxed);
-        service_load
-            .median_us
-            .store(self.observer.median_us(&service.name).unwrap_or(0), Ordering::Relaxed);
+        self.show_latencies(&service.name);
         if observation.counted {
             return;
         }
@@ -507,6 +510,46 @@
             let events = self.home.report(now_us, self.log.world(), &data_centre, report);
             self.follow_home(now_us, events);
         }
+        self.tell_latencies(now_us, from, reports);
+    }
+
+    /// Tells what is slow to a reporter that knows too few latencies.
+    fn tell_latencies(&mut self, now_us: u64, to: &Arc<str>, reports: &[Report]) {
+        let unsure = reports.iter().filter(|report| !report.knows_latencies);
+        let told: Vec<ToldLatencies> = unsure
+            .map(|report| (report, self.home.latencies(&report.service)))
+            .filter(|(_, known)| known.is_known())
+            .map(|(report, known)| ToldLatencies {
+                service: report.service.clone(),
+                median_us: known.median_us,
+                slow_us: known.slow_us,
+            })
+            .collect();
+        if !told.is_empty() {
+            self.send(now_us, to, Message::Latencies(told));
+        }
+    }
+
+    fn learn_latencies(&mut self, told: Vec<ToldLatencies>) {
+        for told in told {
+            let latencies = Latencies {
+                median_us: told.median_us,
+                slow_us: told.slow_us,
+            };
+            self.observer.told(&told.service, latencies);
+            self.show_latencies(&told.service);
+        }
+    }
+
+    /// Shows the request path what is known of a service's latencies.
+    fn show_latencies(&mut self, service: &str) {
+        let Some(service) = self.log.world().services.get(service).cloned() else {
+            return;
+        };
+        let load = self.tables.service_load(&service);
+        let known = self.observer.latencies(&service.name);
+        load.slow_us.store(known.slow_us, Ordering::Relaxed);
+        load.median_us.store(known.median_us, Ordering::Relaxed);
     }
 
     fn probed(&mut self, now_us: u64, service: &str, target: &Arc<str>, good: bool) {
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -26,6 +26,17 @@
     pub message: Message,
 }
 
+/// What a home tells of the latencies of a service, in microseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLatencies {
+    /// The service's name.
+    pub service: Arc<str>,
+    /// The median.
+    pub median_us: u64,
+    /// The latency beyond which an answer is slow.
+    pub slow_us: u64,
+}
+
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -52,6 +63,8 @@
     Members(Vec<Member>),
     /// Outcomes of the sender's requests.
     Reports(Vec<Report>),
+    /// Answers reports whose sender knows too few latencies.
+    Latencies(Vec<ToldLatencies>),
     /// A home's views of targets.
     Verdicts {
         /// Id of the home.
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -21,5 +21,6 @@
 pub use instance::TICK_US;
 pub use message::Envelope;
 pub use message::Message;
+pub use message::ToldLatencies;
 pub use settings::Settings;
 pub use shared::Shared;
--- a/proof/examples/measure/table.rs
+++ b/proof/examples/measure/table.rs
@@ -20,7 +20,10 @@
             }
         };
         let handles: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
-        handles.into_iter().flat_map(|handle| handle.join().expect("a run ends")).collect()
+        handles
+            .into_iter()
+            .flat_map(|handle| handle.join().expect("a run ends"))
+            .collect()
     });
     results.sort_by_key(|(seed, _)| *seed);
     results.into_iter().map(|(_, result)| result).collect()
--- a/proof/src/baseline.rs
+++ b/proof/src/baseline.rs
@@ -62,6 +62,8 @@
 
     /// Whether a target gets no requests.
     pub fn is_ejected(&self, now_us: u64, name: &str) -> bool {
-        self.targets.get(name).is_some_and(|state| state.ejected_until_us > now_us)
+        self.targets
+            .get(name)
+            .is_some_and(|state| state.ejected_until_us > now_us)
     }
 }
--- a/proof/src/operators.rs
+++ b/proof/src/operators.rs
@@ -32,7 +32,13 @@
 
     /// An operator marks a target as leaving, or takes that back.
     pub fn submit_leaving(&mut self, target: &str, leaving: bool, submission: &str) -> bool {
-        let known = self.deployment.note.targets.add.iter().find(|other| *other.name == *target);
+        let known = self
+            .deployment
+            .note
+            .targets
+            .add
+            .iter()
+            .find(|other| *other.name == *target);
         let Some(known) = known else {
             return false;
         };
--- a/proof/src/requests.rs
+++ b/proof/src/requests.rs
@@ -55,7 +55,9 @@
         let Some(node) = self.balance() else {
             return;
         };
-        let once = self.service_of(&service).is_some_and(|service| service.repeat == Repeat::Never);
+        let once = self
+            .service_of(&service)
+            .is_some_and(|service| service.repeat == Repeat::Never);
         if once && self.mode != Mode::RoundRobin {
             self.plan_command(node, service);
         } else {
@@ -72,7 +74,12 @@
     }
 
     fn service_of(&self, name: &str) -> Option<&model::world::Service> {
-        self.deployment.note.services.add.iter().find(|service| *service.name == *name)
+        self.deployment
+            .note
+            .services
+            .add
+            .iter()
+            .find(|service| *service.name == *name)
     }
 
     /// A caller names a command and asks for it, again if it can't be sure.
@@ -131,7 +138,9 @@
         *self.stats.begun.entry(service.clone()).or_default() += 1;
         self.next_flight += 1;
         let id = self.next_flight;
-        let limit_us = self.service_of(&service).map_or(SECOND_US, |service| service.time_limit_ms * MILLI_US);
+        let limit_us = self
+            .service_of(&service)
+            .map_or(SECOND_US, |service| service.time_limit_ms * MILLI_US);
         let deadline_us = self.now_us + limit_us;
         let mut flight = Flight {
             node,
@@ -296,7 +305,11 @@
             return;
         };
         target.requests += 1;
-        let way_us = if target.data_centre == wire.data_centre { MILLI_US / 4 } else { self.deployment.one_way_us };
+        let way_us = if target.data_centre == wire.data_centre {
+            MILLI_US / 4
+        } else {
+            self.deployment.one_way_us
+        };
         match target.fault.at(now_us, wire.data_centre == 0) {
             TargetFault::Dead => self
                 .queue
@@ -388,7 +401,11 @@
         if self.open_attempt(id, attempt).is_none() {
             return;
         }
-        let end = if failure == Failure::NotSent { AttemptEnd::NotSent } else { AttemptEnd::Cut };
+        let end = if failure == Failure::NotSent {
+            AttemptEnd::NotSent
+        } else {
+            AttemptEnd::Cut
+        };
         self.observe(id, attempt, end);
         if self.mode == Mode::RoundRobin {
             return self.end_round_robin(id, attempt, false);
@@ -465,12 +482,17 @@
         flight.passing = Some(attempt);
         let target = self.targets.get(&flight.attempts[attempt].target);
         let whole = target.is_none_or(|target| target.fault != TargetFault::Cutting);
-        self.queue.push(self.now_us + BODY_US, Event::BodyEnd(id, attempt, whole));
+        self.queue
+            .push(self.now_us + BODY_US, Event::BodyEnd(id, attempt, whole));
     }
 
     /// The body of an answer has ended, whole or not.
     pub(super) fn body_end(&mut self, id: u64, attempt: usize, whole: bool) {
-        if self.flights.get(&id).is_none_or(|flight| flight.passing != Some(attempt)) {
+        if self
+            .flights
+            .get(&id)
+            .is_none_or(|flight| flight.passing != Some(attempt))
+        {
             return;
         }
         if !whole {
@@ -496,14 +518,17 @@
         let answer = self.platform.claim(self.now_us / MILLI_US, &key, &tag);
         let answer = answer.filter(|_| self.platform.state != PlatformState::Slow);
         match answer {
-            Some(answer) => self.queue.push(self.now_us + PLATFORM_US / 2, Event::Claimed(id, answer)),
+            Some(answer) => self
+                .queue
+                .push(self.now_us + PLATFORM_US / 2, Event::Claimed(id, answer)),
             None if tries + 1 < CLAIM_TRIES => {
                 let pause_us = 50 * MILLI_US << tries;
                 self.queue.push(self.now_us + pause_us, Event::Claim(id, tries + 1));
             }
-            None => self
-                .queue
-                .push(self.now_us + PLATFORM_US / 2, Event::Claimed(id, ClaimAnswer::Unavailable)),
+            None => self.queue.push(
+                self.now_us + PLATFORM_US / 2,
+                Event::Claimed(id, ClaimAnswer::Unavailable),
+            ),
         }
     }
 
@@ -602,16 +627,24 @@
         };
         let names = self.names[&flight.service].clone();
         let target = flight.attempts[attempt].target.clone();
-        let ejected = self.nodes[flight.node].baseline.ended(self.now_us, &target, good, &names);
+        let ejected = self.nodes[flight.node]
+            .baseline
+            .ended(self.now_us, &target, good, &names);
         if ejected {
             self.stats.ejections.push((self.now_us, target));
         }
-        let slow_export = self.service_of(&flight.service).is_some_and(|service| service.class == Class::Export);
+        let slow_export = self
+            .service_of(&flight.service)
+            .is_some_and(|service| service.class == Class::Export);
         if good {
             *self.stats.served.entry(flight.service.clone()).or_default() += 1;
             if !slow_export {
                 let latency_us = self.now_us - flight.began_us;
-                self.stats.latencies_us.entry(flight.service.clone()).or_default().push(latency_us);
+                self.stats
+                    .latencies_us
+                    .entry(flight.service.clone())
+                    .or_default()
+                    .push(latency_us);
             }
         } else {
             self.refused(&flight, Outcome::Unknown);
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -276,7 +276,11 @@
         let member = self.member(at, incarnation);
         let mut settings = policy::Settings::new(member.clone(), self.rng.random());
         settings.shares_evidence = self.mode == Mode::Shared;
-        settings.seeds = (0..self.nodes.len()).filter(|other| *other != at).take(5).map(|other| address(other, 2)).collect();
+        settings.seeds = (0..self.nodes.len())
+            .filter(|other| *other != at)
+            .take(5)
+            .map(|other| address(other, 2))
+            .collect();
         let node = &mut self.nodes[at];
         node.incarnation = incarnation;
         node.tickets = TicketTable::new(member.id, incarnation, TICKETS);
@@ -473,7 +477,11 @@
     }
 
     fn answer_call(&mut self, node: usize, answer: PlatformAnswer) {
-        let way_us = if self.platform.state == PlatformState::Slow { PLATFORM_SLOW_US } else { PLATFORM_US };
+        let way_us = if self.platform.state == PlatformState::Slow {
+            PLATFORM_SLOW_US
+        } else {
+            PLATFORM_US
+        };
         let event = Event::Input(node, Box::new(Input::Platform(answer)));
         self.queue.push(self.now_us + way_us, event);
     }
@@ -492,7 +500,11 @@
     }
 
     pub(super) fn one_way_us(&self, from: usize, to: usize) -> u64 {
-        if from == to { MILLI_US / 4 } else { self.deployment.one_way_us }
+        if from == to {
+            MILLI_US / 4
+        } else {
+            self.deployment.one_way_us
+        }
     }
 }
 
@@ -514,8 +526,10 @@
     match message {
         Message::Ping { .. } | Message::Ack { .. } | Message::PingFor { .. } => "heartbeats",
         Message::Join | Message::Members(_) => "joining",
-        Message::Reports(_) => "reports",
+        Message::Reports(_) | Message::Latencies(_) => "reports",
         Message::Verdicts { .. } => "verdicts",
-        Message::NewNote { .. } | Message::PullNotes { .. } | Message::Notes(_) | Message::SnapshotPart { .. } => "notes",
+        Message::NewNote { .. } | Message::PullNotes { .. } | Message::Notes(_) | Message::SnapshotPart { .. } => {
+            "notes"
+        }
     }
 }
