--- a/proof/src/lib.rs
+++ b/proof/src/lib.rs
@@ -5,10 +5,12 @@
 //! same run.
 
 mod baseline;
+pub mod chaos;
 mod deployment;
 mod events;
 mod fault;
 mod flight;
+pub mod matrix;
 mod network;
 mod node;
 mod operators;
@@ -25,6 +27,8 @@
 pub use events::Queue;
 pub use fault::TargetFault;
 pub use flight::Naming;
+pub use matrix::Met;
+pub use matrix::Moment;
 pub use network::LinkFault;
 pub use network::Network;
 pub use platform_fake::PlatformState;
--- a/proof/src/operators.rs
+++ b/proof/src/operators.rs
@@ -5,6 +5,7 @@
 use model::Note;
 
 use super::MILLI_US;
+use super::Moment;
 use super::PlatformState;
 use super::Sim;
 use super::deployment::change_targets;
@@ -26,6 +27,7 @@
         }
         let text = serde_json::to_string(note).unwrap_or_default();
         let standing = self.platform.create_note(self.now_us / MILLI_US, number + 1, &text);
+        self.meet(Moment::NoteCreated, 0, None);
         self.end_watches();
         *standing == *text
     }
--- a/proof/src/requests.rs
+++ b/proof/src/requests.rs
@@ -21,6 +21,7 @@
 use super::Event;
 use super::MILLI_US;
 use super::Mode;
+use super::Moment;
 use super::Naming;
 use super::PlatformState;
 use super::SECOND_US;
@@ -185,6 +186,9 @@
             replayable: true,
         };
         flight.exchange = Some(Exchange::new(request, service_table.clone()));
+        if flight.command.is_some() {
+            self.meet(Moment::Accept, node, None);
+        }
         self.flights.insert(id, flight);
         self.queue.push(deadline_us, Event::Deadline(id));
         self.on(id, Happened::Begin);
@@ -201,7 +205,11 @@
         };
         let step = exchange.on(now_us, event, &mut self.rng);
         match step {
-            Step::Claim => self.queue.push(now_us + PLATFORM_US / 2, Event::Claim(id, 0)),
+            Step::Claim => {
+                let node = flight.node;
+                self.meet(Moment::Claim, node, None);
+                self.queue.push(now_us + PLATFORM_US / 2, Event::Claim(id, 0));
+            }
             Step::Wait => self.wait(id),
             Step::Send { attempt, candidate } => self.send_attempt(id, attempt, candidate),
             Step::Continue => {}
@@ -278,6 +286,9 @@
             over: false,
         });
         let (command, node) = (flight.command.clone(), flight.node);
+        if command.is_some() {
+            self.meet(Moment::Send, node, Some(&target));
+        }
         let data_centre = self.nodes[node].data_centre;
         let to = self.targets.get(&target).map_or(0, |target| target.data_centre);
         let way_us = ways * self.one_way_us(data_centre, to);
@@ -295,6 +306,10 @@
         let Some(wire) = self.wires.get(&(id, attempt)).cloned() else {
             return;
         };
+        if let Some(flight) = self.flights.get(&id).filter(|flight| flight.command.is_some()) {
+            let node = flight.node;
+            self.meet(Moment::Work, node, Some(&wire.target));
+        }
         if let Some(since_us) = self.leaving.get(&wire.target)
             && self.now_us > since_us + LEAVING_GRACE_US
         {
@@ -381,6 +396,7 @@
         let Some(sent_us) = self.open_attempt(id, attempt) else {
             return;
         };
+        self.meet_at(Moment::FirstByte, id, attempt);
         let end = if status == 503 {
             AttemptEnd::Shed
         } else {
@@ -480,6 +496,8 @@
             return;
         };
         flight.passing = Some(attempt);
+        self.meet_at(Moment::Body, id, attempt);
+        let flight = &self.flights[&id];
         let target = self.targets.get(&flight.attempts[attempt].target);
         let whole = target.is_none_or(|target| target.fault != TargetFault::Cutting);
         self.queue
@@ -502,6 +520,7 @@
             }
             self.observe(id, attempt, AttemptEnd::Cut);
         }
+        self.meet_at(Moment::End, id, attempt);
         self.on(id, if whole { Happened::Ended } else { Happened::Cut });
     }
 
@@ -532,8 +551,21 @@
         }
     }
 
+    /// Notes that a command has come to a moment at its target.
+    fn meet_at(&mut self, moment: Moment, id: u64, attempt: usize) {
+        let Some(flight) = self.flights.get(&id).filter(|flight| flight.command.is_some()) else {
+            return;
+        };
+        let (node, target) = (flight.node, flight.attempts[attempt].target.clone());
+        self.meet(moment, node, Some(&target));
+    }
+
     /// A claim's answer reaches the node.
     pub(super) fn claimed(&mut self, id: u64, answer: ClaimAnswer) {
+        if let Some(flight) = self.flights.get(&id) {
+            let node = flight.node;
+            self.meet(Moment::Choose, node, None);
+        }
         if let Some(flight) = self.flights.get_mut(&id)
             && matches!(answer, ClaimAnswer::Held(_) | ClaimAnswer::TooMany)
         {
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -25,6 +25,8 @@
 use super::Deployment;
 use super::Event;
 use super::MILLI_US;
+use super::Met;
+use super::Moment;
 use super::Network;
 use super::PlatformState;
 use super::Queue;
@@ -83,6 +85,8 @@
     pub naming: [f64; 3],
     /// Whether new requests arrive.
     pub loading: bool,
+    armed: Option<Moment>,
+    met: Option<Met>,
     pub(super) deployment: Deployment,
     pub(super) mode: Mode,
     pub(super) queue: Queue,
@@ -110,6 +114,8 @@
             network: Network::default(),
             naming: [0.4, 0.4, 0.2],
             loading: true,
+            armed: None,
+            met: None,
             mode,
             queue: Queue::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -147,6 +153,36 @@
         self.now_us = until_us;
     }
 
+    /// Carries out the next event; false if there is none.
+    pub fn step(&mut self) -> bool {
+        let Some((at_us, event)) = self.queue.pop(u64::MAX) else {
+            return false;
+        };
+        self.now_us = at_us;
+        self.handle(event);
+        true
+    }
+
+    /// Waits for a moment to be met.
+    pub fn arm(&mut self, moment: Moment) {
+        self.armed = Some(moment);
+        self.met = None;
+    }
+
+    /// Where the moment waited for was met, if it was.
+    pub fn met(&self) -> Option<Met> {
+        self.met
+    }
+
+    /// Notes that a moment has come.
+    pub(super) fn meet(&mut self, moment: Moment, node: usize, target: Option<&str>) {
+        if self.armed != Some(moment) || self.met.is_some() {
+            return;
+        }
+        let number = target.and_then(|target| target.rsplit('-').next()?.parse().ok());
+        self.met = Some(Met { node, target: number });
+    }
+
     /// Runs for a time.
     pub fn run_for(&mut self, time_us: u64) {
         self.run_until(self.now_us + time_us);
@@ -301,6 +337,7 @@
         self.nodes[at].incarnation += 1;
         self.watches.retain(|(node, _, _)| *node != at);
         self.finishes.retain(|(node, _, _, _, _)| *node != at);
+        let planned = self.nodes[at].draining;
         let lost: Vec<u64> = self
             .flights
             .iter()
@@ -308,6 +345,7 @@
             .map(|(id, _)| *id)
             .collect();
         for id in lost {
+            self.stats.cut_by_stop += u64::from(planned);
             self.lose_flight(id);
         }
     }
@@ -411,8 +449,12 @@
         };
         let actions = instance.handle(now_us, input);
         let number = instance.world().number;
+        let applied = number > self.nodes[at].highest_note;
         assert!(number >= self.nodes[at].highest_note, "the note in force went back");
         self.nodes[at].highest_note = number;
+        if applied {
+            self.meet(Moment::NoteApplied, at, None);
+        }
         for action in actions {
             self.act(at, action);
         }
@@ -436,6 +478,9 @@
         let Some(to) = node_at(to).filter(|to| *to < self.nodes.len()) else {
             return;
         };
+        if matches!(envelope.message, Message::NewNote { .. }) {
+            self.meet(Moment::NoteSpread, to, None);
+        }
         let bytes = peers::encode(&envelope).map_or(0, |bytes| bytes.len()) as u64;
         self.stats.messages += 1;
         self.stats.bytes += bytes;
@@ -494,6 +539,9 @@
             if notes.is_empty() && until_us > self.now_us {
                 self.watches.push((node, after, until_us));
             } else {
+                if !notes.is_empty() {
+                    self.meet(Moment::NoteWatched, node, None);
+                }
                 self.answer_call(node, PlatformAnswer::Notes(notes));
             }
         }
--- a/proof/src/stats.rs
+++ b/proof/src/stats.rs
@@ -30,6 +30,8 @@
     pub told: BTreeMap<Arc<str>, Vec<Outcome>>,
     /// Target runs that started after the target's leaving was long known.
     pub late_work: u64,
+    /// Requests that a planned stop has cut.
+    pub cut_by_stop: u64,
     /// Requests that ended because their instance was killed.
     pub killed: u64,
 }
--- /dev/null
+++ b/proof/tests/promises.rs
@@ -0,0 +1,97 @@
+//! What must hold, under random faults, under each pair of faults, and at each step.
+
+use proof::Moment;
+use proof::PlatformState;
+use proof::TargetFault;
+use proof::chaos;
+use proof::chaos::Fault;
+use proof::chaos::Planned;
+use proof::matrix;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const RANDOM_RUNS: u32 = 200;
+const OTHER_FAULTS: usize = 3;
+
+fn faults() -> impl Strategy<Value = Fault> {
+    prop::sample::select(Fault::ALL.to_vec()).prop_union(Just(Fault::Race).boxed())
+}
+
+trait Union {
+    fn prop_union(self, other: BoxedStrategy<Fault>) -> BoxedStrategy<Fault>;
+}
+
+impl<S: Strategy<Value = Fault> + 'static> Union for S {
+    fn prop_union(self, other: BoxedStrategy<Fault>) -> BoxedStrategy<Fault> {
+        prop_oneof![20 => self.boxed(), 1 => other].boxed()
+    }
+}
+
+prop_compose! {
+    fn planned()(at_ms in 0..20_000u64, lasts_ms in 100..12_000u64, fault in faults(), on in 0..64usize) -> Planned {
+        Planned { at_ms, lasts_ms, fault, on }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: RANDOM_RUNS, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn promises_hold_under_random_faults(seed in any::<u64>(), plan in vec(planned(), 1..7)) {
+        if let Err(reason) = chaos::run(seed, &plan) {
+            prop_assert!(false, "{reason}");
+        }
+    }
+}
+
+#[test]
+fn promises_hold_under_each_pair_of_faults() {
+    for (first, fault) in Fault::ALL.into_iter().enumerate() {
+        // Each fault meets itself and a few others, in turns.
+        for step in 0..=OTHER_FAULTS {
+            let other = Fault::ALL[(first + step * 5) % Fault::ALL.len()];
+            let plan = [planned_at(0, fault, 1), planned_at(1_500, other, 1 + step)];
+            if let Err(reason) = chaos::run(first as u64, &plan) {
+                panic!("{fault} with {other}: {reason}");
+            }
+        }
+    }
+}
+
+fn planned_at(at_ms: u64, fault: Fault, on: usize) -> Planned {
+    Planned {
+        at_ms,
+        lasts_ms: 4_000,
+        fault,
+        on,
+    }
+}
+
+#[test]
+fn promises_hold_at_each_step() {
+    for fault in Fault::ALL {
+        for moment in Moment::ALL {
+            if let Err(reason) = matrix::run(fault, moment, 1) {
+                panic!("{fault} at {moment}: {reason}");
+            }
+        }
+    }
+}
+
+#[test]
+fn an_operator_hears_the_truth_while_answers_are_lost() {
+    let plan = [
+        planned_at(0, Fault::Platform(PlatformState::LosesAnswers), 0),
+        planned_at(500, Fault::Race, 1),
+        planned_at(900, Fault::Race, 2),
+    ];
+    let sim = chaos::run(7, &plan).expect("the promises hold");
+    assert_eq!(sim.latest_note(), 3);
+}
+
+#[test]
+fn the_same_seed_gives_the_same_run() {
+    let plan = [planned_at(0, Fault::Target(TargetFault::Failing(0.5)), 3)];
+    let run = || chaos::run(11, &plan).map(|sim| (sim.stats.messages, sim.stats.bytes, sim.stats.runs.len()));
+    assert_eq!(run(), run());
+}
