Let a request wait for an eighth of its time at most

Cause: at 1.2 of capacity the queue stood near the deadline, so that all waited seconds for nothing. Ruled out: the targets' own queues, 110 ms by round robin at the same load.

--- a/policy/src/limits/fair_queue.rs
+++ b/policy/src/limits/fair_queue.rs
@@ -10,6 +10,8 @@
 
 /// Latency assumed while none is known.
 const ASSUMED_SERVICE_US: u64 = 25_000;
+/// A request waits for this part of its time at most; the rest is for the work.
+const MAX_WAIT_PART: u64 = 8;
 const MICROS_PER_MILLI: u64 = 1_000;
 
 /// A refused request and when to come back.
@@ -72,7 +74,7 @@
         if self.len >= limit {
             return Err(refuse(ResultCode::QueueFull, wait_us));
         }
-        if now_us + wait_us > deadline_us {
+        if wait_us > deadline_us.saturating_sub(now_us) / MAX_WAIT_PART {
             return Err(refuse(ResultCode::DeadlineTooNear, wait_us));
         }
         let waiting = self.by_customer.entry(customer.clone()).or_default();
--- a/proof/examples/measure/detection.rs
+++ b/proof/examples/measure/detection.rs
@@ -22,7 +22,7 @@
     served_share: f64,
 }
 
-pub fn measure(seeds: u64) -> String {
+pub(super) fn measure(seeds: u64) -> String {
     let faults = [
         ("dead", TargetFault::Dead),
         ("hung", TargetFault::Hung),
--- /dev/null
+++ b/proof/examples/measure/false_ejections.rs
@@ -0,0 +1,79 @@
+//! False ejections in ten million healthy outcomes.
+
+use std::sync::Arc;
+
+use model::World;
+use policy::evidence::Home;
+use policy::evidence::HomeEvent;
+use policy::evidence::Standing;
+use proof::Deployment;
+use proof::MILLI_US;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::table::Table;
+use super::table::each_seed;
+use super::wald::report;
+
+const OUTCOMES: u64 = 10_000_000;
+const PARTS: u64 = 8;
+const GAP_US: u64 = 100 * MILLI_US;
+const US_PER_DAY: f64 = 86_400e6;
+
+pub(super) fn measure() -> String {
+    let mut table = Table::new(
+        "False ejections in 10,000,000 outcomes of healthy targets, 10 outcomes a second",
+        &["service", "failing in the background", "ejections", "a target-day"],
+    );
+    let cases = [(Deployment::rodopi(), "gates"), (Deployment::kinderhut(), "booking")];
+    for (deployment, name) in cases {
+        let deployment = deployment.only(name);
+        for background in [0.01, 0.02] {
+            let ejections: u64 = each_seed(PARTS, |seed| run(&deployment, background, seed)).iter().sum();
+            let days = OUTCOMES as f64 * GAP_US as f64 / US_PER_DAY;
+            let target_days = days * deployment.note.targets.add.len() as f64;
+            table.row(&[
+                name.to_owned(),
+                format!("{:.0}%", background * 100.0),
+                ejections.to_string(),
+                format!("{:.2e}", ejections as f64 / target_days),
+            ]);
+        }
+    }
+    table.text()
+}
+
+fn run(deployment: &Deployment, background: f64, seed: u64) -> u64 {
+    let world = deployment.note.apply(&World::default()).expect("the note fits");
+    let mut home = Home::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let service = deployment.note.services.add[0].name.clone();
+    let targets: Vec<Arc<str>> = deployment
+        .note
+        .targets
+        .add
+        .iter()
+        .map(|target| target.name.clone())
+        .collect();
+    let mut ejections = 0;
+    for number in 0..OUTCOMES / PARTS {
+        let now_us = number * GAP_US;
+        let target = &targets[rng.random_range(0..targets.len())];
+        let abnormal = u32::from(rng.random_bool(background));
+        let observer = &deployment.data_centres[rng.random_range(0..deployment.data_centres.len())];
+        let mut events = home.report(now_us, &world, observer, &report(&service, target, abnormal));
+        if number % 10 == 0 {
+            events.extend(home.tick(now_us, &world));
+        }
+        for event in events {
+            match event {
+                HomeEvent::Tell(verdict) => ejections += u64::from(verdict.standing == Standing::Ejected),
+                HomeEvent::Probe { service, target } => {
+                    home.probed(now_us, &world, &service, &target, true);
+                }
+            }
+        }
+    }
+    ejections
+}
--- a/proof/examples/measure/table.rs
+++ b/proof/examples/measure/table.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 
 /// Runs `run` for seeds 0 to `seeds` on all processors; results in the order of seeds.
-pub fn each_seed<T: Send>(seeds: u64, run: impl Fn(u64) -> T + Sync) -> Vec<T> {
+pub(super) fn each_seed<T: Send>(seeds: u64, run: impl Fn(u64) -> T + Sync) -> Vec<T> {
     let next = AtomicU64::new(0);
     let threads = std::thread::available_parallelism().map_or(1, usize::from);
     let mut results: Vec<(u64, T)> = std::thread::scope(|scope| {
@@ -30,32 +30,32 @@
 }
 
 /// A table in Markdown.
-pub struct Table {
+pub(super) struct Table {
     text: String,
 }
 
 impl Table {
     /// A table with a title and heads.
-    pub fn new(title: &str, heads: &[&str]) -> Self {
+    pub(super) fn new(title: &str, heads: &[&str]) -> Self {
         let mut text = format!("\n## {title}\n\n| {} |\n", heads.join(" | "));
         let _ = writeln!(text, "|{}", " --- |".repeat(heads.len()));
         Self { text }
     }
 
     /// Adds a row, and shows it at once.
-    pub fn row(&mut self, cells: &[String]) {
+    pub(super) fn row(&mut self, cells: &[String]) {
         eprintln!("{}", cells.join("  "));
         let _ = writeln!(self.text, "| {} |", cells.join(" | "));
     }
 
     /// The table's text.
-    pub fn text(self) -> String {
+    pub(super) fn text(self) -> String {
         self.text
     }
 }
 
 /// The middle and the 99th of 100 of values that may be missing, as seconds.
-pub fn quantiles(mut times_us: Vec<Option<u64>>) -> (String, String) {
+pub(super) fn quantiles(mut times_us: Vec<Option<u64>>) -> (String, String) {
     times_us.sort_by_key(|time| time.unwrap_or(u64::MAX));
     let show = |quantile: f64| {
         let rank = ((quantile * times_us.len() as f64).ceil() as usize).clamp(1, times_us.len());
--- /dev/null
+++ b/proof/examples/measure/wald.rs
@@ -0,0 +1,142 @@
+//! Outcomes that a failing target's test takes, against the ideal one.
+
+use std::sync::Arc;
+
+use model::World;
+use model::world::Service;
+use policy::evidence::Home;
+use policy::evidence::HomeEvent;
+use policy::evidence::Rates;
+use policy::evidence::Report;
+use policy::evidence::SequentialTest;
+use policy::evidence::Standing;
+use policy::evidence::Tally;
+use policy::evidence::TargetReport;
+use proof::Deployment;
+use proof::MILLI_US;
+use proof::quantile_of;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::table::Table;
+use super::table::each_seed;
+
+const RUNS: u64 = 2_000;
+const BACKGROUND: f64 = 0.01;
+const GAP_US: u64 = 100 * MILLI_US;
+const WARM_UP: usize = 3_000;
+const LIMIT: usize = 20_000;
+
+pub(super) fn measure() -> String {
+    let mut table = Table::new(
+        "Outcomes of a failing target until it is ejected, against Wald's test for the same error rates",
+        &[
+            "service",
+            "failing",
+            "mean",
+            "p99",
+            "ideal mean",
+            "ideal p99",
+            "p99 over ideal p99",
+        ],
+    );
+    let cases = [(Deployment::rodopi(), "gates"), (Deployment::kinderhut(), "booking")];
+    for (deployment, name) in cases {
+        let deployment = deployment.only(name);
+        for share in [1.0, 0.5, 0.3] {
+            let ours = each_seed(RUNS, |seed| ours(&deployment, share, seed));
+            let ideal = each_seed(RUNS, |seed| ideal(&deployment.note.services.add[0], share, seed));
+            let (mean, p99) = figures(ours);
+            let (ideal_mean, ideal_p99) = figures(ideal);
+            table.row(&[
+                name.to_owned(),
+                format!("{:.0}%", share * 100.0),
+                format!("{mean:.1}"),
+                p99.to_string(),
+                format!("{ideal_mean:.1}"),
+                ideal_p99.to_string(),
+                format!("{:.2}", p99 as f64 / ideal_p99 as f64),
+            ]);
+        }
+    }
+    table.text()
+}
+
+fn figures(mut counts: Vec<u64>) -> (f64, u64) {
+    counts.sort_unstable();
+    let mean = counts.iter().sum::<u64>() as f64 / counts.len() as f64;
+    (mean, quantile_of(&counts, 0.99))
+}
+
+/// Outcomes until a home ejects the target, one outcome a report from data centres in turn.
+fn ours(deployment: &Deployment, share: f64, seed: u64) -> u64 {
+    let world = deployment.note.apply(&World::default()).expect("the note fits");
+    let mut home = Home::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let service = deployment.note.services.add[0].name.clone();
+    let targets: Vec<Arc<str>> = deployment
+        .note
+        .targets
+        .add
+        .iter()
+        .map(|target| target.name.clone())
+        .collect();
+    let mut met = 0;
+    for number in 0..LIMIT {
+        let now_us = number as u64 * GAP_US;
+        let at = rng.random_range(0..targets.len());
+        let failing = at == 0 && number > WARM_UP;
+        let rate = if failing { share } else { BACKGROUND };
+        met += u64::from(failing);
+        let abnormal = u32::from(rng.random_bool(rate));
+        let report = report(&service, &targets[at], abnormal);
+        let observer = &deployment.data_centres[rng.random_range(0..deployment.data_centres.len())];
+        let events = home.report(now_us, &world, observer, &report);
+        let ejected =
+            |event: &HomeEvent| matches!(event, HomeEvent::Tell(verdict) if verdict.standing == Standing::Ejected);
+        if failing && events.iter().any(ejected) {
+            return met;
+        }
+    }
+    met
+}
+
+pub(super) fn report(service: &Arc<str>, target: &Arc<str>, abnormal: u32) -> Report {
+    Report {
+        service: service.clone(),
+        thinning: 0,
+        knows_latencies: true,
+        samples_us: Vec::new(),
+        targets: vec![TargetReport {
+            target: target.clone(),
+            tally: Tally {
+                normal: 1 - abnormal,
+                abnormal,
+            },
+        }],
+    }
+}
+
+/// Outcomes until a test that knows both rates decides, started at the fault.
+fn ideal(service: &Service, share: f64, seed: u64) -> u64 {
+    let rates = Rates {
+        background: BACKGROUND,
+        failing: share.min(0.999),
+    };
+    let bound = SequentialTest::upper_bound(service);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut ratio: f64 = 0.0;
+    for count in 1..LIMIT as u64 {
+        let abnormal = u32::from(rng.random_bool(share));
+        ratio += rates.log_ratio(Tally {
+            normal: 1 - abnormal,
+            abnormal,
+        });
+        ratio = ratio.max(0.0);
+        if ratio >= bound {
+            return count;
+        }
+    }
+    LIMIT as u64
+}
--- a/proof/src/node.rs
+++ b/proof/src/node.rs
@@ -16,6 +16,7 @@
     pub(super) incarnation: u64,
     pub(super) paused: bool,
     pub(super) held: Vec<super::Event>,
+    pub(super) sweeps: bool,
     pub(super) waiting: BTreeMap<Arc<str>, FairQueue<u64>>,
     pub(super) tickets: TicketTable,
     pub(super) baseline: RoundRobin,
--- a/proof/src/requests.rs
+++ b/proof/src/requests.rs
@@ -226,11 +226,17 @@
         let limit = self.service_of(&service).map_or(0, |service| service.queue as usize);
         let queue = self.nodes[node].waiting.entry(service).or_default();
         match queue.push(self.now_us, &"caller".into(), deadline_us, limit, id) {
-            Ok(()) => self.queue.push(self.now_us + SWEEP_US, Event::Sweep(node)),
+            Ok(()) => self.sweep_later(node),
             Err(refusal) => self.on(id, Happened::Refused(refusal)),
         }
     }
 
+    fn sweep_later(&mut self, node: usize) {
+        if !std::mem::replace(&mut self.nodes[node].sweeps, true) {
+            self.queue.push(self.now_us + SWEEP_US, Event::Sweep(node));
+        }
+    }
+
     /// Calls waiting requests of a node as places are free.
     pub(super) fn sweep(&mut self, node: usize) {
         let now_us = self.now_us;
@@ -251,7 +257,7 @@
             left |= !queue.is_empty();
         }
         if left {
-            self.queue.push(now_us + SWEEP_US, Event::Sweep(node));
+            self.sweep_later(node);
         }
         for id in called {
             self.on(id, Happened::Turn);
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -282,6 +282,7 @@
             incarnation: 0,
             paused: false,
             held: Vec::new(),
+            sweeps: false,
             waiting: BTreeMap::new(),
             tickets: TicketTable::new("".into(), 0, TICKETS),
             baseline: RoundRobin::new(targets),
@@ -322,6 +323,7 @@
         node.tickets = TicketTable::new(member.id, incarnation, TICKETS);
         node.instance = Some(Instance::new(settings));
         node.waiting.clear();
+        node.sweeps = false;
         node.held.clear();
         node.paused = false;
         node.draining = false;
@@ -413,7 +415,10 @@
             Event::Input(node, input) => self.input(node, *input),
             Event::Call(node, call) => self.call(node, &call),
             Event::Arrive(load) => self.arrive(load),
-            Event::Sweep(node) => self.sweep(node),
+            Event::Sweep(node) => {
+                self.nodes[node].sweeps = false;
+                self.sweep(node);
+            }
             Event::Reach(id, attempt) => self.reach(id, attempt),
             Event::Worked(id, attempt, status) => self.worked(id, attempt, status as u16),
             Event::Head(id, attempt, status) => self.head(id, attempt, status),
