Weigh outcomes by the background of their time too

Cause: when the scale of latencies had followed a storm, the background fell and the storm's outcomes were weighed anew against it, so that many targets were ejected at one moment, 18 to 26 s in. Ruled out: the storm's beginning, in which no target was ejected.

--- a/policy/src/evidence/sequential_test.rs
+++ b/policy/src/evidence/sequential_test.rs
@@ -2,8 +2,10 @@
 //!
 //! The alternative is an even mixture of a partly and a wholly failing target,
 //! so that either is found about as soon as by a test made for it. The ratio is
-//! computed anew from the counts since the test was last at its lower bound, so
-//! that a change of the background rate weighs earlier outcomes anew as well.
+//! computed twice, and the smaller one counts: from all outcomes with the
+//! background of now, since a change of it may have begun before it was seen,
+//! and from each outcome with the background of its time, since what befell all
+//! targets must not tell against one when it is over.
 
 use model::world::Service;
 
@@ -85,6 +87,9 @@
 #[derive(Clone, Debug)]
 pub struct SequentialTest {
     tallies: [Tally; THINNING_STEPS],
+    fresh: [Tally; THINNING_STEPS],
+    weighed_partly: f64,
+    weighed_wholly: f64,
     started_us: u64,
 }
 
@@ -93,6 +98,9 @@
     pub fn new(now_us: u64) -> Self {
         Self {
             tallies: [Tally::default(); THINNING_STEPS],
+            fresh: [Tally::default(); THINNING_STEPS],
+            weighed_partly: 0.0,
+            weighed_wholly: 0.0,
             started_us: now_us,
         }
     }
@@ -118,22 +126,34 @@
             self.started_us = now_us;
         }
         self.tallies[thinning].add(tally);
+        self.fresh[thinning].add(tally);
+    }
+
+    /// Weighs the outcomes added last by the background of their time; not at
+    /// all if no target stands out.
+    pub fn weigh(&mut self, alternatives: Option<Alternatives>) {
+        if let Some(alternatives) = alternatives {
+            self.weighed_partly += ratio_of(&self.fresh, alternatives.partly);
+            self.weighed_wholly += ratio_of(&self.fresh, alternatives.wholly);
+        }
+        self.fresh = [Tally::default(); THINNING_STEPS];
     }
 
     /// The log ratio of the counts against both alternatives, evenly mixed.
+    ///
+    /// Outcomes that were not weighed yet count as if the background had not changed.
     pub fn log_ratio(&self, alternatives: Alternatives) -> f64 {
         let partly = self.log_ratio_of(alternatives.partly);
         let wholly = self.log_ratio_of(alternatives.wholly);
-        let larger = partly.max(wholly);
-        larger + (((partly - larger).exp() + (wholly - larger).exp()) / 2.0).ln()
+        let fresh_partly = ratio_of(&self.fresh, alternatives.partly);
+        let fresh_wholly = ratio_of(&self.fresh, alternatives.wholly);
+        let by_time = mixed(self.weighed_partly + fresh_partly, self.weighed_wholly + fresh_wholly);
+        mixed(partly, wholly).min(by_time)
     }
 
     /// The log ratio of the counts between two rates.
     pub fn log_ratio_of(&self, rates: Rates) -> f64 {
-        let counted = self.tallies.iter().enumerate().filter(|(_, tally)| tally.total() > 0);
-        counted
-            .map(|(thinning, tally)| rates.thinned(thinning).log_ratio(*tally))
-            .sum()
+        ratio_of(&self.tallies, rates)
     }
 
     /// Counts as (abnormal, total), with thinned normal outcomes weighed up.
@@ -152,3 +172,16 @@
         *self = Self::new(now_us);
     }
 }
+
+fn ratio_of(tallies: &[Tally; THINNING_STEPS], rates: Rates) -> f64 {
+    let counted = tallies.iter().enumerate().filter(|(_, tally)| tally.total() > 0);
+    counted
+        .map(|(thinning, tally)| rates.thinned(thinning).log_ratio(*tally))
+        .sum()
+}
+
+/// The log ratio of an even mixture of two alternatives.
+fn mixed(one: f64, other: f64) -> f64 {
+    let larger = one.max(other);
+    larger + (((one - larger).exp() + (other - larger).exp()) / 2.0).ln()
+}
--- a/policy/src/evidence/service_test.rs
+++ b/policy/src/evidence/service_test.rs
@@ -24,6 +24,8 @@
 const CERTAIN_FACTOR: f64 = 1.5;
 /// Share of abnormal outcomes that a data centre is expected to see at most.
 const MAX_EXPECTED_SHARE: f64 = 0.9;
+/// Time in which the background's peak wears off by half.
+const BACKGROUND_HALF_LIFE_US: f64 = 5_000_000.0;
 /// Share of the worst other targets that the background leaves out.
 const TRIMMED_SHARE: f64 = 1.0 / 3.0;
 
@@ -53,6 +55,27 @@
     sides: BTreeMap<Arc<str>, Side>,
     trial: SequentialTest,
     recent: RecentTally,
+    background: Background,
+}
+
+/// The background's latest peak, which wears off.
+///
+/// When a storm ends, or the scale of latencies has followed it, targets
+/// recover one after the other; the last one must not stand out at once.
+#[derive(Clone, Copy, Debug, Default)]
+struct Background {
+    share: f64,
+    since_us: u64,
+}
+
+impl Background {
+    fn rise(&mut self, now_us: u64, share: f64) -> f64 {
+        let age_us = now_us.saturating_sub(self.since_us) as f64;
+        let left = self.share * 0.5f64.powf(age_us / BACKGROUND_HALF_LIFE_US);
+        self.share = share.max(left);
+        self.since_us = now_us;
+        self.share
+    }
 }
 
 impl TargetTest {
@@ -62,6 +85,7 @@
             sides: BTreeMap::new(),
             trial: SequentialTest::new(now_us),
             recent: RecentTally::default(),
+            background: Background::default(),
         }
     }
 
@@ -71,6 +95,14 @@
         self.trial.reset(now_us);
     }
 
+    fn weigh(&mut self, alternatives: Option<Alternatives>) {
+        self.pooled.weigh(alternatives);
+        for side in self.sides.values_mut() {
+            side.own.weigh(alternatives);
+            side.shared.weigh(alternatives);
+        }
+    }
+
     fn reset_pooled(&mut self, now_us: u64) {
         self.pooled.reset(now_us);
         for side in self.sides.values_mut() {
@@ -127,10 +159,12 @@
 
     /// Decides on a target, after all outcomes of a report are counted.
     pub fn decide(&mut self, now_us: u64, service: &Service, target: &str) -> Finding {
-        let Some(alternatives) = self.alternatives(now_us, target) else {
+        let alternatives = self.alternatives(now_us, target);
+        let Some(test) = self.targets.get_mut(target) else {
             return Finding::Running(0.0);
         };
-        let Some(test) = self.targets.get_mut(target) else {
+        test.weigh(alternatives);
+        let Some(alternatives) = alternatives else {
             return Finding::Running(0.0);
         };
         let ratio = test.pooled.log_ratio(alternatives);
@@ -156,7 +190,7 @@
     }
 
     /// The log ratio of a target's counts on trial.
-    pub fn trial_ratio(&self, now_us: u64, target: &str) -> f64 {
+    pub fn trial_ratio(&mut self, now_us: u64, target: &str) -> f64 {
         match (self.alternatives(now_us, target), self.targets.get(target)) {
             (Some(alternatives), Some(test)) => test.trial.log_ratio_of(alternatives.partly),
             _ => 0.0,
@@ -181,7 +215,7 @@
     }
 
     /// What a target is held against, from the outcomes of the others.
-    fn alternatives(&self, now_us: u64, target: &str) -> Option<Alternatives> {
+    fn alternatives(&mut self, now_us: u64, target: &str) -> Option<Alternatives> {
         let since_us = self.targets.get(target)?.pooled.started_us();
         let others: Vec<&RecentTally> = self
             .targets
@@ -195,7 +229,9 @@
             .map(|tally| (f64::from(tally.abnormal), f64::from(tally.total())));
         let recent = trimmed_share(recent.collect());
         let decayed = trimmed_share(others.iter().map(|tally| tally.decayed()).collect());
-        Alternatives::for_background(recent.max(decayed))
+        let test = self.targets.get_mut(target)?;
+        let share = test.background.rise(now_us, recent.max(decayed));
+        Alternatives::for_background(share)
     }
 }
 
