Work the aimed size out from measured slopes

Ruled out: writing figures by hand; a test recomputes the page. Conclusion: holds on paper; TCP's own headers and tarpc's answers are not in the sum, and two rows are missed: all starting at once, keys at 1% commands.

--- a/policy/src/evidence/home.rs
+++ b/policy/src/evidence/home.rs
@@ -33,7 +33,12 @@
 const SUSPECT_SHARE: f64 = 0.5;
 /// A suspicion that starves its own evidence ends by itself; the counts stay.
 const SUSPICION_US: u64 = 2_000_000;
+/// Time from one repetition of all verdicts to the next, for few members.
 const REFRESH_US: u64 = 10_000_000;
+/// What each member adds to it.
+const REFRESH_PER_MEMBER_US: u64 = 10_000;
+/// Time from one told suspicion to the next, for each member.
+const SUSPICION_INTERVAL_PER_MEMBER_US: u64 = 400_000;
 
 /// What a home wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -116,6 +121,7 @@
 pub struct Home {
     wards: BTreeMap<Arc<str>, Ward>,
     pace: SuspicionPace,
+    refresh_us: u64,
     next_refresh_us: u64,
 }
 
@@ -161,9 +167,10 @@
         ward.map(|ward| ward.scale.known()).unwrap_or_default()
     }
 
-    /// Sets how long it takes at least from one told suspicion to the next.
-    pub fn set_suspicion_interval(&mut self, interval_us: u64) {
-        self.pace.interval_us = interval_us;
+    /// Sets how often verdicts are told, by the number of members that hear them.
+    pub fn set_members(&mut self, members: u64) {
+        self.pace.interval_us = members * SUSPICION_INTERVAL_PER_MEMBER_US;
+        self.refresh_us = REFRESH_US + members * REFRESH_PER_MEMBER_US;
     }
 
     /// Ejects a target by the evidence of one instance alone.
@@ -213,7 +220,7 @@
             }
         }
         if now_us >= self.next_refresh_us {
-            self.next_refresh_us = now_us + REFRESH_US;
+            self.next_refresh_us = now_us + self.refresh_us.max(REFRESH_US);
             self.refresh(&mut events);
         }
         events
--- a/policy/src/evidence/observer.rs
+++ b/policy/src/evidence/observer.rs
@@ -19,7 +19,7 @@
 use super::tally::THINNING_STEPS;
 
 /// Bytes a second that reports may cost.
-pub(super) const REPORT_BUDGET_BYTES_PER_S: u64 = 1_500;
+pub(super) const REPORT_BUDGET_BYTES_PER_S: u64 = 1_000;
 
 /// Latencies that a report carries while its sender knows too few.
 const MAX_SAMPLES: usize = 8;
--- a/policy/src/evidence/verdict.rs
+++ b/policy/src/evidence/verdict.rs
@@ -35,7 +35,7 @@
 }
 
 /// How long a verdict holds without being repeated.
-const VERDICT_LIFE_US: u64 = 35_000_000;
+const VERDICT_LIFE_US: u64 = 240_000_000;
 
 #[derive(Clone, Debug)]
 struct Held {
@@ -79,12 +79,21 @@
             .unwrap_or(Standing::Healthy)
     }
 
+    /// Drops the verdicts of a home that is gone; returns the targets concerned.
+    pub fn forget_home(&mut self, home: &str) -> Vec<Arc<str>> {
+        self.drop_held(|held_by, _| *held_by != *home)
+    }
+
     /// Drops verdicts that were not repeated in time; returns the targets concerned.
     pub fn expire(&mut self, now_us: u64) -> Vec<Arc<str>> {
+        self.drop_held(|_, held| held.until_us > now_us)
+    }
+
+    fn drop_held(&mut self, keep: impl Fn(&str, &Held) -> bool) -> Vec<Arc<str>> {
         let mut changed = Vec::new();
         self.by_target.retain(|target, homes| {
             let before = homes.len();
-            homes.retain(|_, held| held.until_us > now_us);
+            homes.retain(|home, held| keep(home, held));
             if homes.len() != before {
                 changed.push(target.clone());
             }
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -54,8 +54,6 @@
 /// Pause after a target sheds load, in medians of its service.
 const SHED_PAUSE_MEDIANS: u64 = 2;
 const ASSUMED_MEDIAN_US: u64 = 25_000;
-/// Time from one told suspicion to the next, for each member.
-const SUSPICION_INTERVAL_PER_MEMBER_US: u64 = 100_000;
 /// Bytes of a message besides its reports.
 const REPORT_OVERHEAD_BYTES: u64 = 40;
 const REPORT_ENTRY_BYTES: u64 = 6;
@@ -69,6 +67,7 @@
     pub(super) next_pull_us: u64,
     pub(super) snapshot_number: u64,
     pub(super) actions: Vec<Action>,
+    is_watcher: bool,
     homes: Homes,
     relayed: RelayedPings,
     observer: Observer,
@@ -99,6 +98,7 @@
             next_pull_us: 0,
             snapshot_number: 0,
             actions: Vec::new(),
+            is_watcher: true,
             homes: Homes::default(),
             relayed: RelayedPings::default(),
             observer: Observer::default(),
@@ -164,8 +164,7 @@
         }
         self.members_changed();
         self.ask_to_join(now_us);
-        let watches = self.watches();
-        let calls = self.calls.due(now_us, self.log.number(), watches);
+        let calls = self.calls.due(now_us, self.log.number(), self.is_watcher);
         self.actions.extend(calls.into_iter().map(Action::Call));
         self.write_snapshot(now_us);
         self.flush_reports(now_us);
@@ -374,6 +373,11 @@
         }
         for change in &changes {
             self.homes.change(change, &self.membership);
+            if let Change::Left(member) = change {
+                for target in self.book.forget_home(&member.id) {
+                    self.rebuild_of_target(&target);
+                }
+            }
             self.actions.push(Action::Log(match change {
                 Change::Joined(member) => Happening::Joined {
                     instance: member.id.clone(),
@@ -392,8 +396,8 @@
             .map(|member| (member.id.clone(), member.clone()));
         self.shared.publish_directory(directory.collect());
         let members = self.own_ids.len() as u64 + 1;
-        self.home
-            .set_suspicion_interval(members * SUSPICION_INTERVAL_PER_MEMBER_US);
+        self.home.set_members(members);
+        self.is_watcher = self.find_watcher();
         self.forget_lost_wards();
     }
 
--- a/policy/src/instance/notes.rs
+++ b/policy/src/instance/notes.rs
@@ -34,7 +34,7 @@
 
 impl Instance {
     /// Whether the instance watches the platform for notes.
-    pub(super) fn watches(&self) -> bool {
+    pub(super) fn find_watcher(&self) -> bool {
         let here = &self.membership.own().data_centre;
         let present = self.membership.present();
         let ids = present
--- a/policy/src/membership/membership.rs
+++ b/policy/src/membership/membership.rs
@@ -21,6 +21,7 @@
 const PERIOD_US: u64 = 1_000_000;
 const DIRECT_TIMEOUT_US: u64 = 300_000;
 const SUSPICION_US: u64 = 4_000_000;
+const EXPIRY_PERIOD_US: u64 = 500_000;
 const TOMBSTONE_US: u64 = 120_000_000;
 const INDIRECT_PROBES: usize = 2;
 
@@ -77,6 +78,7 @@
     pending: Option<Pending>,
     sequence: u64,
     next_ping_us: u64,
+    next_expiry_us: u64,
     news: VecDeque<(Arc<str>, u32)>,
     changes: Vec<Change>,
 }
@@ -92,6 +94,7 @@
             pending: None,
             sequence: 0,
             next_ping_us: 0,
+            next_expiry_us: 0,
             news: VecDeque::new(),
             changes: Vec::new(),
         };
@@ -236,12 +239,16 @@
 
     fn tell(&mut self, id: Arc<str>) {
         let members = self.entries.len() as u32 + 2;
-        let times = 2 * members.ilog2() + 3;
+        let times = members.ilog2() + 3;
         self.news.retain(|(other, _)| *other != id);
         self.news.push_front((id, times));
     }
 
     fn expire(&mut self, now_us: u64) {
+        if now_us < self.next_expiry_us {
+            return;
+        }
+        self.next_expiry_us = now_us + EXPIRY_PERIOD_US;
         let overdue: Vec<Member> = self
             .entries
             .values()
--- /dev/null
+++ b/proof/examples/capacity/slopes.rs
@@ -0,0 +1,339 @@
+//! The slopes.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Instant;
+
+use model::Note;
+use model::World;
+use model::note::Delta;
+use policy::Input;
+use policy::Instance;
+use policy::evidence::Report;
+use policy::evidence::Standing;
+use policy::evidence::Tally;
+use policy::evidence::TargetReport;
+use policy::evidence::Verdict;
+use policy::exchange::AttemptEnd;
+use policy::exchange::Event;
+use policy::exchange::Exchange;
+use policy::exchange::Observation;
+use policy::exchange::Request;
+use policy::instance::Envelope;
+use policy::instance::Message;
+use policy::instance::PlatformAnswer;
+use policy::membership::Status;
+use policy::notes::NumberedNote;
+use proof::capacity::Slopes;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::allocations;
+use super::full_size;
+
+const REPEATS: u64 = 20_000;
+const FEW: u64 = 200;
+const SMALL_ROUTES: usize = 1_100;
+
+/// Nanoseconds and allocations of one call, the middle of five rounds.
+fn time(repeats: u64, mut call: impl FnMut(u64)) -> (f64, f64) {
+    let mut rounds: Vec<(f64, f64)> = (0..5)
+        .map(|round| {
+            let allocations = allocations::count();
+            let began = Instant::now();
+            for number in 0..repeats {
+                call(round * repeats + number);
+            }
+            let ns = began.elapsed().as_nanos() as f64 / repeats as f64;
+            (ns, (allocations::count() - allocations) as f64 / repeats as f64)
+        })
+        .collect();
+    rounds.sort_by(|a, b| a.0.total_cmp(&b.0));
+    rounds[2]
+}
+
+/// Bytes that making something leaves in use.
+fn memory<T>(make: impl FnOnce() -> T) -> (T, f64) {
+    let before = allocations::bytes();
+    let made = make();
+    let bytes = allocations::bytes() - before;
+    (made, bytes)
+}
+
+fn instance_with(world_parts: &[Note], number: u64) -> Instance {
+    let mut instance = Instance::new(policy::Settings::new(full_size::member(0), 1));
+    let parts = world_parts
+        .iter()
+        .map(|part| serde_json::to_string(part).expect("a note is JSON").into());
+    let parts: Vec<Arc<str>> = parts.collect();
+    instance.handle(1, Input::Platform(PlatformAnswer::Snapshot { number, parts }));
+    instance.handle(2, Input::Platform(PlatformAnswer::Notes(Vec::new())));
+    instance
+}
+
+fn message_bytes(message: Message, news: usize) -> f64 {
+    let envelope = Envelope {
+        from: full_size::member(1).id,
+        incarnation: 1_764_800_000_000,
+        note: 100_000,
+        news: (0..news).map(full_size::member).collect(),
+        message,
+    };
+    peers::encode(&envelope).map_or(0, |bytes| bytes.len()) as f64
+}
+
+fn report(service: usize, abnormal: u32) -> Report {
+    Report {
+        service: full_size::service_name(service),
+        thinning: 4,
+        knows_latencies: true,
+        samples_us: vec![25_000],
+        targets: vec![TargetReport {
+            target: full_size::target(service).name,
+            tally: Tally {
+                normal: 1 - abnormal,
+                abnormal,
+            },
+        }],
+    }
+}
+
+fn verdict(service: usize, standing: Standing) -> Verdict {
+    Verdict {
+        service: full_size::service_name(service),
+        target: full_size::target(service).name,
+        standing,
+        from: Vec::new(),
+    }
+}
+
+fn from_peer(at: usize, message: Message) -> Input {
+    let member = full_size::member(at);
+    Input::Received(Envelope {
+        from: member.id,
+        incarnation: member.incarnation,
+        note: 0,
+        news: Vec::new(),
+        message,
+    })
+}
+
+fn leaving_note(at: usize, leaving: bool) -> Note {
+    let mut target = full_size::target(at);
+    target.leaving = leaving;
+    Note {
+        title: "a target leaves".into(),
+        submission: "0123456789abcdef".into(),
+        targets: Delta {
+            change: vec![target],
+            ..Delta::default()
+        },
+        ..Note::default()
+    }
+}
+
+pub(super) fn measure() -> Slopes {
+    let services = full_size::apply_all(World::default(), &[full_size::services()]);
+    let targets = full_size::targets();
+    let (with_targets, target_bytes) = memory(|| full_size::apply_all(services.clone(), &targets));
+    let few_routes = full_size::apply_all(with_targets.clone(), &full_size::routes(SMALL_ROUTES));
+    let routes = full_size::routes(full_size::ROUTES);
+    let (with_routes, route_bytes) = memory(|| full_size::apply_all(with_targets.clone(), &routes));
+    let customers = full_size::customers();
+    let (world, customer_bytes) = memory(|| full_size::apply_all(with_routes.clone(), &customers));
+    drop((targets, routes, customers));
+
+    let lookup = |world: &World, number: u64| {
+        let at = number as usize % SMALL_ROUTES;
+        let host = format!("host-{}.example", at % 500);
+        let path = format!("/area-{}/part-{at}/more/of/it", at % 50);
+        black_box(world.route(&host, &path)).is_some()
+    };
+    let (route_lookup_small_ns, _) = time(REPEATS, |number| assert!(lookup(&few_routes, number)));
+    let (route_lookup_ns, _) = time(REPEATS, |number| assert!(lookup(&world, number)));
+    let (customer_lookup_ns, _) = time(REPEATS, |number| {
+        let name = format!("customer-{:06}", number % full_size::CUSTOMERS as u64);
+        black_box(world.customers.get(name.as_str()));
+    });
+    let (apply_ns, _) = time(FEW, |number| {
+        let note = leaving_note(number as usize, true);
+        black_box(note.apply(&world).expect("the note fits"));
+    });
+
+    let parts = world.to_parts();
+    let texts = parts.iter().filter_map(|part| serde_json::to_string(part).ok());
+    let snapshot_bytes = texts.map(|text| text.len()).sum::<usize>() as f64;
+    let world_bytes = target_bytes + route_bytes + customer_bytes;
+    let (mut instance, instance_bytes) = memory(|| instance_with(&parts, 100_000));
+    drop(parts);
+    let routed_bytes = (instance_bytes - world_bytes).max(0.0);
+
+    let mut number = 100_000;
+    let (take_note_ns, _) = time(FEW, |at| {
+        number += 1;
+        let note = leaving_note(at as usize % 1_000, at % 2 == 0);
+        let text: Arc<str> = serde_json::to_string(&note).expect("a note is JSON").into();
+        let note = NumberedNote { number, text };
+        instance.handle(3, Input::Platform(PlatformAnswer::Notes(vec![note])));
+    });
+
+    let (_, observed_bytes) = memory(|| observe_all(&mut instance));
+    let (observe_ns, observe_allocations) = time(REPEATS, |number| {
+        observe(&mut instance, number as usize % full_size::SERVICES, number * 1_000);
+    });
+    let (exchange_ns, exchange_allocations) = time(REPEATS, |number| run_exchange(&instance, number));
+
+    let (_, members_bytes) = memory(|| {
+        let members = (0..full_size::NODES).map(full_size::member).collect();
+        instance.handle(10, Input::Platform(PlatformAnswer::Instances(members)));
+        // Reporting once for each service fills the lists of homes.
+        observe_all(&mut instance);
+        instance.handle(1_000_000, Input::Tick)
+    });
+    let (member_change_ns, _) = time(FEW, |number| {
+        let at = 1 + number as usize % (full_size::NODES - 1);
+        let mut member = full_size::member(at);
+        member.incarnation += 1 + number;
+        member.status = if number % 2 == 0 { Status::Left } else { Status::Alive };
+        instance.handle(20, Input::Platform(PlatformAnswer::Instances(vec![member])));
+    });
+    let (tick_ns, _) = time(FEW, |number| {
+        instance.handle(2_000_000 + number * 50_000, Input::Tick);
+    });
+    let (report_ns, _) = time(REPEATS, |number| {
+        let report = report(number as usize % full_size::SERVICES, u32::from(number % 50 == 0));
+        instance.handle(60_000_000 + number * 100, from_peer(2, Message::Reports(vec![report])));
+    });
+    let (verdict_ns, _) = time(2_000, |number| {
+        let standing = if number % 2 == 0 {
+            Standing::Ejected
+        } else {
+            Standing::Healthy
+        };
+        let verdicts = vec![verdict((number / 2) as usize % full_size::SERVICES, standing)];
+        let home = full_size::member(2).id;
+        let message = Message::Verdicts {
+            home,
+            verdicts,
+            span: None,
+        };
+        instance.handle(70_000_000 + number, from_peer(2, message));
+    });
+
+    let one_verdict = |count: usize| {
+        let verdicts = (0..count).map(|at| verdict(at, Standing::Ejected)).collect();
+        let message = Message::Verdicts {
+            home: full_size::member(2).id,
+            verdicts,
+            span: None,
+        };
+        message_bytes(message, 0)
+    };
+    let note_text: Arc<str> = serde_json::to_string(&leaving_note(1, true))
+        .expect("a note is JSON")
+        .into();
+    let note = NumberedNote {
+        number: 100_001,
+        text: note_text,
+    };
+    let ping = Message::Ping { sequence: 1_000_000 };
+    Slopes {
+        route_bytes: route_bytes / full_size::ROUTES as f64,
+        customer_bytes: customer_bytes / full_size::CUSTOMERS as f64,
+        target_bytes: target_bytes / full_size::TARGETS as f64,
+        routed_target_bytes: routed_bytes / full_size::TARGETS as f64,
+        observed_service_bytes: observed_bytes / full_size::SERVICES as f64,
+        member_bytes: members_bytes / full_size::NODES as f64,
+        route_lookup_small_ns,
+        route_lookup_ns,
+        customer_lookup_ns,
+        apply_ns,
+        take_note_ns,
+        exchange_ns,
+        exchange_allocations,
+        observe_ns,
+        observe_allocations,
+        report_ns,
+        tick_ns,
+        verdict_ns,
+        member_change_ns,
+        ping_bytes: message_bytes(ping.clone(), 0),
+        news_bytes: message_bytes(ping.clone(), 1) - message_bytes(ping, 0),
+        report_bytes: message_bytes(Message::Reports(vec![report(1, 0)]), 0),
+        verdict_bytes: one_verdict(1),
+        more_verdict_bytes: one_verdict(2) - one_verdict(1),
+        note_bytes: message_bytes(Message::NewNote { note, span: None }, 0),
+        frame_bytes: frame_bytes(),
+        snapshot_bytes,
+    }
+}
+
+/// Bytes that a call puts on the wire besides its payload, as a silent listener sees them.
+fn frame_bytes() -> f64 {
+    let envelope = Envelope {
+        from: full_size::member(1).id,
+        incarnation: 1_764_800_000_000,
+        note: 100_000,
+        news: Vec::new(),
+        message: Message::Ping { sequence: 1_000_000 },
+    };
+    let payload = peers::encode(&envelope).map_or(0, |bytes| bytes.len());
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    let received = runtime.block_on(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        peers::Sender::new(Arc::default()).send(address, &envelope);
+        let (mut stream, _) = listener.accept().await.expect("the sender connects");
+        let mut buffer = vec![0; 4_096];
+        tokio::io::AsyncReadExt::read(&mut stream, &mut buffer)
+            .await
+            .expect("the call comes")
+    });
+    received.saturating_sub(payload) as f64
+}
+
+fn observe_all(instance: &mut Instance) {
+    for service in 0..full_size::SERVICES {
+        for _ in 0..4 {
+            observe(instance, service, 5);
+        }
+    }
+}
+
+fn observe(instance: &mut Instance, service: usize, now_us: u64) {
+    let observation = Observation {
+        service: full_size::service_name(service),
+        target: full_size::target(service).name,
+        end: AttemptEnd::Answered {
+            good: true,
+            latency_us: 25_000,
+        },
+        counted: false,
+    };
+    instance.handle(now_us, Input::Observed(observation));
+}
+
+fn run_exchange(instance: &Instance, number: u64) {
+    let table = instance.shared().table();
+    let service = table
+        .services
+        .get(&*full_size::service_name(number as usize % full_size::SERVICES));
+    let service = service.expect("the service stands").clone();
+    let mut rng = ChaCha8Rng::seed_from_u64(number);
+    let now_us = 100_000_000 + number;
+    let request = Request {
+        deadline_us: now_us + 1_000_000,
+        claims_key: false,
+        replayable: true,
+    };
+    let mut exchange = Exchange::new(request, service);
+    black_box(exchange.on(now_us, Event::Begin, &mut rng));
+    let head = Event::Head {
+        attempt: 0,
+        status: 200,
+    };
+    black_box(exchange.on(now_us, head, &mut rng));
+    black_box(exchange.on(now_us, Event::Ended, &mut rng));
+}
--- /dev/null
+++ b/proof/src/capacity.rs
@@ -0,0 +1,525 @@
+//! The aimed size, worked out from measured slopes.
+//!
+//! `docs/CAPACITY.md` holds what [`render`] gives for the slopes in
+//! `docs/capacity-slopes.json`; a test compares the two.
+
+use std::fmt::Write;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The aimed size.
+pub mod aim {
+    /// Entry instances.
+    pub const NODES: f64 = 4_000.0;
+    /// Targets.
+    pub const TARGETS: f64 = 42_000.0;
+    /// Services.
+    pub const SERVICES: f64 = 980.0;
+    /// Routes.
+    pub const ROUTES: f64 = 11_000.0;
+    /// Customers.
+    pub const CUSTOMERS: f64 = 130_000.0;
+    /// Requests a second.
+    pub const REQUESTS_PER_S: f64 = 960_000.0;
+    /// Changes of configuration a day.
+    pub const CHANGES_PER_DAY: f64 = 4_200.0;
+    /// Instances restarted or replaced a day.
+    pub const RESTARTS_PER_DAY: f64 = 18_000.0;
+    /// Data centres.
+    pub const DATA_CENTRES: f64 = 9.0;
+    /// Share of a core for control.
+    pub const CORE_SHARE: f64 = 0.037;
+    /// Memory for control in bytes.
+    pub const MEMORY_BYTES: f64 = 128e6;
+    /// Bytes a second for control.
+    pub const BYTES_PER_S: f64 = 3_000.0;
+    /// Reads a second that the platform takes.
+    pub const PLATFORM_READS_PER_S: f64 = 2_000.0;
+    /// Writes a second that the platform takes; several hundred.
+    pub const PLATFORM_WRITES_PER_S: f64 = 300.0;
+    /// Targets that are out at one time, as a share.
+    pub const OUT_SHARE: f64 = 0.001;
+}
+
+const SECONDS_PER_DAY: f64 = 86_400.0;
+const HOMES: f64 = 3.0;
+const REFRESH_S: f64 = 50.0;
+const REPORT_BUDGET_BYTES_PER_S: f64 = 1_000.0;
+const SUSPICION_INTERVAL_PER_MEMBER_S: f64 = 0.4;
+const LIST_PERIOD_S: f64 = 52.5;
+const WATCHERS: f64 = 2.0;
+const WATCH_S: f64 = 20.0;
+const TICKS_PER_S: f64 = 20.0;
+const NOTES_PER_SNAPSHOT: f64 = 256.0;
+const OBJECTS_PER_PART: f64 = 3_000.0;
+const WRITES_PER_CLAIM: f64 = 2.0;
+
+/// What was measured.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Slopes {
+    /// Memory of a route in the configuration, in bytes.
+    pub route_bytes: f64,
+    /// Memory of a customer.
+    pub customer_bytes: f64,
+    /// Memory of a target in the configuration.
+    pub target_bytes: f64,
+    /// Memory of a target in the tables and counters of the request path.
+    pub routed_target_bytes: f64,
+    /// Memory of a service's counts at an instance that sends to it.
+    pub observed_service_bytes: f64,
+    /// Memory of a member in the view of all instances, homes included.
+    pub member_bytes: f64,
+    /// Time to look a route up, in nanoseconds, among 1,100.
+    pub route_lookup_small_ns: f64,
+    /// The same among 11,000.
+    pub route_lookup_ns: f64,
+    /// Time to look a customer up among 130,000.
+    pub customer_lookup_ns: f64,
+    /// Time to apply a note of one target to the full configuration.
+    pub apply_ns: f64,
+    /// Time to take a note in at an instance: reading, applying, rebuilding tables.
+    pub take_note_ns: f64,
+    /// Time to choose among 43 targets and run an exchange to its end.
+    pub exchange_ns: f64,
+    /// Allocations of that.
+    pub exchange_allocations: f64,
+    /// Time to take in the end of an attempt.
+    pub observe_ns: f64,
+    /// Allocations of that.
+    pub observe_allocations: f64,
+    /// Time for a home to take in one report of one target of 43.
+    pub report_ns: f64,
+    /// Time of a tick with 4,000 members.
+    pub tick_ns: f64,
+    /// Time to take in a verdict on one target and rebuild its table of 43.
+    pub verdict_ns: f64,
+    /// Time to take in that a member came or went, with the homes of 980 services.
+    pub member_change_ns: f64,
+    /// Bytes of a ping without news.
+    pub ping_bytes: f64,
+    /// Bytes of one member in the news.
+    pub news_bytes: f64,
+    /// Bytes of a report of one outcome.
+    pub report_bytes: f64,
+    /// Bytes of a message with one verdict.
+    pub verdict_bytes: f64,
+    /// Bytes of each further verdict in it.
+    pub more_verdict_bytes: f64,
+    /// Bytes of a message with a note that changes one target.
+    pub note_bytes: f64,
+    /// Bytes that a call between instances takes besides the message.
+    pub frame_bytes: f64,
+    /// Bytes of the full configuration as parts of a snapshot.
+    pub snapshot_bytes: f64,
+}
+
+/// One line of the page.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// What it is about.
+    pub what: &'static str,
+    /// The mechanism that carries it.
+    pub mechanism: &'static str,
+    /// How the figure comes about.
+    pub formula: String,
+    /// The figure.
+    pub value: f64,
+    /// Its unit.
+    pub unit: &'static str,
+}
+
+fn row(what: &'static str, mechanism: &'static str, formula: impl Into<String>, value: f64, unit: &'static str) -> Row {
+    Row {
+        what,
+        mechanism,
+        formula: formula.into(),
+        value,
+        unit,
+    }
+}
+
+/// Memory of one node.
+pub fn memory(s: &Slopes) -> Vec<Row> {
+    vec![
+        row(
+            "routes",
+            "persistent map",
+            "11,000 x route",
+            aim::ROUTES * s.route_bytes / 1e6,
+            "MB",
+        ),
+        row(
+            "customers",
+            "persistent map",
+            "130,000 x customer",
+            aim::CUSTOMERS * s.customer_bytes / 1e6,
+            "MB",
+        ),
+        row(
+            "targets",
+            "persistent map",
+            "42,000 x target",
+            aim::TARGETS * s.target_bytes / 1e6,
+            "MB",
+        ),
+        row(
+            "tables and counters (entry)",
+            "tables by service, shared counters",
+            "42,000 x routed target",
+            aim::TARGETS * s.routed_target_bytes / 1e6,
+            "MB",
+        ),
+        row(
+            "counts of own requests (entry)",
+            "observer and steering",
+            "980 x observed service",
+            aim::SERVICES * s.observed_service_bytes / 1e6,
+            "MB",
+        ),
+        row(
+            "members (peer)",
+            "view by heartbeats, homes by rendezvous",
+            "4,000 x member",
+            aim::NODES * s.member_bytes / 1e6,
+            "MB",
+        ),
+        row("kept notes (watcher, peer)", "bounded by bytes", "bound", 4.0, "MB"),
+        row(
+            "tickets (ticket holder)",
+            "bounded table",
+            "100,000 x 64 B, bound",
+            6.4,
+            "MB",
+        ),
+    ]
+}
+
+/// Reports that a node sends or, as a home, takes in a second.
+fn reports_per_s(s: &Slopes) -> f64 {
+    let wanted = aim::REQUESTS_PER_S / aim::NODES * HOMES;
+    wanted.min(REPORT_BUDGET_BYTES_PER_S / s.report_bytes)
+}
+
+fn restarts_per_s() -> f64 {
+    aim::RESTARTS_PER_DAY / SECONDS_PER_DAY
+}
+
+fn verdicts_per_s() -> f64 {
+    aim::TARGETS * aim::OUT_SHARE * HOMES / REFRESH_S
+}
+
+fn suspicions_per_s() -> f64 {
+    let homes = (aim::SERVICES * HOMES).min(aim::NODES);
+    2.0 * homes / (aim::NODES * SUSPICION_INTERVAL_PER_MEMBER_S)
+}
+
+/// Bytes a second that one node sends for control; it receives as many on average.
+pub fn bytes(s: &Slopes) -> Vec<Row> {
+    let changes = 2.0 * restarts_per_s();
+    let told = (aim::NODES.log2() + 3.0) * changes * s.news_bytes;
+    let joining = restarts_per_s() * aim::DATA_CENTRES * s.news_bytes;
+    vec![
+        row(
+            "heartbeats (peer)",
+            "one random ping a second, answered",
+            "2 x ping",
+            2.0 * s.ping_bytes,
+            "B/s",
+        ),
+        row(
+            "news of members (peer)",
+            "a few with each message",
+            "2 x restarts/s x (log2 n + 3) x member",
+            told,
+            "B/s",
+        ),
+        row(
+            "joining (peer)",
+            "one peer of each data centre gives its list",
+            "restarts/s x 9 x 4,000 members / 4,000 nodes",
+            joining,
+            "B/s",
+        ),
+        row(
+            "reports (entry)",
+            "homes by rendezvous; normal outcomes thinned to a budget",
+            "min(240 x 3 x report, budget)",
+            reports_per_s(s) * s.report_bytes,
+            "B/s",
+        ),
+        row(
+            "verdicts (home, entry)",
+            "tree over all instances, repeated each 10 s + 10 ms a member",
+            "42 targets out x 3 homes / 50 s x verdict",
+            verdicts_per_s() * s.verdict_bytes,
+            "B/s",
+        ),
+        row(
+            "suspicions (home, entry)",
+            "paced by the number of members",
+            "2 x 2,940 homes / (4,000 x 0.4 s) x verdict",
+            suspicions_per_s() * s.verdict_bytes,
+            "B/s",
+        ),
+        row(
+            "notes (watcher, peer)",
+            "tree over all instances",
+            "4,200 a day x note",
+            aim::CHANGES_PER_DAY / SECONDS_PER_DAY * s.note_bytes,
+            "B/s",
+        ),
+        row(
+            "frames of calls (peer)",
+            "tarpc over TCP",
+            "messages/s x frame, without answers and TCP's own headers",
+            messages_per_s(s) * s.frame_bytes,
+            "B/s",
+        ),
+    ]
+}
+
+fn messages_per_s(s: &Slopes) -> f64 {
+    2.0 + reports_per_s(s) + verdicts_per_s() + suspicions_per_s() + aim::CHANGES_PER_DAY / SECONDS_PER_DAY
+}
+
+/// Processor time of one node for control, in millionths of a core.
+pub fn processor(s: &Slopes) -> Vec<Row> {
+    let requests = aim::REQUESTS_PER_S / aim::NODES;
+    let millionths = |per_s: f64, ns: f64| per_s * ns / 1e3;
+    vec![
+        row(
+            "ends of attempts (entry)",
+            "observer and steering",
+            "240/s x observe",
+            millionths(requests, s.observe_ns),
+            "ppm of a core",
+        ),
+        row(
+            "reports (home)",
+            "sequential tests by service",
+            "reports/s x report",
+            millionths(reports_per_s(s), s.report_ns),
+            "ppm of a core",
+        ),
+        row(
+            "ticks (peer, watcher)",
+            "one loop",
+            "20/s x tick at 4,000 members",
+            millionths(TICKS_PER_S, s.tick_ns),
+            "ppm of a core",
+        ),
+        row(
+            "verdicts and suspicions (entry)",
+            "table of one service rebuilt",
+            "verdicts/s x verdict",
+            millionths(verdicts_per_s() + suspicions_per_s(), s.verdict_ns),
+            "ppm of a core",
+        ),
+        row(
+            "members that come and go (peer)",
+            "homes kept up to date one by one",
+            "2 x restarts/s x change",
+            millionths(2.0 * restarts_per_s(), s.member_change_ns),
+            "ppm of a core",
+        ),
+        row(
+            "notes (entry)",
+            "delta on persistent maps",
+            "4,200 a day x take note",
+            millionths(aim::CHANGES_PER_DAY / SECONDS_PER_DAY, s.take_note_ns),
+            "ppm of a core",
+        ),
+    ]
+}
+
+/// Calls a second that the platform gets from all nodes.
+pub fn platform(s: &Slopes) -> Vec<Row> {
+    let objects = aim::CUSTOMERS + aim::TARGETS + aim::ROUTES;
+    let parts = (objects / OBJECTS_PER_PART).ceil();
+    let changes = aim::CHANGES_PER_DAY / SECONDS_PER_DAY;
+    let watchers = WATCHERS * aim::DATA_CENTRES;
+    let _ = s;
+    vec![
+        row(
+            "watches (watcher)",
+            "two watchers a data centre",
+            "18 / 20 s + 18 x changes/s",
+            watchers / WATCH_S + watchers * changes,
+            "reads/s",
+        ),
+        row(
+            "lists of instances (peer)",
+            "each instance, jittered",
+            "4,000 / 52.5 s",
+            aim::NODES / LIST_PERIOD_S,
+            "reads/s",
+        ),
+        row(
+            "new instances (entry)",
+            "snapshot in parts",
+            format!("restarts/s x ({parts:.0} parts + 3)"),
+            restarts_per_s() * (parts + 3.0),
+            "reads/s",
+        ),
+        row(
+            "notes (operators)",
+            "create if absent",
+            "4,200 a day",
+            changes,
+            "writes/s",
+        ),
+        row(
+            "snapshots (snapshot writer)",
+            "one writer by rendezvous and lease",
+            format!("changes / 256 x ({parts:.0} parts + 2)"),
+            changes / NOTES_PER_SNAPSHOT * (parts + 2.0),
+            "writes/s",
+        ),
+    ]
+}
+
+/// The sum of the rows with a unit.
+pub fn sum(rows: &[Row], unit: &str) -> f64 {
+    rows.iter().filter(|row| row.unit == unit).map(|row| row.value).sum()
+}
+
+/// The worked-out part of the page.
+pub fn render(s: &Slopes) -> String {
+    let mut text = String::new();
+    section(
+        &mut text,
+        "Memory of one node",
+        &memory(s),
+        "MB",
+        aim::MEMORY_BYTES / 1e6,
+    );
+    section(
+        &mut text,
+        "Bytes a second that one node sends",
+        &bytes(s),
+        "B/s",
+        aim::BYTES_PER_S,
+    );
+    section(
+        &mut text,
+        "Processor time of one node for control",
+        &processor(s),
+        "ppm of a core",
+        aim::CORE_SHARE * 1e6,
+    );
+    let calls = platform(s);
+    section(
+        &mut text,
+        "Reads of the platform by all nodes",
+        &only(&calls, "reads/s"),
+        "reads/s",
+        aim::PLATFORM_READS_PER_S,
+    );
+    section(
+        &mut text,
+        "Writes of the platform by all nodes",
+        &only(&calls, "writes/s"),
+        "writes/s",
+        aim::PLATFORM_WRITES_PER_S,
+    );
+    bad_days(&mut text, s);
+    text
+}
+
+fn only(rows: &[Row], unit: &str) -> Vec<Row> {
+    rows.iter().filter(|row| row.unit == unit).cloned().collect()
+}
+
+fn section(text: &mut String, title: &str, rows: &[Row], unit: &'static str, limit: f64) {
+    let _ = writeln!(text, "### {title}\n");
+    let _ = writeln!(
+        text,
+        "| what (role) | mechanism | formula | {unit} |\n| --- | --- | --- | --- |"
+    );
+    for row in rows {
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} | {:.2} |",
+            row.what, row.mechanism, row.formula, row.value
+        );
+    }
+    let total = sum(rows, unit);
+    let margin = limit / total;
+    let verdict = if total <= limit { "holds" } else { "MISSED" };
+    let _ = writeln!(
+        text,
+        "| **sum** | | limit {limit:.0}, margin {margin:.1} times: {verdict} | **{total:.2}** |\n"
+    );
+}
+
+/// Days on which more than usual happens.
+fn bad_days(text: &mut String, s: &Slopes) {
+    let objects = aim::CUSTOMERS + aim::TARGETS + aim::ROUTES;
+    let parts = (objects / OBJECTS_PER_PART).ceil() + 3.0;
+    let all_start_s = aim::NODES * parts / aim::PLATFORM_READS_PER_S;
+    let members_bytes = aim::NODES * s.news_bytes * aim::DATA_CENTRES;
+    let rack_changes = 40.0;
+    let centre_changes = aim::NODES / aim::DATA_CENTRES;
+    let change_s = |changes: f64| changes * s.member_change_ns / 1e9;
+    let claims = aim::PLATFORM_WRITES_PER_S / WRITES_PER_CLAIM;
+    let keyed = aim::REQUESTS_PER_S * 0.01;
+    let _ = writeln!(
+        text,
+        "### Bad days\n\n| what happens | figure | how it comes about |\n| --- | --- | --- |"
+    );
+    let mut line = |what: &str, figure: String, how: &str| {
+        let _ = writeln!(text, "| {what} | {figure} | {how} |");
+    };
+    line(
+        "a rack of 40 instances goes",
+        format!("{:.3} s of processor time at each node", change_s(rack_changes)),
+        "40 x member change; their callers' requests end, their tickets are lost",
+    );
+    line(
+        "a data centre goes",
+        format!("{:.3} s of processor time at each node", change_s(centre_changes)),
+        "444 x member change; homes move to the other data centres, which keep two of three",
+    );
+    line(
+        "a region is cut off for an hour",
+        "no figure: each side goes on by itself".to_owned(),
+        "homes and watchers exist on each side; a side without the platform keeps the note that it has",
+    );
+    line(
+        "the platform is away for hours",
+        "0 notes; keys refused as not run".to_owned(),
+        "notes in force stay; new instances start from peers; commands use tickets",
+    );
+    line(
+        "all instances start at once",
+        format!(
+            "{all_start_s:.0} s of the platform's reads: MISSED against a start within a minute by {:.1} times",
+            all_start_s / 60.0
+        ),
+        "4,000 x parts of the snapshot; peers that are ready could give it instead, which is not built",
+    );
+    line(
+        "one instance starts",
+        format!(
+            "{:.1} MB of snapshot, {:.1} MB of members",
+            s.snapshot_bytes / 1e6,
+            members_bytes / 1e6
+        ),
+        "parts from the platform; members from one peer of each data centre",
+    );
+    line(
+        "keys are claimed",
+        format!("{claims:.0} commands a second, then refused as not run with when to come back"),
+        "300 writes/s / 2 writes a command",
+    );
+    line(
+        "1% of the peak are commands with keys",
+        format!(
+            "MISSED by {:.0} times; tickets carry them without the platform",
+            keyed / claims
+        ),
+        "9,600/s against what the platform's writes allow",
+    );
+}
--- a/proof/src/lib.rs
+++ b/proof/src/lib.rs
@@ -5,6 +5,7 @@
 //! same run.
 
 mod baseline;
+pub mod capacity;
 pub mod chaos;
 mod deployment;
 mod events;
--- /dev/null
+++ b/proof/tests/capacity.rs
@@ -0,0 +1,34 @@
+//! The page on capacity agrees with the measured slopes.
+
+use proof::capacity;
+use proof::capacity::Slopes;
+use proof::capacity::aim;
+
+const SLOPES: &str = include_str!("../../docs/capacity-slopes.json");
+const PAGE: &str = include_str!("../../docs/CAPACITY.md");
+
+fn slopes() -> Slopes {
+    serde_json::from_str(SLOPES).expect("the slopes can be read")
+}
+
+#[test]
+fn the_page_holds_what_the_slopes_give() {
+    assert!(
+        PAGE.contains(&capacity::render(&slopes())),
+        "run the capacity example with --write"
+    );
+}
+
+#[test]
+fn control_stays_within_what_a_node_may_spend() {
+    let slopes = slopes();
+    assert!(capacity::sum(&capacity::memory(&slopes), "MB") * 1e6 <= aim::MEMORY_BYTES);
+    assert!(capacity::sum(&capacity::processor(&slopes), "ppm of a core") <= aim::CORE_SHARE * 1e6);
+    assert!(capacity::sum(&capacity::bytes(&slopes), "B/s") <= aim::BYTES_PER_S);
+}
+
+#[test]
+fn lookups_do_not_grow_with_their_number() {
+    let slopes = slopes();
+    assert!(slopes.route_lookup_ns <= 2.0 * slopes.route_lookup_small_ns);
+}
