Ask for more evidence while a whole service is in trouble

Cause: in a storm outcomes are not independent, so that a few targets still stood out; single outcomes in the first tenth of a second made the background noisy.

--- a/policy/src/evidence/sequential_test.rs
+++ b/policy/src/evidence/sequential_test.rs
@@ -22,6 +22,8 @@
 const FAILING_FACTOR: f64 = 2.0;
 /// How far above the background a failing rate must be to stand out.
 const MIN_FACTOR: f64 = 1.5;
+/// Rise of the asked evidence with the background.
+const CAUTION: f64 = 10.0;
 /// Allowance for the uncertainty of the background.
 const BACKGROUND_FACTOR: f64 = 1.25;
 
@@ -81,6 +83,12 @@
             wholly: rates(WHOLLY_FAILING),
         })
     }
+
+    /// By how much more evidence is asked for while the whole service is in
+    /// trouble, when outcomes are not independent of each other; 1 otherwise.
+    pub fn caution(self) -> f64 {
+        1.0 + CAUTION * (self.partly.background - MIN_BACKGROUND)
+    }
 }
 
 /// The counts of a test.
--- a/policy/src/evidence/service_test.rs
+++ b/policy/src/evidence/service_test.rs
@@ -26,6 +26,8 @@
 const MAX_EXPECTED_SHARE: f64 = 0.9;
 /// Time in which the background's peak wears off by half.
 const BACKGROUND_HALF_LIFE_US: f64 = 5_000_000.0;
+/// Normal outcomes added to the recent ones, which are few.
+const RECENT_PRIOR: f64 = 20.0;
 /// Share of the worst other targets that the background leaves out.
 const TRIMMED_SHARE: f64 = 1.0 / 3.0;
 
@@ -168,7 +170,7 @@
             return Finding::Running(0.0);
         };
         let ratio = test.pooled.log_ratio(alternatives);
-        let bound = SequentialTest::upper_bound(service);
+        let bound = SequentialTest::upper_bound(service) * alternatives.caution();
         test.reset_healthy_sides(now_us, alternatives);
         let sides = test.failing_sides(alternatives, bound);
         if !sides.is_empty() && ratio < bound / 2.0 {
@@ -227,8 +229,8 @@
             .iter()
             .map(|tally| tally.since(now_us, since_us))
             .map(|tally| (f64::from(tally.abnormal), f64::from(tally.total())));
-        let recent = trimmed_share(recent.collect());
-        let decayed = trimmed_share(others.iter().map(|tally| tally.decayed()).collect());
+        let recent = trimmed_share(recent.collect(), RECENT_PRIOR);
+        let decayed = trimmed_share(others.iter().map(|tally| tally.decayed()).collect(), 0.0);
         let test = self.targets.get_mut(target)?;
         let share = test.background.rise(now_us, recent.max(decayed));
         Alternatives::for_background(share)
@@ -275,13 +277,14 @@
     if total > 0.0 { abnormal / total } else { 0.0 }
 }
 
-/// The share of abnormal outcomes, given (abnormal, total) per target.
-fn trimmed_share(mut counts: Vec<(f64, f64)>) -> f64 {
+/// The share of abnormal outcomes, given (abnormal, total) per target and
+/// `prior` normal outcomes besides.
+fn trimmed_share(mut counts: Vec<(f64, f64)>, prior: f64) -> f64 {
     counts.retain(|(_, total)| *total > 0.0);
     counts.sort_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)));
     let kept = counts.len() - (counts.len() as f64 * TRIMMED_SHARE) as usize;
     let (abnormal, total) = counts[..kept]
         .iter()
-        .fold((0.0, 0.0), |sum, count| (sum.0 + count.0, sum.1 + count.1));
+        .fold((0.0, prior), |sum, count| (sum.0 + count.0, sum.1 + count.1));
     if total > 0.0 { abnormal / total } else { 0.0 }
 }
