Add the aims that are missed as tests

Conclusion: red, with cause known for the first: normal outcomes of a long excursion weigh against the alternative of a wholly failing target.

--- /dev/null
+++ b/proof/tests/aims.rs
@@ -0,0 +1,114 @@
+//! The users' aims for the test of targets. Those that are missed stand in
+//! KNOWN-RED.txt.
+
+use std::sync::Arc;
+
+use model::World;
+use policy::evidence::Home;
+use policy::evidence::HomeEvent;
+use policy::evidence::Report;
+use policy::evidence::SequentialTest;
+use policy::evidence::Standing;
+use policy::evidence::Tally;
+use policy::evidence::TargetReport;
+use proof::Deployment;
+use proof::MILLI_US;
+use proof::Mode;
+use proof::SECOND_US;
+use proof::Sim;
+use proof::TargetFault;
+use proof::quantile_of;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const GAP_US: u64 = 100 * MILLI_US;
+const RUNS: u64 = 400;
+const WARM_UP: u64 = 3_000;
+const LIMIT: u64 = 20_000;
+const BACKGROUND: f64 = 0.01;
+/// The aim: outcomes at p99 over those of the ideal test.
+const AIM: f64 = 1.5;
+const STORM_SEEDS: u64 = 16;
+
+/// Outcomes of a wholly failing target until its home ejects it.
+fn outcomes_until_ejected(deployment: &Deployment, seed: u64) -> u64 {
+    let world = deployment
+        .note
+        .apply(&World::default())
+        .expect("the note fits");
+    let mut home = Home::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let service = deployment.note.services.add[0].name.clone();
+    let targets = &deployment.note.targets.add;
+    let mut met = 0;
+    for number in 0..LIMIT {
+        let at = rng.random_range(0..targets.len());
+        let failing = at == 0 && number > WARM_UP;
+        met += u64::from(failing);
+        let abnormal = u32::from(failing || rng.random_bool(BACKGROUND));
+        let report = report(&service, &targets[at].name, abnormal);
+        let observer = &deployment.data_centres[rng.random_range(0..deployment.data_centres.len())];
+        let events = home.report(number * GAP_US, &world, observer, &report);
+        let ejected = events.iter().any(|event| {
+            matches!(event, HomeEvent::Tell(verdict) if verdict.standing == Standing::Ejected)
+        });
+        if failing && ejected {
+            break;
+        }
+    }
+    met
+}
+
+fn report(service: &Arc<str>, target: &Arc<str>, abnormal: u32) -> Report {
+    let tally = Tally {
+        normal: 1 - abnormal,
+        abnormal,
+    };
+    Report {
+        service: service.clone(),
+        thinning: 0,
+        knows_latencies: true,
+        samples_us: Vec::new(),
+        targets: vec![TargetReport {
+            target: target.clone(),
+            tally,
+        }],
+    }
+}
+
+/// Wald's test that knows both rates sees failures only, so that it always
+/// takes the same number.
+fn ideal_outcomes(deployment: &Deployment) -> f64 {
+    let bound = SequentialTest::upper_bound(&deployment.note.services.add[0]);
+    (bound / (1.0 / BACKGROUND).ln()).ceil()
+}
+
+#[test]
+fn a_wholly_failing_booking_target_is_found_in_time() {
+    let deployment = Deployment::kinderhut().only("booking");
+    let mut counts: Vec<u64> = (0..RUNS)
+        .map(|seed| outcomes_until_ejected(&deployment, seed))
+        .collect();
+    counts.sort_unstable();
+    let p99 = quantile_of(&counts, 0.99) as f64;
+    let ideal = ideal_outcomes(&deployment);
+    assert!(p99 <= AIM * ideal, "{p99} outcomes, ideal {ideal}");
+}
+
+#[test]
+fn a_slow_storm_ejects_no_booking_target() {
+    let deployment = Deployment::kinderhut()
+        .only("booking")
+        .background(BACKGROUND);
+    for seed in 0..STORM_SEEDS {
+        let mut sim = Sim::new(deployment.clone(), Mode::Shared, seed);
+        sim.run_until(20 * SECOND_US);
+        sim.reset_stats();
+        for target in sim.targets_of("booking") {
+            sim.set_fault(&target, TargetFault::Slow(5.0));
+        }
+        sim.run_for(30 * SECOND_US);
+        assert_eq!(sim.stats.ejections.len(), 0, "seed {seed}");
+    }
+}
