Hold each alternative's outcomes by themselves

Cause: normal outcomes of a long excursion spoke against a wholly failing target and stayed against it once the target failed wholly; and a single normal outcome of one data centre made the decision wait.

--- a/policy/src/evidence/sequential_test.rs
+++ b/policy/src/evidence/sequential_test.rs
@@ -97,21 +97,52 @@
 /// The counts of a test.
 #[derive(Clone, Debug)]
 pub struct SequentialTest {
+    partly: Track,
+    wholly: Track,
+    started_us: u64,
+}
+
+/// The outcomes that are held against one alternative.
+///
+/// Each alternative has its own, so that normal outcomes which speak against
+/// the one do not burden what is seen of the other afterwards.
+#[derive(Clone, Debug, Default)]
+struct Track {
     tallies: [Tally; THINNING_STEPS],
     fresh: [Tally; THINNING_STEPS],
-    weighed_partly: f64,
-    weighed_wholly: f64,
-    started_us: u64,
+    weighed: f64,
+}
+
+impl Track {
+    fn add(&mut self, thinning: usize, tally: Tally) {
+        self.tallies[thinning].add(tally);
+        self.fresh[thinning].add(tally);
+    }
+
+    /// Weighs the outcomes added last; starts anew at the lower bound.
+    fn weigh(&mut self, rates: Option<Rates>) {
+        if let Some(rates) = rates {
+            self.weighed += ratio_of(&self.fresh, rates);
+        }
+        self.fresh = [Tally::default(); THINNING_STEPS];
+        if rates.is_some_and(|rates| self.log_ratio(rates) <= 0.0) {
+            *self = Self::default();
+        }
+    }
+
+    /// The smaller of the ratios by the background of now and of each time.
+    fn log_ratio(&self, rates: Rates) -> f64 {
+        let by_time = self.weighed + ratio_of(&self.fresh, rates);
+        ratio_of(&self.tallies, rates).min(by_time)
+    }
 }
 
 impl SequentialTest {
     /// A test that starts at `now_us`.
     pub fn new(now_us: u64) -> Self {
         Self {
-            tallies: [Tally::default(); THINNING_STEPS],
-            fresh: [Tally::default(); THINNING_STEPS],
-            weighed_partly: 0.0,
-            weighed_wholly: 0.0,
+            partly: Track::default(),
+            wholly: Track::default(),
             started_us: now_us,
         }
     }
@@ -133,47 +164,41 @@
 
     /// Counts outcomes, of which the normal ones were thinned by `thinning` steps.
     pub fn add(&mut self, now_us: u64, thinning: usize, tally: Tally) {
-        if self.tallies.iter().all(|tally| tally.total() == 0) {
+        let is_empty = |track: &Track| track.tallies.iter().all(|tally| tally.total() == 0);
+        if is_empty(&self.partly) && is_empty(&self.wholly) {
             self.started_us = now_us;
         }
-        self.tallies[thinning].add(tally);
-        self.fresh[thinning].add(tally);
+        self.partly.add(thinning, tally);
+        self.wholly.add(thinning, tally);
     }
 
     /// Weighs the outcomes added last by the background of their time; not at
     /// all if no target stands out.
     pub fn weigh(&mut self, alternatives: Option<Alternatives>) {
-        if let Some(alternatives) = alternatives {
-            self.weighed_partly += ratio_of(&self.fresh, alternatives.partly);
-            self.weighed_wholly += ratio_of(&self.fresh, alternatives.wholly);
-        }
-        self.fresh = [Tally::default(); THINNING_STEPS];
+        self.partly
+            .weigh(alternatives.map(|alternatives| alternatives.partly));
+        self.wholly
+            .weigh(alternatives.map(|alternatives| alternatives.wholly));
     }
 
     /// The log ratio of the counts against both alternatives, evenly mixed.
     ///
     /// Outcomes that were not weighed yet count as if the background had not changed.
     pub fn log_ratio(&self, alternatives: Alternatives) -> f64 {
-        let partly = self.log_ratio_of(alternatives.partly);
-        let wholly = self.log_ratio_of(alternatives.wholly);
-        let fresh_partly = ratio_of(&self.fresh, alternatives.partly);
-        let fresh_wholly = ratio_of(&self.fresh, alternatives.wholly);
-        let by_time = mixed(
-            self.weighed_partly + fresh_partly,
-            self.weighed_wholly + fresh_wholly,
-        );
-        mixed(partly, wholly).min(by_time)
+        let partly = self.partly.log_ratio(alternatives.partly);
+        let wholly = self.wholly.log_ratio(alternatives.wholly);
+        mixed(partly, wholly)
     }
 
     /// The log ratio of the counts between two rates.
     pub fn log_ratio_of(&self, rates: Rates) -> f64 {
-        ratio_of(&self.tallies, rates)
+        ratio_of(&self.partly.tallies, rates)
     }
 
     /// Counts as (abnormal, total), with thinned normal outcomes weighed up.
     pub fn weighted(&self) -> (f64, f64) {
         let mut sum = (0.0, 0.0);
-        for (thinning, tally) in self.tallies.iter().enumerate() {
+        for (thinning, tally) in self.partly.tallies.iter().enumerate() {
             let normal = f64::from(tally.normal) * 2f64.powi(thinning as i32);
             sum.0 += f64::from(tally.abnormal);
             sum.1 += f64::from(tally.abnormal) + normal;
--- a/policy/src/evidence/service_test.rs
+++ b/policy/src/evidence/service_test.rs
@@ -19,7 +19,7 @@
 /// Log ratio at which a data centre's counts clear the target from there.
 const CLEAN_LOG_RATIO: f64 = -6.0;
 /// Log ratio below which a data centre may turn out to be clean.
-const DOUBTFUL_LOG_RATIO: f64 = -1.5;
+const DOUBTFUL_LOG_RATIO: f64 = -3.0;
 /// Multiple of the bound at which doubts no longer count.
 const CERTAIN_FACTOR: f64 = 1.5;
 /// Share of abnormal outcomes that a data centre is expected to see at most.
@@ -101,7 +101,6 @@
         self.pooled.weigh(alternatives);
         for side in self.sides.values_mut() {
             side.own.weigh(alternatives);
-            side.shared.weigh(alternatives);
         }
     }
 
