--- a/policy/src/evidence/mod.rs
+++ b/policy/src/evidence/mod.rs
@@ -1,5 +1,6 @@
 //! Telling failing targets from healthy ones by the outcomes of requests.
 
+mod case;
 mod home;
 mod latency;
 mod observer;
@@ -7,6 +8,7 @@
 mod service_test;
 mod tally;
 mod verdict;
+mod ward;
 
 pub use home::Home;
 pub use home::HomeEvent;
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -2,9 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
-use model::Note;
 use model::World;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -17,7 +15,6 @@
 use super::PlatformAnswer;
 use super::Settings;
 use super::Shared;
-use super::ToldLatencies;
 use super::freshness::Freshness;
 use super::notes::Incoming;
 use super::platform::Calls;
@@ -25,41 +22,19 @@
 use super::steering::Steering;
 use super::tables::Tables;
 use crate::evidence::Home;
-use crate::evidence::HomeEvent;
-use crate::evidence::Latencies;
 use crate::evidence::Observer;
-use crate::evidence::Report;
-use crate::evidence::Tally;
-use crate::evidence::Verdict;
 use crate::evidence::VerdictBook;
-use crate::exchange::AttemptEnd;
-use crate::exchange::Observation;
-use crate::invariant;
-use crate::invariant::Invariant;
-use crate::membership::Change;
 use crate::membership::Homes;
-use crate::membership::Member;
 use crate::membership::Membership;
-use crate::membership::Probe;
 use crate::membership::RelayedPings;
 use crate::notes::NoteLog;
-use crate::notes::Span;
 use crate::routing::RoutingTable;
 
 /// How often an instance wants a tick.
 pub const TICK_US: u64 = 50_000;
 
-const FLUSH_PERIOD_US: u64 = 250_000;
-const JOIN_PERIOD_US: u64 = 1_000_000;
-const MEMBERS_PER_MESSAGE: usize = 200;
 /// Time without a peer's message after which an instance watches the platform itself.
 const SILENCE_US: u64 = 2_500_000;
-/// Pause after a target sheds load, in medians of its service.
-const SHED_PAUSE_MEDIANS: u64 = 2;
-const ASSUMED_MEDIAN_US: u64 = 25_000;
-/// Bytes of a message besides its reports.
-const REPORT_OVERHEAD_BYTES: u64 = 40;
-const REPORT_ENTRY_BYTES: u64 = 6;
 
 /// An instance.
 pub struct Instance {
@@ -70,26 +45,26 @@
     pub(super) next_pull_us: u64,
     pub(super) snapshot_number: u64,
     pub(super) actions: Vec<Action>,
-    is_watcher: bool,
-    homes: Homes,
-    relayed: RelayedPings,
-    observer: Observer,
-    steering: Steering,
-    home: Home,
-    book: VerdictBook,
-    tables: Tables,
-    table: RoutingTable,
-    shared: Arc<Shared>,
-    readiness: Readiness,
-    freshness: Freshness,
-    rng: ChaCha8Rng,
-    shares_evidence: bool,
-    seeds: Vec<SocketAddr>,
-    own_ids: Vec<Arc<str>>,
-    next_flush_us: u64,
-    next_join_us: u64,
-    heard_us: u64,
-    tables_stale: bool,
+    pub(super) is_watcher: bool,
+    pub(super) homes: Homes,
+    pub(super) relayed: RelayedPings,
+    pub(super) observer: Observer,
+    pub(super) steering: Steering,
+    pub(super) home: Home,
+    pub(super) book: VerdictBook,
+    pub(super) tables: Tables,
+    pub(super) table: RoutingTable,
+    pub(super) shared: Arc<Shared>,
+    pub(super) readiness: Readiness,
+    pub(super) freshness: Freshness,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) shares_evidence: bool,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) own_ids: Vec<Arc<str>>,
+    pub(super) next_flush_us: u64,
+    pub(super) next_join_us: u64,
+    pub(super) heard_us: u64,
+    pub(super) tables_stale: bool,
 }
 
 impl Instance {
@@ -209,7 +184,7 @@
             .ticked(now_us, !self.freshness.is_fresh());
     }
 
-    fn received(&mut self, now_us: u64, envelope: Envelope) {
+    pub(super) fn received(&mut self, now_us: u64, envelope: Envelope) {
         let from = envelope.from;
         if from != self.membership.own().id {
             self.heard_us = now_us;
@@ -304,546 +279,4 @@
             self.send(now_us, &id, Message::Ping { sequence: 0 });
         }
     }
-
-    // Messages.
-
-    pub(super) fn send(&mut self, now_us: u64, to: &Arc<str>, message: Message) {
-        let Some(address) = self.membership.get(to).map(|member| member.peer_address) else {
-            return;
-        };
-        let envelope = self.envelope(message);
-        if envelope.from == *to {
-            self.received(now_us, envelope);
-            return;
-        }
-        self.actions.push(Action::Send {
-            to: to.clone(),
-            address,
-            envelope,
-        });
-    }
-
-    fn envelope(&mut self, message: Message) -> Envelope {
-        Envelope {
-            from: self.membership.own().id.clone(),
-            incarnation: self.membership.own().incarnation,
-            note: self.log.number(),
-            news: self.membership.take_news(),
-            message,
-        }
-    }
-
-    /// Ids of all others that are present, in order.
-    pub(super) fn other_ids(&self) -> Vec<Arc<str>> {
-        self.own_ids.clone()
-    }
-
-    fn send_probe(&mut self, now_us: u64, probe: Probe) {
-        match probe {
-            Probe::Direct { to, sequence } => self.send(now_us, &to, Message::Ping { sequence }),
-            Probe::Indirect {
-                through,
-                to,
-                sequence,
-            } => self.send(now_us, &through, Message::PingFor { to, sequence }),
-        }
-    }
-
-    /// Pings a third instance; its answer goes to the one that asked.
-    fn ping_for(&mut self, now_us: u64, from: &Arc<str>, to: &Arc<str>, sequence: u64) {
-        let sequence_here = self.relayed.begin(now_us, from, sequence);
-        self.send(
-            now_us,
-            to,
-            Message::Ping {
-                sequence: sequence_here,
-            },
-        );
-    }
-
-    fn acknowledged(&mut self, now_us: u64, sequence: u64, note: u64) {
-        if self.freshness.answered(sequence, note) {
-            return;
-        }
-        match self.relayed.end(sequence) {
-            Some((asker, asked)) => self.send(now_us, &asker, Message::Ack { sequence: asked }),
-            None => self.membership.acknowledged(sequence),
-        }
-    }
-
-    // Members.
-
-    fn ask_to_join(&mut self, now_us: u64) {
-        if self.readiness.is_ready() || now_us < self.next_join_us {
-            return;
-        }
-        self.next_join_us = now_us + JOIN_PERIOD_US;
-        let mut asked = Vec::new();
-        for member in self.membership.present() {
-            let new = asked
-                .iter()
-                .all(|(data_centre, _)| *data_centre != member.data_centre);
-            if new && member.id != self.membership.own().id {
-                asked.push((member.data_centre.clone(), member.id.clone()));
-            }
-        }
-        if asked.is_empty() {
-            self.ask_seeds();
-        }
-        for (_, id) in asked {
-            self.send(now_us, &id, Message::Join);
-        }
-    }
-
-    /// Asks peers of whom only the addresses are known.
-    fn ask_seeds(&mut self) {
-        for address in self.seeds.clone() {
-            let mut envelope = self.envelope(Message::Join);
-            envelope.news.push(self.membership.own().clone());
-            self.actions.push(Action::Send {
-                to: "".into(),
-                address,
-                envelope,
-            });
-        }
-    }
-
-    fn give_members(&mut self, now_us: u64, to: &Arc<str>) {
-        let members: Vec<Member> = self.membership.present().cloned().collect();
-        for chunk in members.chunks(MEMBERS_PER_MESSAGE) {
-            self.send(now_us, to, Message::Members(chunk.to_vec()));
-        }
-    }
-
-    fn learn_members(&mut self, now_us: u64, members: &[Member]) {
-        for member in members {
-            self.membership.learn(now_us, member);
-        }
-        self.members_changed();
-    }
-
-    fn members_changed(&mut self) {
-        let changes = self.membership.take_changes();
-        if changes.is_empty() {
-            return;
-        }
-        for change in &changes {
-            self.homes.change(change, &self.membership);
-            if let Change::Left(member) = change {
-                for target in self.book.forget_home(&member.id) {
-                    self.rebuild_of_target(&target);
-                }
-            }
-            self.actions.push(Action::Log(match change {
-                Change::Joined(member) => Happening::Joined {
-                    instance: member.id.clone(),
-                },
-                Change::Left(member) => Happening::Gone {
-                    instance: member.id.clone(),
-                },
-            }));
-        }
-        self.own_ids = self.membership.present_ids();
-        let own = self.membership.own().id.clone();
-        self.own_ids.retain(|id| *id != own);
-        let directory = self
-            .membership
-            .present()
-            .map(|member| (member.id.clone(), member.clone()));
-        self.shared.publish_directory(directory.collect());
-        let members = self.own_ids.len() as u64 + 1;
-        self.home.set_members(members);
-        self.is_watcher = self.find_watcher();
-        self.forget_lost_wards();
-    }
-
-    fn forget_lost_wards(&mut self) {
-        let own = self.membership.own().id.clone();
-        let lost: Vec<Arc<str>> = self
-            .home
-            .services()
-            .filter(|service| !self.homes.of(service, &self.membership).contains(&own))
-            .cloned()
-            .collect();
-        self.home.retain(self.log.world(), |service| {
-            lost.iter().all(|name| **name != *service)
-        });
-    }
-
-    fn decide_readiness(&mut self) {
-        if self.readiness.decide(self.log.number(), &self.membership) {
-            self.table.ready = true;
-            self.tables_stale = true;
-            self.actions.push(Action::Log(Happening::Ready));
-        }
-    }
-
-    // Evidence.
-
-    fn observed(&mut self, now_us: u64, observation: &Observation) {
-        let world = self.log.world();
-        let Some(service) = world.services.get(&observation.service).cloned() else {
-            return;
-        };
-        let Some(target) = world.targets.get(&observation.target).cloned() else {
-            return;
-        };
-        let load = self.tables.load_of(&target);
-        let known = self.observer.latencies(&service.name);
-        let median_us = if known.is_known() {
-            known.median_us
-        } else {
-            ASSUMED_MEDIAN_US
-        };
-        let tally = match observation.end {
-            AttemptEnd::Answered { good, latency_us } => {
-                let tally = self.observer.classify(&service.name, good, latency_us);
-                load.answered(
-                    now_us,
-                    if good {
-                        latency_us
-                    } else {
-                        latency_us.max(4 * median_us)
-                    },
-                );
-                tally
-            }
-            AttemptEnd::Shed => {
-                load.shed(now_us, SHED_PAUSE_MEDIANS * median_us);
-                return;
-            }
-            AttemptEnd::Cancelled => return,
-            AttemptEnd::NotSent | AttemptEnd::Cut | AttemptEnd::Overdue => Tally {
-                normal: 0,
-                abnormal: 1,
-            },
-        };
-        self.show_latencies(&service.name);
-        if observation.counted {
-            return;
-        }
-        let here = self.membership.own().data_centre.clone();
-        self.observer
-            .count(&service.name, &target.name, tally, &mut self.rng);
-        let failing = self
-            .steering
-            .count(now_us, &service, &target.name, &here, tally, &load);
-        if !self.shares_evidence && failing {
-            self.judge_alone(now_us, &service.name, &target.name);
-        }
-    }
-
-    /// Ejects a target by the instance's own evidence.
-    fn judge_alone(&mut self, now_us: u64, service: &Arc<str>, target: &Arc<str>) {
-        let events = self
-            .home
-            .eject_alone(now_us, self.log.world(), service, target);
-        self.follow_home(now_us, events);
-    }
-
-    fn flush_reports(&mut self, now_us: u64) {
-        if now_us < self.next_flush_us {
-            return;
-        }
-        self.next_flush_us = now_us + FLUSH_PERIOD_US;
-        let mut by_home: Vec<(Arc<str>, Vec<Report>)> = Vec::new();
-        for report in self.observer.take_reports() {
-            for home in self.homes.of(&report.service, &self.membership) {
-                match by_home.iter_mut().find(|(id, _)| *id == home) {
-                    Some((_, reports)) => reports.push(report.clone()),
-                    None => by_home.push((home, vec![report.clone()])),
-                }
-            }
-        }
-        if !self.shares_evidence {
-            return;
-        }
-        let own = self.membership.own().id.clone();
-        let sent = by_home.iter().filter(|(home, _)| *home != own);
-        let bytes = sent.map(|(_, reports)| report_bytes(reports)).sum();
-        self.observer.spend(now_us, bytes);
-        for (home, reports) in by_home {
-            if home == own {
-                self.take_reports(now_us, &own, &reports);
-            } else {
-                self.send(now_us, &home, Message::Reports(reports));
-            }
-        }
-    }
-
-    fn take_reports(&mut self, now_us: u64, from: &Arc<str>, reports: &[Report]) {
-        let Some(data_centre) = self
-            .membership
-            .get(from)
-            .map(|member| member.data_centre.clone())
-        else {
-            return;
-        };
-        for report in reports {
-            let events = self
-                .home
-                .report(now_us, self.log.world(), &data_centre, report);
-            self.follow_home(now_us, events);
-        }
-        self.tell_latencies(now_us, from, reports);
-    }
-
-    /// Tells what is slow to a reporter that knows too few latencies.
-    fn tell_latencies(&mut self, now_us: u64, to: &Arc<str>, reports: &[Report]) {
-        let unsure = reports.iter().filter(|report| !report.knows_latencies);
-        let told: Vec<ToldLatencies> = unsure
-            .map(|report| (report, self.home.latencies(&report.service)))
-            .filter(|(_, known)| known.is_known())
-            .map(|(report, known)| ToldLatencies {
-                service: report.service.clone(),
-                median_us: known.median_us,
-                slow_us: known.slow_us,
-            })
-            .collect();
-        if !told.is_empty() {
-            self.send(now_us, to, Message::Latencies(told));
-        }
-    }
-
-    fn learn_latencies(&mut self, told: Vec<ToldLatencies>) {
-        for told in told {
-            let latencies = Latencies {
-                median_us: told.median_us,
-                slow_us: told.slow_us,
-            };
-            self.observer.told(&told.service, latencies);
-            self.show_latencies(&told.service);
-        }
-    }
-
-    /// Shows the request path what is known of a service's latencies.
-    fn show_latencies(&mut self, service: &str) {
-        let Some(service) = self.log.world().services.get(service).cloned() else {
-            return;
-        };
-        let load = self.tables.service_load(&service);
-        let known = self.observer.latencies(&service.name);
-        load.slow_us.store(known.slow_us, Ordering::Relaxed);
-        load.median_us.store(known.median_us, Ordering::Relaxed);
-    }
-
-    fn probed(&mut self, now_us: u64, service: &str, target: &Arc<str>, good: bool) {
-        let events = self
-            .home
-            .probed(now_us, self.log.world(), service, target, good);
-        self.follow_home(now_us, events);
-    }
-
-    fn follow_home(&mut self, now_us: u64, events: Vec<HomeEvent>) {
-        let mut verdicts = Vec::new();
-        for event in events {
-            match event {
-                HomeEvent::Tell(verdict) => verdicts.push(verdict),
-                HomeEvent::Probe { service, target } => self.probe(&service, &target),
-            }
-        }
-        if verdicts.is_empty() {
-            return;
-        }
-        for verdict in &verdicts {
-            self.actions.push(Action::Log(Happening::Judged {
-                service: verdict.service.clone(),
-                target: verdict.target.clone(),
-                standing: verdict.standing,
-                from: verdict.from.clone(),
-            }));
-        }
-        let own = self.membership.own().id.clone();
-        self.learn_verdicts(now_us, &own, &verdicts);
-        if self.shares_evidence {
-            let ids = self.other_ids();
-            self.spread_verdicts(now_us, &own, &verdicts, &ids);
-        }
-    }
-
-    fn probe(&mut self, service: &str, target: &str) {
-        let world = self.log.world();
-        if let (Some(service), Some(target)) =
-            (world.services.get(service), world.targets.get(target))
-        {
-            self.actions.push(Action::Probe {
-                target: target.clone(),
-                path: service.probe_path.clone(),
-            });
-        }
-    }
-
-    fn verdicts_spread(
-        &mut self,
-        now_us: u64,
-        home: &Arc<str>,
-        verdicts: &[Verdict],
-        span: Option<&Span>,
-    ) {
-        if let Some(span) = span {
-            let ids = span.cut(&self.other_ids());
-            self.spread_verdicts(now_us, home, verdicts, &ids);
-        }
-        self.learn_verdicts(now_us, home, verdicts);
-    }
-
-    fn spread_verdicts(
-        &mut self,
-        now_us: u64,
-        home: &Arc<str>,
-        verdicts: &[Verdict],
-        ids: &[Arc<str>],
-    ) {
-        for (to, span) in crate::notes::split(ids) {
-            let message = Message::Verdicts {
-                home: home.clone(),
-                verdicts: verdicts.to_vec(),
-                span,
-            };
-            self.send(now_us, &to, message);
-        }
-    }
-
-    fn learn_verdicts(&mut self, now_us: u64, home: &Arc<str>, verdicts: &[Verdict]) {
-        let here = self.membership.own().data_centre.clone();
-        for verdict in verdicts {
-            if self.book.learn(now_us, home, &here, verdict) {
-                self.rebuild_of_target(&verdict.target);
-                self.actions.push(Action::Log(Happening::Standing {
-                    target: verdict.target.clone(),
-                    standing: self.book.standing(&verdict.target),
-                }));
-            }
-        }
-    }
-
-    // Tables.
-
-    /// Rebuilds what a note has changed.
-    pub(super) fn world_changed(&mut self, text: &str) {
-        let Ok(note) = serde_json::from_str::<Note>(text) else {
-            return;
-        };
-        for name in &note.targets.withdraw {
-            self.tables.withdraw(name);
-        }
-        let world = self.log.world().clone();
-        let old = &self.table.world;
-        let mut services: Vec<Arc<str>> = note.services.withdraw.clone();
-        services.extend(
-            note.services
-                .add
-                .iter()
-                .chain(&note.services.change)
-                .map(|service| service.name.clone()),
-        );
-        services.extend(
-            note.targets
-                .add
-                .iter()
-                .chain(&note.targets.change)
-                .map(|target| target.service.clone()),
-        );
-        let gone = note
-            .targets
-            .withdraw
-            .iter()
-            .chain(note.targets.change.iter().map(|target| &target.name));
-        services.extend(
-            gone.filter_map(|name| old.targets.get(name))
-                .map(|target| target.service.clone()),
-        );
-        if !note.links.is_empty() {
-            services = world.services.keys().cloned().collect();
-        }
-        self.table.world = world;
-        for service in services {
-            self.rebuild(&service);
-        }
-        self.tables_stale = true;
-        self.forget_withdrawn();
-    }
-
-    fn forget_withdrawn(&mut self) {
-        let world = self.log.world();
-        let keep = |name: &str| world.services.contains_key(name);
-        self.observer.retain(keep);
-        self.steering.retain(keep);
-        self.homes.retain(keep);
-        self.home.retain(world, keep);
-    }
-
-    /// Rebuilds all tables.
-    pub(super) fn rebuild_all(&mut self) {
-        let world = self.log.world().clone();
-        let withdrawn: Vec<Arc<str>> = self
-            .table
-            .world
-            .targets
-            .keys()
-            .filter(|name| !world.targets.contains_key(*name))
-            .cloned()
-            .collect();
-        for name in withdrawn {
-            self.tables.withdraw(&name);
-        }
-        self.table.services.clear();
-        let services: Vec<Arc<str>> = world.services.keys().cloned().collect();
-        self.table.world = world;
-        for service in services {
-            self.rebuild(&service);
-        }
-        self.forget_withdrawn();
-    }
-
-    fn rebuild_of_target(&mut self, target: &str) {
-        let service = self
-            .log
-            .world()
-            .targets
-            .get(target)
-            .map(|target| target.service.clone());
-        if let Some(service) = service {
-            self.rebuild(&service);
-        }
-    }
-
-    fn rebuild(&mut self, name: &Arc<str>) {
-        self.tables_stale = true;
-        let world = self.log.world();
-        let Some(service) = world.services.get(name).cloned() else {
-            self.table.services.remove(name);
-            return;
-        };
-        let here = &self.membership.own().data_centre;
-        let table = self.tables.build(world, &service, &self.book, here);
-        self.table.services.insert(name.clone(), table);
-    }
-
-    fn publish(&mut self) {
-        if !self.tables_stale {
-            return;
-        }
-        self.tables_stale = false;
-        let before = self.shared.table().world.number;
-        if invariant::check(Invariant::NoRevert, self.table.world.number >= before) {
-            self.shared.publish(self.table.clone());
-        }
-    }
-}
-
-fn report_bytes(reports: &[Report]) -> u64 {
-    let entry = |target: &str| target.len() as u64 + REPORT_ENTRY_BYTES;
-    let body: u64 = reports
-        .iter()
-        .map(|report| {
-            report.service.len() as u64
-                + report
-                    .targets
-                    .iter()
-                    .map(|target| entry(&target.target))
-                    .sum::<u64>()
-        })
-        .sum();
-    body + REPORT_OVERHEAD_BYTES
 }
--- /dev/null
+++ b/policy/src/instance/members.rs
@@ -0,0 +1,120 @@
+//! Learning of other instances, and telling them of each other.
+
+use std::sync::Arc;
+
+use super::Action;
+use super::Happening;
+use super::Instance;
+use super::Message;
+use crate::membership::Change;
+use crate::membership::Member;
+
+const JOIN_PERIOD_US: u64 = 1_000_000;
+const MEMBERS_PER_MESSAGE: usize = 200;
+
+impl Instance {
+    pub(super) fn ask_to_join(&mut self, now_us: u64) {
+        if self.readiness.is_ready() || now_us < self.next_join_us {
+            return;
+        }
+        self.next_join_us = now_us + JOIN_PERIOD_US;
+        let mut asked = Vec::new();
+        for member in self.membership.present() {
+            let new = asked
+                .iter()
+                .all(|(data_centre, _)| *data_centre != member.data_centre);
+            if new && member.id != self.membership.own().id {
+                asked.push((member.data_centre.clone(), member.id.clone()));
+            }
+        }
+        if asked.is_empty() {
+            self.ask_seeds();
+        }
+        for (_, id) in asked {
+            self.send(now_us, &id, Message::Join);
+        }
+    }
+
+    /// Asks peers of whom only the addresses are known.
+    pub(super) fn ask_seeds(&mut self) {
+        for address in self.seeds.clone() {
+            let mut envelope = self.envelope(Message::Join);
+            envelope.news.push(self.membership.own().clone());
+            self.actions.push(Action::Send {
+                to: "".into(),
+                address,
+                envelope,
+            });
+        }
+    }
+
+    pub(super) fn give_members(&mut self, now_us: u64, to: &Arc<str>) {
+        let members: Vec<Member> = self.membership.present().cloned().collect();
+        for chunk in members.chunks(MEMBERS_PER_MESSAGE) {
+            self.send(now_us, to, Message::Members(chunk.to_vec()));
+        }
+    }
+
+    pub(super) fn learn_members(&mut self, now_us: u64, members: &[Member]) {
+        for member in members {
+            self.membership.learn(now_us, member);
+        }
+        self.members_changed();
+    }
+
+    pub(super) fn members_changed(&mut self) {
+        let changes = self.membership.take_changes();
+        if changes.is_empty() {
+            return;
+        }
+        for change in &changes {
+            self.homes.change(change, &self.membership);
+            if let Change::Left(member) = change {
+                for target in self.book.forget_home(&member.id) {
+                    self.rebuild_of_target(&target);
+                }
+            }
+            self.actions.push(Action::Log(match change {
+                Change::Joined(member) => Happening::Joined {
+                    instance: member.id.clone(),
+                },
+                Change::Left(member) => Happening::Gone {
+                    instance: member.id.clone(),
+                },
+            }));
+        }
+        self.own_ids = self.membership.present_ids();
+        let own = self.membership.own().id.clone();
+        self.own_ids.retain(|id| *id != own);
+        let directory = self
+            .membership
+            .present()
+            .map(|member| (member.id.clone(), member.clone()));
+        self.shared.publish_directory(directory.collect());
+        let members = self.own_ids.len() as u64 + 1;
+        self.home.set_members(members);
+        self.is_watcher = self.find_watcher();
+        self.forget_lost_wards();
+    }
+
+    pub(super) fn forget_lost_wards(&mut self) {
+        let own = self.membership.own().id.clone();
+        let lost: Vec<Arc<str>> = self
+            .home
+            .services()
+            .filter(|service| !self.homes.of(service, &self.membership).contains(&own))
+            .cloned()
+            .collect();
+        self.home.retain(self.log.world(), |service| {
+            lost.iter().all(|name| **name != *service)
+        });
+    }
+
+    pub(super) fn decide_readiness(&mut self) {
+        if self.readiness.decide(self.log.number(), &self.membership) {
+            self.table.ready = true;
+            self.tables_stale = true;
+            self.actions.push(Action::Log(Happening::Ready));
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/instance/messages.rs
@@ -0,0 +1,75 @@
+//! Sending messages, and pings on behalf of others.
+
+use std::sync::Arc;
+
+use super::Action;
+use super::Envelope;
+use super::Instance;
+use super::Message;
+use crate::membership::Probe;
+
+impl Instance {
+    pub(super) fn send(&mut self, now_us: u64, to: &Arc<str>, message: Message) {
+        let Some(address) = self.membership.get(to).map(|member| member.peer_address) else {
+            return;
+        };
+        let envelope = self.envelope(message);
+        if envelope.from == *to {
+            self.received(now_us, envelope);
+            return;
+        }
+        self.actions.push(Action::Send {
+            to: to.clone(),
+            address,
+            envelope,
+        });
+    }
+
+    pub(super) fn envelope(&mut self, message: Message) -> Envelope {
+        Envelope {
+            from: self.membership.own().id.clone(),
+            incarnation: self.membership.own().incarnation,
+            note: self.log.number(),
+            news: self.membership.take_news(),
+            message,
+        }
+    }
+
+    /// Ids of all others that are present, in order.
+    pub(super) fn other_ids(&self) -> Vec<Arc<str>> {
+        self.own_ids.clone()
+    }
+
+    pub(super) fn send_probe(&mut self, now_us: u64, probe: Probe) {
+        match probe {
+            Probe::Direct { to, sequence } => self.send(now_us, &to, Message::Ping { sequence }),
+            Probe::Indirect {
+                through,
+                to,
+                sequence,
+            } => self.send(now_us, &through, Message::PingFor { to, sequence }),
+        }
+    }
+
+    /// Pings a third instance; its answer goes to the one that asked.
+    pub(super) fn ping_for(&mut self, now_us: u64, from: &Arc<str>, to: &Arc<str>, sequence: u64) {
+        let sequence_here = self.relayed.begin(now_us, from, sequence);
+        self.send(
+            now_us,
+            to,
+            Message::Ping {
+                sequence: sequence_here,
+            },
+        );
+    }
+
+    pub(super) fn acknowledged(&mut self, now_us: u64, sequence: u64, note: u64) {
+        if self.freshness.answered(sequence, note) {
+            return;
+        }
+        match self.relayed.end(sequence) {
+            Some((asker, asked)) => self.send(now_us, &asker, Message::Ack { sequence: asked }),
+            None => self.membership.acknowledged(sequence),
+        }
+    }
+}
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -1,12 +1,16 @@
 //! The control decisions of one instance behind one entry point.
 
 mod action;
+mod evidence;
 mod freshness;
 mod input;
 mod instance;
+mod members;
 mod message;
+mod messages;
 mod notes;
 mod platform;
+mod publishing;
 mod readiness;
 mod settings;
 mod shared;
--- /dev/null
+++ b/policy/src/instance/publishing.rs
@@ -0,0 +1,123 @@
+//! Rebuilding the tables that a note or a verdict concerns, and publishing them.
+
+use std::sync::Arc;
+
+use model::Note;
+
+use super::Instance;
+use crate::invariant;
+use crate::invariant::Invariant;
+
+impl Instance {
+    /// Rebuilds what a note has changed.
+    pub(super) fn world_changed(&mut self, text: &str) {
+        let Ok(note) = serde_json::from_str::<Note>(text) else {
+            return;
+        };
+        for name in &note.targets.withdraw {
+            self.tables.withdraw(name);
+        }
+        let world = self.log.world().clone();
+        let old = &self.table.world;
+        let mut services: Vec<Arc<str>> = note.services.withdraw.clone();
+        services.extend(
+            note.services
+                .add
+                .iter()
+                .chain(&note.services.change)
+                .map(|service| service.name.clone()),
+        );
+        services.extend(
+            note.targets
+                .add
+                .iter()
+                .chain(&note.targets.change)
+                .map(|target| target.service.clone()),
+        );
+        let gone = note
+            .targets
+            .withdraw
+            .iter()
+            .chain(note.targets.change.iter().map(|target| &target.name));
+        services.extend(
+            gone.filter_map(|name| old.targets.get(name))
+                .map(|target| target.service.clone()),
+        );
+        if !note.links.is_empty() {
+            services = world.services.keys().cloned().collect();
+        }
+        self.table.world = world;
+        for service in services {
+            self.rebuild(&service);
+        }
+        self.tables_stale = true;
+        self.forget_withdrawn();
+    }
+
+    pub(super) fn forget_withdrawn(&mut self) {
+        let world = self.log.world();
+        let keep = |name: &str| world.services.contains_key(name);
+        self.observer.retain(keep);
+        self.steering.retain(keep);
+        self.homes.retain(keep);
+        self.home.retain(world, keep);
+    }
+
+    /// Rebuilds all tables.
+    pub(super) fn rebuild_all(&mut self) {
+        let world = self.log.world().clone();
+        let withdrawn: Vec<Arc<str>> = self
+            .table
+            .world
+            .targets
+            .keys()
+            .filter(|name| !world.targets.contains_key(*name))
+            .cloned()
+            .collect();
+        for name in withdrawn {
+            self.tables.withdraw(&name);
+        }
+        self.table.services.clear();
+        let services: Vec<Arc<str>> = world.services.keys().cloned().collect();
+        self.table.world = world;
+        for service in services {
+            self.rebuild(&service);
+        }
+        self.forget_withdrawn();
+    }
+
+    pub(super) fn rebuild_of_target(&mut self, target: &str) {
+        let service = self
+            .log
+            .world()
+            .targets
+            .get(target)
+            .map(|target| target.service.clone());
+        if let Some(service) = service {
+            self.rebuild(&service);
+        }
+    }
+
+    pub(super) fn rebuild(&mut self, name: &Arc<str>) {
+        self.tables_stale = true;
+        let world = self.log.world();
+        let Some(service) = world.services.get(name).cloned() else {
+            self.table.services.remove(name);
+            return;
+        };
+        let here = &self.membership.own().data_centre;
+        let table = self.tables.build(world, &service, &self.book, here);
+        self.table.services.insert(name.clone(), table);
+    }
+
+    pub(super) fn publish(&mut self) {
+        if !self.tables_stale {
+            return;
+        }
+        self.tables_stale = false;
+        let before = self.shared.table().world.number;
+        if invariant::check(Invariant::NoRevert, self.table.world.number >= before) {
+            self.shared.publish(self.table.clone());
+        }
+    }
+}
--- a/policy/src/instance/tables.rs
+++ b/policy/src/instance/tables.rs
@@ -36,6 +36,9 @@
     /// The counters of a target.
     pub(super) fn load_of(&mut self, target: &Arc<Target>) -> Arc<TargetLoad> {
         let known = self.targets.get(&target.name);
+        if let Some((_, load)) = known.filter(|(old, _)| Arc::ptr_eq(old, target)) {
+            return load.clone();
+        }
         let load = match known {
             Some((old, load)) if same_load(old, target) => load.clone(),
             _ => Arc::new(TargetLoad::new(target.slots)),
--- a/proof/src/lib.rs
+++ b/proof/src/lib.rs
@@ -4,6 +4,7 @@
 //! with their own clock, links, targets and platform. The same seed gives the
 //! same run.
 
+mod attempts;
 mod baseline;
 pub mod capacity;
 pub mod chaos;
--- a/proof/src/requests.rs
+++ b/proof/src/requests.rs
@@ -5,15 +5,11 @@
 use model::Outcome;
 use model::world::Class;
 use model::world::Repeat;
-use policy::Input;
 use policy::command::ClaimAnswer;
 use policy::command::ClaimState;
 use policy::command::TicketAnswer;
-use policy::exchange::AttemptEnd;
 use policy::exchange::Event as Happened;
 use policy::exchange::Exchange;
-use policy::exchange::Failure;
-use policy::exchange::Observation;
 use policy::exchange::Request;
 use policy::exchange::Step;
 use rand::RngExt;
@@ -26,21 +22,14 @@
 use super::PlatformState;
 use super::SECOND_US;
 use super::Sim;
-use super::TargetFault;
 use super::flight::Flight;
-use super::flight::FlightAttempt;
 use super::sim::PendingFinish;
 use super::sim::Plan;
-use super::sim::Wire;
-use super::target_fake::Taken;
 
 const SWEEP_US: u64 = 5 * MILLI_US;
 const PLATFORM_US: u64 = 4 * MILLI_US;
 const CLAIM_TRIES: u32 = 3;
-const BODY_US: u64 = MILLI_US;
 const COMMAND_TRIES: u32 = 3;
-/// Time after which a leaving target must get no new work.
-pub(super) const LEAVING_GRACE_US: u64 = 5 * SECOND_US;
 
 impl Sim {
     /// A new request of a load.
@@ -69,14 +58,14 @@
     }
 
     /// A node that the balancer sends to.
-    fn balance(&mut self) -> Option<usize> {
+    pub(super) fn balance(&mut self) -> Option<usize> {
         let open: Vec<usize> = (0..self.nodes.len())
             .filter(|at| self.nodes[*at].instance.is_some() && !self.nodes[*at].draining)
             .collect();
         (!open.is_empty()).then(|| open[self.rng.random_range(0..open.len())])
     }
 
-    fn service_of(&self, name: &str) -> Option<&model::world::Service> {
+    pub(super) fn service_of(&self, name: &str) -> Option<&model::world::Service> {
         self.deployment
             .note
             .services
@@ -86,7 +75,7 @@
     }
 
     /// A caller names a command and asks for it, again if it can't be sure.
-    fn plan_command(&mut self, node: usize, service: Arc<str>) {
+    pub(super) fn plan_command(&mut self, node: usize, service: Arc<str>) {
         self.next_flight += 1;
         let command: Arc<str> = format!("c-{}", self.next_flight).into();
         let draw = self.rng.random::<f64>();
@@ -130,14 +119,20 @@
     }
 
     /// The node that a ticket's command is passed on to, as the node asked knows it.
-    fn owner_of(&self, asked: usize, owner: &str) -> Option<usize> {
+    pub(super) fn owner_of(&self, asked: usize, owner: &str) -> Option<usize> {
         let directory = self.nodes[asked].instance.as_ref()?.shared().directory();
         let at = (0..self.nodes.len()).find(|at| format!("i-{at:04}") == owner)?;
         let known = at == asked || directory.contains_key(owner);
         (known && self.nodes[at].instance.is_some()).then_some(at)
     }
 
-    fn begin(&mut self, node: usize, service: Arc<str>, command: Option<Arc<str>>, naming: Naming) {
+    pub(super) fn begin(
+        &mut self,
+        node: usize,
+        service: Arc<str>,
+        command: Option<Arc<str>>,
+        naming: Naming,
+    ) {
         *self.stats.begun.entry(service.clone()).or_default() += 1;
         self.next_flight += 1;
         let id = self.next_flight;
@@ -201,7 +196,7 @@
     }
 
     /// Tells the exchange what happened and carries out its steps.
-    fn on(&mut self, id: u64, event: Happened) {
+    pub(super) fn on(&mut self, id: u64, event: Happened) {
         let now_us = self.now_us;
         let Some(flight) = self.flights.get_mut(&id) else {
             return;
@@ -227,7 +222,7 @@
         }
     }
 
-    fn wait(&mut self, id: u64) {
+    pub(super) fn wait(&mut self, id: u64) {
         let flight = &self.flights[&id];
         let (node, service, deadline_us) =
             (flight.node, flight.service.clone(), flight.deadline_us);
@@ -241,7 +236,7 @@
         }
     }
 
-    fn sweep_later(&mut self, node: usize) {
+    pub(super) fn sweep_later(&mut self, node: usize) {
         if !std::mem::replace(&mut self.nodes[node].sweeps, true) {
             self.queue.push(self.now_us + SWEEP_US, Event::Sweep(node));
         }
@@ -276,294 +271,6 @@
         }
     }
 
-    fn send_attempt(&mut self, id: u64, attempt: usize, candidate: usize) {
-        let now_us = self.now_us;
-        let flight = &self.flights[&id];
-        let Some(exchange) = &flight.exchange else {
-            return;
-        };
-        let table = exchange.table();
-        let target = table.candidates[candidate].target.name.clone();
-        let slow_us = table.slow_us();
-        let fresh = !table.repeatable();
-        if let Some(slow_us) = slow_us {
-            self.queue.push(now_us + slow_us, Event::Slow(id, attempt));
-        }
-        self.put_on_wire(id, attempt, target, if fresh { 3 } else { 1 });
-    }
-
-    fn put_on_wire(&mut self, id: u64, attempt: usize, target: Arc<str>, ways: u64) {
-        let now_us = self.now_us;
-        let Some(flight) = self.flights.get_mut(&id) else {
-            return;
-        };
-        flight.attempts.push(FlightAttempt {
-            target: target.clone(),
-            sent_us: now_us,
-            counted: false,
-            over: false,
-        });
-        let (command, node) = (flight.command.clone(), flight.node);
-        if command.is_some() {
-            self.meet(Moment::Send, node, Some(&target));
-        }
-        let data_centre = self.nodes[node].data_centre;
-        let to = self
-            .targets
-            .get(&target)
-            .map_or(0, |target| target.data_centre);
-        let way_us = ways * self.one_way_us(data_centre, to);
-        let wire = Wire {
-            target,
-            command,
-            data_centre,
-        };
-        self.wires.insert((id, attempt), wire);
-        self.queue.push(now_us + way_us, Event::Reach(id, attempt));
-    }
-
-    /// A request reaches its target, whether or not anybody still waits for it.
-    pub(super) fn reach(&mut self, id: u64, attempt: usize) {
-        let Some(wire) = self.wires.get(&(id, attempt)).cloned() else {
-            return;
-        };
-        if let Some(flight) = self
-            .flights
-            .get(&id)
-            .filter(|flight| flight.command.is_some())
-        {
-            let node = flight.node;
-            self.meet(Moment::Work, node, Some(&wire.target));
-        }
-        if let Some(since_us) = self.leaving.get(&wire.target)
-            && self.now_us > since_us + LEAVING_GRACE_US
-        {
-            self.stats.late_work += 1;
-        }
-        let now_us = self.now_us;
-        let Some(target) = self.targets.get_mut(&wire.target) else {
-            return;
-        };
-        target.requests += 1;
-        let way_us = if target.data_centre == wire.data_centre {
-            MILLI_US / 4
-        } else {
-            self.deployment.one_way_us
-        };
-        match target.fault.at(now_us, wire.data_centre == 0) {
-            TargetFault::Dead => self.queue.push(
-                now_us + way_us,
-                Event::Failed(id, attempt, Failure::NotSent),
-            ),
-            TargetFault::Hung => self.ran(&wire),
-            TargetFault::Shedding => self
-                .queue
-                .push(now_us + way_us, Event::Head(id, attempt, 503)),
-            _ => match target.take(id, attempt) {
-                Taken::Start => self.start_work(id, attempt),
-                Taken::Queued => {}
-                Taken::Refused => self
-                    .queue
-                    .push(now_us + way_us, Event::Head(id, attempt, 503)),
-            },
-        }
-    }
-
-    fn ran(&mut self, wire: &Wire) {
-        if let Some(command) = &wire.command {
-            *self.stats.runs.entry(command.clone()).or_default() += 1;
-        }
-    }
-
-    fn start_work(&mut self, id: u64, attempt: usize) {
-        let Some(wire) = self.wires.get(&(id, attempt)).cloned() else {
-            return;
-        };
-        self.ran(&wire);
-        let now_us = self.now_us;
-        let draw = -(1.0 - self.rng.random::<f64>()).ln();
-        let fails = self.rng.random::<f64>();
-        let Some(target) = self.targets.get_mut(&wire.target) else {
-            return;
-        };
-        let fault = target.fault.at(now_us, wire.data_centre == 0);
-        let (times, share) = match fault {
-            TargetFault::Slow(times) => (times, target.background),
-            TargetFault::Failing(share) => (1.0, share),
-            _ => (1.0, target.background),
-        };
-        let work_us = (target.work_us as f64 * times * draw) as u64;
-        let status = if fails < share { 500 } else { 200 };
-        self.queue
-            .push(now_us + work_us, Event::Worked(id, attempt, status));
-    }
-
-    /// A target has done its work: the answer leaves and the next one starts.
-    pub(super) fn worked(&mut self, id: u64, attempt: usize, status: u16) {
-        let Some(wire) = self.wires.remove(&(id, attempt)) else {
-            return;
-        };
-        let Some(target) = self.targets.get_mut(&wire.target) else {
-            return;
-        };
-        let next = target.finish();
-        let (from, fault) = (target.data_centre, target.fault);
-        let way_us = self.one_way_us(wire.data_centre, from);
-        match fault {
-            TargetFault::Dead => {
-                let event = Event::Failed(id, attempt, Failure::Cut);
-                self.queue.push(self.now_us + way_us, event);
-            }
-            TargetFault::Hung => {}
-            _ => self
-                .queue
-                .push(self.now_us + way_us, Event::Head(id, attempt, status)),
-        }
-        if let Some((id, attempt)) = next {
-            self.start_work(id, attempt);
-        }
-    }
-
-    /// The head of an answer reaches the node.
-    pub(super) fn head(&mut self, id: u64, attempt: usize, status: u16) {
-        let Some(sent_us) = self.open_attempt(id, attempt) else {
-            return;
-        };
-        self.meet_at(Moment::FirstByte, id, attempt);
-        let end = if status == 503 {
-            AttemptEnd::Shed
-        } else {
-            AttemptEnd::Answered {
-                good: status < 500,
-                latency_us: self.now_us - sent_us,
-            }
-        };
-        self.observe(id, attempt, end);
-        if self.mode == Mode::RoundRobin {
-            return self.end_round_robin(id, attempt, status < 500);
-        }
-        self.on(id, Happened::Head { attempt, status });
-    }
-
-    /// An attempt failed before any head.
-    pub(super) fn failed(&mut self, id: u64, attempt: usize, failure: Failure) {
-        if self.open_attempt(id, attempt).is_none() {
-            return;
-        }
-        let end = if failure == Failure::NotSent {
-            AttemptEnd::NotSent
-        } else {
-            AttemptEnd::Cut
-        };
-        self.observe(id, attempt, end);
-        if self.mode == Mode::RoundRobin {
-            return self.end_round_robin(id, attempt, false);
-        }
-        self.on(id, Happened::Failed { attempt, failure });
-    }
-
-    /// Marks an attempt as over; none if it was already or its flight is.
-    fn open_attempt(&mut self, id: u64, attempt: usize) -> Option<u64> {
-        let flight = self.flights.get_mut(&id)?;
-        let attempt = flight.attempts.get_mut(attempt)?;
-        if attempt.over {
-            return None;
-        }
-        attempt.over = true;
-        Some(attempt.sent_us)
-    }
-
-    fn observe(&mut self, id: u64, attempt: usize, end: AttemptEnd) {
-        let Some(flight) = self.flights.get_mut(&id) else {
-            return;
-        };
-        let node = flight.node;
-        let service = flight.service.clone();
-        let sent = &mut flight.attempts[attempt];
-        let observation = Observation {
-            service,
-            target: sent.target.clone(),
-            end,
-            counted: sent.counted,
-        };
-        sent.counted = true;
-        if self.mode != Mode::RoundRobin {
-            self.input(node, Input::Observed(observation));
-        }
-    }
-
-    /// An answer takes longer than nearly all others.
-    pub(super) fn slow(&mut self, id: u64, attempt: usize) {
-        let Some(flight) = self.flights.get(&id) else {
-            return;
-        };
-        if flight.attempts[attempt].over || flight.attempts[attempt].counted {
-            return;
-        }
-        self.observe(id, attempt, AttemptEnd::Overdue);
-        self.on(id, Happened::Slow);
-    }
-
-    /// A deadline passes.
-    pub(super) fn deadline(&mut self, id: u64) {
-        let Some(flight) = self.flights.get(&id) else {
-            return;
-        };
-        if flight.passing.is_some() {
-            return;
-        }
-        let open: Vec<usize> = (0..flight.attempts.len())
-            .filter(|at| !flight.attempts[*at].over && !flight.attempts[*at].counted)
-            .collect();
-        for attempt in open {
-            self.observe(id, attempt, AttemptEnd::Overdue);
-        }
-        if self.mode == Mode::RoundRobin {
-            return self.end_round_robin(id, 0, false);
-        }
-        self.on(id, Happened::Deadline);
-    }
-
-    fn pass(&mut self, id: u64, attempt: usize) {
-        let Some(flight) = self.flights.get_mut(&id) else {
-            return;
-        };
-        flight.passing = Some(attempt);
-        self.meet_at(Moment::Body, id, attempt);
-        let flight = &self.flights[&id];
-        let target = self.targets.get(&flight.attempts[attempt].target);
-        let whole = target.is_none_or(|target| target.fault != TargetFault::Cutting);
-        self.queue
-            .push(self.now_us + BODY_US, Event::BodyEnd(id, attempt, whole));
-    }
-
-    /// The body of an answer has ended, whole or not.
-    pub(super) fn body_end(&mut self, id: u64, attempt: usize, whole: bool) {
-        if self
-            .flights
-            .get(&id)
-            .is_none_or(|flight| flight.passing != Some(attempt))
-        {
-            return;
-        }
-        if !whole {
-            let flight = &mut self.flights.get_mut(&id);
-            if let Some(flight) = flight {
-                flight.attempts[attempt].counted = false;
-            }
-            self.observe(id, attempt, AttemptEnd::Cut);
-        }
-        self.meet_at(Moment::End, id, attempt);
-        self.on(
-            id,
-            if whole {
-                Happened::Ended
-            } else {
-                Happened::Cut
-            },
-        );
-    }
-
     /// A claim reaches the platform.
     pub(super) fn claim(&mut self, id: u64, tries: u32) {
         let Some(flight) = self.flights.get(&id) else {
@@ -593,7 +300,7 @@
     }
 
     /// Notes that a command has come to a moment at its target.
-    fn meet_at(&mut self, moment: Moment, id: u64, attempt: usize) {
+    pub(super) fn meet_at(&mut self, moment: Moment, id: u64, attempt: usize) {
         let Some(flight) = self
             .flights
             .get(&id)
@@ -620,7 +327,7 @@
     }
 
     /// Ends a flight: records the command's state and tells the caller.
-    fn end(&mut self, id: u64, outcome: Outcome, served: bool) {
+    pub(super) fn end(&mut self, id: u64, outcome: Outcome, served: bool) {
         let Some(flight) = self.flights.remove(&id) else {
             return;
         };
@@ -649,7 +356,7 @@
         self.sweep(node);
     }
 
-    fn record(&mut self, flight: &Flight, state: ClaimState) {
+    pub(super) fn record(&mut self, flight: &Flight, state: ClaimState) {
         match &flight.naming {
             Naming::Key(key) => {
                 let key: Arc<str> = format!("claims/{key}").into();
@@ -674,7 +381,7 @@
         }
     }
 
-    fn refused(&mut self, flight: &Flight, outcome: Outcome) {
+    pub(super) fn refused(&mut self, flight: &Flight, outcome: Outcome) {
         *self
             .stats
             .refused
@@ -686,7 +393,7 @@
     }
 
     /// Tells a command's caller, who asks again if it can't be sure.
-    fn told(&mut self, command: &Arc<str>, outcome: Outcome) {
+    pub(super) fn told(&mut self, command: &Arc<str>, outcome: Outcome) {
         self.stats
             .told
             .entry(command.clone())
@@ -714,14 +421,14 @@
         }
     }
 
-    fn send_round_robin(&mut self, id: u64) {
+    pub(super) fn send_round_robin(&mut self, id: u64) {
         let flight = &self.flights[&id];
         let names = self.names[&flight.service].clone();
         let target = self.nodes[flight.node].baseline.choose(self.now_us, &names);
         self.put_on_wire(id, 0, target, 1);
     }
 
-    fn end_round_robin(&mut self, id: u64, attempt: usize, good: bool) {
+    pub(super) fn end_round_robin(&mut self, id: u64, attempt: usize, good: bool) {
         let Some(flight) = self.flights.remove(&id) else {
             return;
         };
