Drive a single home from one place

Cause: the measurement of outcomes, that of false ejections and the test of the aim each fed a home on their own, with the same lines. Ruled out: leaving the test apart from the measurement; they must not differ.

--- a/proof/examples/measure/false_ejections.rs
+++ b/proof/examples/measure/false_ejections.rs
@@ -1,20 +1,14 @@
 //! False ejections in ten million healthy outcomes.
 
-use std::sync::Arc;
-
-use model::World;
-use policy::evidence::Home;
 use policy::evidence::HomeEvent;
 use policy::evidence::Standing;
 use proof::Deployment;
+use proof::HomeRun;
 use proof::MILLI_US;
 use rand::RngExt;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 
 use super::table::Table;
 use super::table::each_seed;
-use super::wald::report;
 
 const OUTCOMES: u64 = 10_000_000;
 const PARTS: u64 = 8;
@@ -55,43 +49,22 @@
 }
 
 fn run(deployment: &Deployment, background: f64, seed: u64) -> u64 {
-    let world = deployment
-        .note
-        .apply(&World::default())
-        .expect("the note fits");
-    let mut home = Home::default();
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let service = deployment.note.services.add[0].name.clone();
-    let targets: Vec<Arc<str>> = deployment
-        .note
-        .targets
-        .add
-        .iter()
-        .map(|target| target.name.clone())
-        .collect();
+    let mut run = HomeRun::new(deployment, seed);
     let mut ejections = 0;
     for number in 0..OUTCOMES / PARTS {
         let now_us = number * GAP_US;
-        let target = &targets[rng.random_range(0..targets.len())];
-        let abnormal = u32::from(rng.random_bool(background));
-        let observer = &deployment.data_centres[rng.random_range(0..deployment.data_centres.len())];
-        let mut events = home.report(
-            now_us,
-            &world,
-            observer,
-            &report(&service, target, abnormal),
-        );
+        let target = run.any_target();
+        let abnormal = run.rng.random_bool(background);
+        let mut events = run.meet(now_us, target, abnormal);
         if number % 10 == 0 {
-            events.extend(home.tick(now_us, &world));
+            events.extend(run.tick(now_us));
         }
         for event in events {
             match event {
                 HomeEvent::Tell(verdict) => {
                     ejections += u64::from(verdict.standing == Standing::Ejected)
                 }
-                HomeEvent::Probe { service, target } => {
-                    home.probed(now_us, &world, &service, &target, true);
-                }
+                HomeEvent::Probe { service, target } => run.probed(now_us, &service, &target),
             }
         }
     }
--- a/proof/examples/measure/wald.rs
+++ b/proof/examples/measure/wald.rs
@@ -1,18 +1,13 @@
 //! Outcomes that a failing target's test takes, against the ideal one.
 
-use std::sync::Arc;
-
-use model::World;
 use model::world::Service;
-use policy::evidence::Home;
 use policy::evidence::HomeEvent;
 use policy::evidence::Rates;
-use policy::evidence::Report;
 use policy::evidence::SequentialTest;
 use policy::evidence::Standing;
 use policy::evidence::Tally;
-use policy::evidence::TargetReport;
 use proof::Deployment;
+use proof::HomeRun;
 use proof::MILLI_US;
 use proof::quantile_of;
 use rand::RngExt;
@@ -74,33 +69,18 @@
     (mean, quantile_of(&counts, 0.99))
 }
 
-/// Outcomes until a home ejects the target, one outcome a report from data centres in turn.
+/// Outcomes until a home ejects the target, one outcome a report from any data centre.
 fn ours(deployment: &Deployment, share: f64, seed: u64) -> u64 {
-    let world = deployment
-        .note
-        .apply(&World::default())
-        .expect("the note fits");
-    let mut home = Home::default();
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let service = deployment.note.services.add[0].name.clone();
-    let targets: Vec<Arc<str>> = deployment
-        .note
-        .targets
-        .add
-        .iter()
-        .map(|target| target.name.clone())
-        .collect();
+    let mut run = HomeRun::new(deployment, seed);
     let mut met = 0;
     for number in 0..LIMIT {
-        let now_us = number as u64 * GAP_US;
-        let at = rng.random_range(0..targets.len());
-        let failing = at == 0 && number > WARM_UP;
-        let rate = if failing { share } else { BACKGROUND };
+        let target = run.any_target();
+        let failing = target == 0 && number > WARM_UP;
         met += u64::from(failing);
-        let abnormal = u32::from(rng.random_bool(rate));
-        let report = report(&service, &targets[at], abnormal);
-        let observer = &deployment.data_centres[rng.random_range(0..deployment.data_centres.len())];
-        let events = home.report(now_us, &world, observer, &report);
+        let abnormal = run
+            .rng
+            .random_bool(if failing { share } else { BACKGROUND });
+        let events = run.meet(number as u64 * GAP_US, target, abnormal);
         let ejected = |event: &HomeEvent| matches!(event, HomeEvent::Tell(verdict) if verdict.standing == Standing::Ejected);
         if failing && events.iter().any(ejected) {
             return met;
@@ -109,22 +89,6 @@
     met
 }
 
-pub(super) fn report(service: &Arc<str>, target: &Arc<str>, abnormal: u32) -> Report {
-    Report {
-        service: service.clone(),
-        thinning: 0,
-        knows_latencies: true,
-        samples_us: Vec::new(),
-        targets: vec![TargetReport {
-            target: target.clone(),
-            tally: Tally {
-                normal: 1 - abnormal,
-                abnormal,
-            },
-        }],
-    }
-}
-
 /// Outcomes until a test that knows both rates decides, started at the fault.
 fn ideal(service: &Service, share: f64, seed: u64) -> u64 {
     let rates = Rates {
--- /dev/null
+++ b/proof/src/home_run.rs
@@ -0,0 +1,77 @@
+//! One home by itself, fed with one outcome after the other.
+
+use std::sync::Arc;
+
+use model::World;
+use policy::evidence::Home;
+use policy::evidence::HomeEvent;
+use policy::evidence::Report;
+use policy::evidence::Tally;
+use policy::evidence::TargetReport;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::Deployment;
+
+/// A home of a deployment's first service.
+pub struct HomeRun<'a> {
+    /// The run's generator.
+    pub rng: ChaCha8Rng,
+    deployment: &'a Deployment,
+    world: World,
+    home: Home,
+}
+
+impl<'a> HomeRun<'a> {
+    /// A home that has met nothing yet.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the deployment's note does not fit.
+    pub fn new(deployment: &'a Deployment, seed: u64) -> Self {
+        let world = deployment.note.apply(&World::default());
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            deployment,
+            world: world.expect("the note fits"),
+            home: Home::default(),
+        }
+    }
+
+    /// A random target's number.
+    pub fn any_target(&mut self) -> usize {
+        self.rng
+            .random_range(0..self.deployment.note.targets.add.len())
+    }
+
+    /// Takes in one outcome of a target, met in a random data centre.
+    pub fn meet(&mut self, now_us: u64, target: usize, abnormal: bool) -> Vec<HomeEvent> {
+        let centres = &self.deployment.data_centres;
+        let observer = &centres[self.rng.random_range(0..centres.len())];
+        let report = Report {
+            service: self.deployment.note.services.add[0].name.clone(),
+            thinning: 0,
+            knows_latencies: true,
+            samples_us: Vec::new(),
+            targets: vec![TargetReport {
+                target: self.deployment.note.targets.add[target].name.clone(),
+                tally: Tally {
+                    normal: u32::from(!abnormal),
+                    abnormal: u32::from(abnormal),
+                },
+            }],
+        };
+        self.home.report(now_us, &self.world, observer, &report)
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now_us: u64) -> Vec<HomeEvent> {
+        self.home.tick(now_us, &self.world)
+    }
+
+    /// Takes in a good probe.
+    pub fn probed(&mut self, now_us: u64, service: &str, target: &Arc<str>) {
+        self.home.probed(now_us, &self.world, service, target, true);
+    }
+}
--- a/proof/tests/aims.rs
+++ b/proof/tests/aims.rs
@@ -1,17 +1,11 @@
 //! The users' aims for the test of targets. Those that are missed stand in
 //! KNOWN-RED.txt.
 
-use std::sync::Arc;
-
-use model::World;
-use policy::evidence::Home;
 use policy::evidence::HomeEvent;
-use policy::evidence::Report;
 use policy::evidence::SequentialTest;
 use policy::evidence::Standing;
-use policy::evidence::Tally;
-use policy::evidence::TargetReport;
 use proof::Deployment;
+use proof::HomeRun;
 use proof::MILLI_US;
 use proof::Mode;
 use proof::SECOND_US;
@@ -19,8 +13,6 @@
 use proof::TargetFault;
 use proof::quantile_of;
 use rand::RngExt;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 
 const GAP_US: u64 = 100 * MILLI_US;
 const RUNS: u64 = 400;
@@ -33,23 +25,14 @@
 
 /// Outcomes of a wholly failing target until its home ejects it.
 fn outcomes_until_ejected(deployment: &Deployment, seed: u64) -> u64 {
-    let world = deployment
-        .note
-        .apply(&World::default())
-        .expect("the note fits");
-    let mut home = Home::default();
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let service = deployment.note.services.add[0].name.clone();
-    let targets = &deployment.note.targets.add;
+    let mut run = HomeRun::new(deployment, seed);
     let mut met = 0;
     for number in 0..LIMIT {
-        let at = rng.random_range(0..targets.len());
-        let failing = at == 0 && number > WARM_UP;
+        let target = run.any_target();
+        let failing = target == 0 && number > WARM_UP;
         met += u64::from(failing);
-        let abnormal = u32::from(failing || rng.random_bool(BACKGROUND));
-        let report = report(&service, &targets[at].name, abnormal);
-        let observer = &deployment.data_centres[rng.random_range(0..deployment.data_centres.len())];
-        let events = home.report(number * GAP_US, &world, observer, &report);
+        let abnormal = failing || run.rng.random_bool(BACKGROUND);
+        let events = run.meet(number * GAP_US, target, abnormal);
         let ejected = events.iter().any(|event| {
             matches!(event, HomeEvent::Tell(verdict) if verdict.standing == Standing::Ejected)
         });
@@ -60,23 +43,6 @@
     met
 }
 
-fn report(service: &Arc<str>, target: &Arc<str>, abnormal: u32) -> Report {
-    let tally = Tally {
-        normal: 1 - abnormal,
-        abnormal,
-    };
-    Report {
-        service: service.clone(),
-        thinning: 0,
-        knows_latencies: true,
-        samples_us: Vec::new(),
-        targets: vec![TargetReport {
-            target: target.clone(),
-            tally,
-        }],
-    }
-}
-
 /// Wald's test that knows both rates sees failures only, so that it always
 /// takes the same number.
 fn ideal_outcomes(deployment: &Deployment) -> f64 {
