--- a/policy/src/evidence/home.rs
+++ b/policy/src/evidence/home.rs
@@ -188,14 +188,6 @@
         }
     }
 
-    /// Targets that this home holds ejected.
-    pub fn ejected(&self) -> impl Iterator<Item = &Arc<str>> {
-        let cases = self.wards.values().flat_map(|ward| &ward.cases);
-        cases
-            .filter(|(_, case)| case.standing() == Standing::Ejected && case.from.is_empty())
-            .map(|(target, _)| target)
-    }
-
     fn refresh(&self, events: &mut Vec<HomeEvent>) {
         for (service, ward) in &self.wards {
             for (target, case) in &ward.cases {
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -122,11 +122,6 @@
         self.readiness.is_ready() && !self.table.draining
     }
 
-    /// Targets that this instance, as a home, holds ejected.
-    pub fn ejected_as_home(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.home.ejected()
-    }
-
     /// Takes in one input and says what is to be done.
     pub fn handle(&mut self, now_us: u64, input: Input) -> Vec<Action> {
         match input {
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -30,6 +30,7 @@
 use super::Script;
 use super::Server;
 use super::full;
+use super::http::status;
 
 const CHUNK_BYTES: usize = 16 * 1024;
 const HEALTH_MS: u64 = 1;
@@ -193,9 +194,3 @@
     });
     StreamBody::new(chunks).boxed()
 }
-
-fn status(status: StatusCode) -> io::Result<Response<Body>> {
-    let mut response = Response::new(full(Bytes::new()));
-    *response.status_mut() = status;
-    Ok(response)
-}
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -12,6 +12,7 @@
 use http_body_util::combinators::BoxBody;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -79,3 +80,10 @@
     let never = |error: Infallible| match error {};
     Full::new(bytes.into()).map_err(never).boxed()
 }
+
+/// An answer of a status without a body.
+pub(crate) fn status(status: StatusCode) -> io::Result<Response<Body>> {
+    let mut response = Response::new(full(Bytes::new()));
+    *response.status_mut() = status;
+    Ok(response)
+}
--- a/standin/src/platform_server.rs
+++ b/standin/src/platform_server.rs
@@ -24,6 +24,7 @@
 use super::MemoryPlatform;
 use super::Server;
 use super::full;
+use super::http::status;
 
 /// The fake platform behind the interface of `docs/PLATFORM.md`.
 ///
@@ -137,9 +138,3 @@
     let text = serde_json::to_vec(&value).map_err(io::Error::other)?;
     Ok(Response::new(full(text)))
 }
-
-fn status(status: StatusCode) -> io::Result<Response<Body>> {
-    let mut response = Response::new(full(Bytes::new()));
-    *response.status_mut() = status;
-    Ok(response)
-}
