Let a void note touch no table

Cause: a note that does not fit was handed to the rebuilding of tables as if it had taken effect: the targets that it would withdraw lost their counters, and after one that cannot be read the request path showed the number before it. Ruled out: the log itself, which skips such a note rightly; the floor and the standing of targets, which were not touched. Before: the test a_void_note_is_in_force_on_the_request_path_and_touches_no_target fails (number 2 for 3).

--- a/policy/src/instance/notes.rs
+++ b/policy/src/instance/notes.rs
@@ -50,15 +50,20 @@
             let offered = self.log.offer(note);
             match offered {
                 Offered::Old | Offered::Gap => continue,
-                Offered::Applied => self.actions.push(Action::Log(Happening::NoteInForce {
-                    number: note.number,
-                })),
-                Offered::Void(reason) => self.actions.push(Action::Log(Happening::NoteVoid {
-                    number: note.number,
-                    reason,
-                })),
+                Offered::Applied => {
+                    let number = note.number;
+                    self.actions
+                        .push(Action::Log(Happening::NoteInForce { number }));
+                    self.world_changed(&note.text);
+                }
+                Offered::Void(reason) => {
+                    self.actions.push(Action::Log(Happening::NoteVoid {
+                        number: note.number,
+                        reason,
+                    }));
+                    self.world_skipped();
+                }
             }
-            self.world_changed(&note.text);
             if spread {
                 let ids = self.other_ids();
                 self.spread_note(now_us, note, &ids);
--- a/policy/src/instance/publishing.rs
+++ b/policy/src/instance/publishing.rs
@@ -54,6 +54,12 @@
         self.forget_withdrawn();
     }
 
+    /// Shows the number of a note that has no effect; no table changes.
+    pub(super) fn world_skipped(&mut self) {
+        self.table.world = self.log.world().clone();
+        self.tables_stale = true;
+    }
+
     pub(super) fn forget_withdrawn(&mut self) {
         let world = self.log.world();
         let keep = |name: &str| world.services.contains_key(name);
--- a/policy/tests/notes.rs
+++ b/policy/tests/notes.rs
@@ -4,6 +4,10 @@
 use std::sync::Arc;
 
 use model::Note;
+use model::world::Class;
+use model::world::Repeat;
+use model::world::Service;
+use model::world::Target;
 use policy::Input;
 use policy::Instance;
 use policy::command::ClaimState;
@@ -192,3 +196,80 @@
     assert_eq!(reached, ids);
     assert!(most_hops <= 4, "{most_hops} hops");
 }
+
+#[test]
+fn a_void_note_is_in_force_on_the_request_path_and_touches_no_target() {
+    let mut instance = instance();
+    let mut first = Note {
+        title: "first".into(),
+        submission: "s-1".into(),
+        ..Note::default()
+    };
+    first.services.add.push(service());
+    first.targets.add.push(target());
+    let mut void = Note {
+        title: "void".into(),
+        submission: "s-2".into(),
+        ..Note::default()
+    };
+    void.targets.withdraw = vec!["gates-1".into(), "not-there".into()];
+    let text = |note: &Note| serde_json::to_string(note).expect("a note is JSON").into();
+    let notes = vec![
+        NumberedNote {
+            number: 1,
+            text: text(&first),
+        },
+        NumberedNote {
+            number: 2,
+            text: text(&void),
+        },
+        NumberedNote {
+            number: 3,
+            text: "{".into(),
+        },
+    ];
+    instance.handle(
+        1,
+        Input::Platform(PlatformAnswer::Notes(notes[..1].to_vec())),
+    );
+    let before = instance.shared().table().services["gates"].candidates[0]
+        .load
+        .clone();
+    instance.handle(2, Input::Platform(PlatformAnswer::Notes(notes)));
+    let table = instance.shared().table();
+    assert_eq!(table.world.number, 3);
+    let after = &table.services["gates"].candidates[0].load;
+    assert!(
+        Arc::ptr_eq(&before, after),
+        "the target's counters are kept"
+    );
+    assert!(!after.is_closed());
+}
+
+fn service() -> Service {
+    Service {
+        name: "gates".into(),
+        class: Class::Command,
+        repeat: Repeat::Never,
+        time_limit_ms: 5_000,
+        floor_share: 0.5,
+        false_ejection_rate: 1e-6,
+        missed_detection_rate: 1e-3,
+        retry_share: 0.1,
+        queue: 10,
+        probe_path: "/health".into(),
+    }
+}
+
+fn target() -> Target {
+    Target {
+        name: "gates-1".into(),
+        service: "gates".into(),
+        data_centre: "north".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        slots: 6,
+        connections: 10,
+        refusal_is_not_run: false,
+        leaving: false,
+    }
+}
