--- /dev/null
+++ b/border/src/lib.rs
@@ -0,0 +1,42 @@
+//! The borders to the outside.
+//!
+//! [`Dialect`] is the border to callers and targets, [`Registry`] and
+//! [`Platform`] are the borders to what holds the configuration. [`HttpPlatform`]
+//! speaks the interface that `docs/PLATFORM.md` describes. [`NoteStore`], [`ClaimStore`] and
+//! [`SnapshotStore`] keep what must last, and resolve lost answers.
+
+mod call_budget;
+mod claim_store;
+mod dialect;
+mod http_platform;
+mod note_store;
+mod platform;
+mod platform_error;
+mod registry;
+mod snapshot_store;
+
+pub use call_budget::CallBudget;
+pub use claim_store::ClaimStore;
+pub use dialect::Asked;
+pub use dialect::Dialect;
+pub use dialect::Judgement;
+pub use http_platform::HttpPlatform;
+pub use http_platform::wire;
+pub use note_store::NoteStore;
+pub use note_store::SubmitError;
+pub use note_store::Submitted;
+pub use platform::Created;
+pub use platform::Entry;
+pub use platform::Platform;
+pub use platform::RangeQuery;
+pub use platform::Swapped;
+pub use platform::Written;
+pub use platform::create_or_read;
+pub use platform::swap_or_read;
+pub use platform_error::PlatformError;
+pub use platform_error::Result;
+pub use registry::Lease;
+pub use registry::Reading;
+pub use registry::Registry;
+pub use registry::Watched;
+pub use snapshot_store::SnapshotStore;
--- a/platform/src/platform_error.rs
+++ b/border/src/platform_error.rs
@@ -28,6 +28,12 @@
         /// The HTTP status.
         status: u16,
     },
+    /// It answered with what cannot be read.
+    #[display("{}: malformed answer: {reason}", ResultCode::PlatformAway)]
+    Malformed {
+        /// What does not fit.
+        reason: String,
+    },
     /// The instance has used up its budget of calls; nothing was sent.
     #[display("{}: budget of calls used up", ResultCode::PlatformAway)]
     OverBudget,
--- a/platform/tests/stores.rs
+++ b/border/tests/stores.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
+use border::ClaimStore;
+use border::NoteStore;
+use border::Platform;
+use border::SnapshotStore;
+use border::SubmitError;
 use model::Note;
-use platform::ClaimStore;
-use platform::NoteStore;
-use platform::Platform;
-use platform::SnapshotStore;
-use platform::SubmitError;
 use policy::command::ClaimAnswer;
 use policy::command::ClaimState;
 use standin::MemoryPlatform;
--- a/model/src/note/apply.rs
+++ b/model/src/note/apply.rs
@@ -80,7 +80,9 @@
         for target in self.targets.add.iter().chain(&self.targets.change) {
             next.put_target(target.clone());
         }
-        for name in &self.routes.withdraw {
+        // All go first, so that routes may exchange their paths.
+        let changed = self.routes.change.iter().map(|route| &route.name);
+        for name in self.routes.withdraw.iter().chain(changed) {
             next.take_route(name);
         }
         for route in self.routes.add.iter().chain(&self.routes.change) {
@@ -134,7 +136,7 @@
         let routes = changed_routes
             .chain(&self.routes.withdraw)
             .filter_map(|name| world.routes.get(name))
-            .map(|route| route.service.clone());
+            .flat_map(|route| route.services().cloned());
         services
             .chain(self.services.withdraw.iter().cloned())
             .chain(targets)
@@ -194,7 +196,7 @@
         let route = next
             .routes
             .values()
-            .find(|route| route.service == *service)
+            .find(|route| route.services().any(|name| name == service))
             .map(|route| named_by(&**route));
         let closing = next
             .closings
--- a/model/src/note/check.rs
+++ b/model/src/note/check.rs
@@ -100,7 +100,15 @@
             .route_at(self)
             .is_some_and(|other| other.name != self.name);
         self.require(!taken, "another route has the same host and path")?;
-        self.require_service(world, &self.service)
+        let weighted = self.shares.is_empty() || self.shares.iter().any(|share| share.weight > 0);
+        self.require(weighted, "expected a share with a weight above 0")?;
+        let terms = &self.terms;
+        self.require(
+            terms.time_limit_ms != Some(0) && terms.max_attempts != Some(0),
+            "expected time_limit_ms and max_attempts above 0",
+        )?;
+        self.services()
+            .try_for_each(|service| self.require_service(world, service))
     }
 }
 
--- a/model/src/world/mod.rs
+++ b/model/src/world/mod.rs
@@ -13,6 +13,8 @@
 pub use customer::Customer;
 pub use data_centre::Link;
 pub use route::Route;
+pub use route::RouteTerms;
+pub use route::Share;
 pub use service::Class;
 pub use service::Repeat;
 pub use service::Service;
--- a/model/src/world/target.rs
+++ b/model/src/world/target.rs
@@ -30,6 +30,9 @@
     /// Whether it is to be left without new work.
     #[serde(default)]
     pub leaving: bool,
+    /// Start of its process in milliseconds since 1970; 0 if unknown.
+    #[serde(default)]
+    pub incarnation: u64,
 }
 
 impl Named for Target {
--- a/model/src/world/world.rs
+++ b/model/src/world/world.rs
@@ -61,7 +61,7 @@
                 .routes_by_path
                 .get(route_key(Some(host), prefix).as_str())
                 .or_else(|| self.routes_by_path.get(route_key(None, prefix).as_str()));
-            if route.is_some() {
+            if route.is_some_and(|route| route.covers(path)) {
                 return route;
             }
             prefix = &prefix[..prefix.rfind('/')?];
--- a/model/tests/notes.rs
+++ b/model/tests/notes.rs
@@ -32,7 +32,7 @@
 fn errors_name_line_and_field() {
     let text = "{\n  // A comment.\n  \"title\": \"x\",\n  \"targets\": { \"add\": [\n    { \"name\": \"a\", \"slotz\": 3 }\n  ] }\n}";
     let error = document::read::<Note>(text).expect_err("the field is unknown");
-    expect!["E502 field does not fit: line 5, field `targets.add[0].slotz`: unknown field `slotz`, expected one of `name`, `service`, `data_centre`, `address`, `slots`, `connections`, `refusal_is_not_run`, `leaving`"].assert_eq(&error.to_string());
+    expect!["E502 field does not fit: line 5, field `targets.add[0].slotz`: unknown field `slotz`, expected one of `name`, `service`, `data_centre`, `address`, `slots`, `connections`, `refusal_is_not_run`, `leaving`, `incarnation`"].assert_eq(&error.to_string());
     let error = document::read::<Note>("{ nonsense").expect_err("the text is broken");
     assert!(error.to_string().starts_with("E501 "), "{error}");
 }
--- a/policy/src/evidence/mod.rs
+++ b/policy/src/evidence/mod.rs
@@ -1,6 +1,7 @@
 //! Telling failing targets from healthy ones by the outcomes of requests.
 
 mod case;
+mod doubt;
 mod home;
 mod latency;
 mod observer;
@@ -10,6 +11,9 @@
 mod verdict;
 mod ward;
 
+pub use doubt::Doubt;
+pub use doubt::RESTING;
+pub use doubt::Signal;
 pub use home::Home;
 pub use home::HomeEvent;
 pub use latency::Latencies;
--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -5,6 +5,7 @@
 //! be repeated is sent again only if no target can have run it.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use model::Outcome;
 use model::ResultCode;
@@ -20,7 +21,8 @@
 use crate::routing::ServiceTable;
 use crate::routing::Slot;
 
-const MAX_ATTEMPTS: usize = 3;
+/// Targets that a request may be sent to unless its route says otherwise.
+pub const MAX_ATTEMPTS: usize = 3;
 /// When to come back after a failure, in milliseconds.
 const RETRY_AFTER_FAILURE_MS: u64 = 1_000;
 /// When to come back while the platform is away, in milliseconds.
@@ -35,6 +37,10 @@
     pub claims_key: bool,
     /// Whether the body can be sent a second time.
     pub replayable: bool,
+    /// Whether it may be sent again after a target may have run it.
+    pub repeatable: bool,
+    /// Targets that it may be sent to at most.
+    pub max_attempts: usize,
 }
 
 /// What happened to a request.
@@ -195,6 +201,7 @@
 
     fn begin(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
         self.table.load.retries.earn();
+        self.table.load.begun.fetch_add(1, Ordering::Relaxed);
         if now_us >= self.request.deadline_us {
             return self.refuse(ResultCode::DeadlineTooNear, Some(1));
         }
@@ -225,7 +232,7 @@
     }
 
     fn send(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
-        let repeatable = self.table.repeatable();
+        let repeatable = self.request.repeatable;
         let once = repeatable || (!self.may_have_run && self.in_flight() == 0);
         if !invariant::check(Invariant::AtMostOnce, once) {
             return self.give_up(ResultCode::TargetCut);
@@ -268,7 +275,7 @@
         if self.in_flight() > 0 {
             return Step::Continue;
         }
-        if self.may_try_again(now_us) {
+        if self.may_try_again(now_us, failure) {
             return self.send(now_us, rng);
         }
         self.give_up(match failure {
@@ -286,7 +293,10 @@
             return self.failed(now_us, attempt, Failure::Refused, rng);
         }
         let failed = status >= 500;
-        if failed && self.table.repeatable() && self.may_try_again(now_us) && self.in_flight() == 1
+        if failed
+            && self.request.repeatable
+            && self.may_try_again(now_us, Failure::Cut)
+            && self.in_flight() == 1
         {
             self.end_attempt(attempt);
             self.may_have_run = true;
@@ -307,7 +317,9 @@
     }
 
     fn hedge(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
-        let may = self.table.repeatable() && self.in_flight() == 1 && self.may_try_again(now_us);
+        let may = self.request.repeatable
+            && self.in_flight() == 1
+            && self.may_try_again(now_us, Failure::Cut);
         if !may {
             return Step::Continue;
         }
@@ -333,14 +345,16 @@
         self.finish(outcome)
     }
 
-    fn may_try_again(&self, now_us: u64) -> bool {
-        let repeatable = self.table.repeatable() || !self.may_have_run;
+    /// Whether another target may be tried; a target that nothing was sent to
+    /// has received nothing, so that the budget of retries is not asked.
+    fn may_try_again(&self, now_us: u64, failure: Failure) -> bool {
+        let repeatable = self.request.repeatable || !self.may_have_run;
         repeatable
             && self.request.replayable
-            && self.attempts.len() < MAX_ATTEMPTS
+            && self.attempts.len() < self.request.max_attempts
             && now_us < self.request.deadline_us
             && self.tried.len() < self.table.candidates.len()
-            && self.table.load.retries.take()
+            && (failure == Failure::NotSent || self.table.load.retries.take())
     }
 
     fn refuse(&mut self, code: ResultCode, retry_after_ms: Option<u64>) -> Step {
@@ -379,6 +393,9 @@
     fn finish(&mut self, outcome: Outcome) -> Step {
         self.state = State::Over;
         self.outcome = outcome;
+        if outcome != Outcome::Ran {
+            self.table.load.unserved.fetch_add(1, Ordering::Relaxed);
+        }
         for attempt in &mut self.attempts {
             attempt.slot = None;
         }
--- a/policy/src/exchange/mod.rs
+++ b/policy/src/exchange/mod.rs
@@ -7,6 +7,7 @@
 pub use attempt::Failure;
 pub use exchange::Event;
 pub use exchange::Exchange;
+pub use exchange::MAX_ATTEMPTS;
 pub use exchange::Reply;
 pub use exchange::Request;
 pub use exchange::Step;
--- a/policy/src/exchange/observation.rs
+++ b/policy/src/exchange/observation.rs
@@ -14,8 +14,10 @@
     },
     /// The target sheds load.
     Shed,
-    /// No connection could be opened.
+    /// The target refused the connection, or it ended before a byte was sent.
     NotSent,
+    /// No connection was opened in time, which may be the link's fault.
+    Unreachable,
     /// The connection ended early or the answer was malformed.
     Cut,
     /// No answer came in the time in which nearly all others come.
--- /dev/null
+++ b/policy/src/feed/mod.rs
@@ -0,0 +1,16 @@
+//! A configuration and targets that come from a registry instead of notes.
+//!
+//! The registry tells whole releases and the targets' own entries; what follows
+//! from them is the same kind of change that a release note makes.
+
+mod pace;
+mod release;
+mod world_feed;
+
+pub use pace::Next;
+pub use pace::Outcome;
+pub use pace::Pace;
+pub use pace::WATCH_MS;
+pub use release::Release;
+pub use release::TargetEntry;
+pub use world_feed::WorldFeed;
--- /dev/null
+++ b/policy/src/feed/world_feed.rs
@@ -0,0 +1,193 @@
+//! From a registry's releases and entries to changes of the configuration.
+//!
+//! An entry that goes while the registry answers means that its target is gone.
+//! Entries that lapse with an outage of the registry come back by themselves,
+//! so their targets stay in use for a while after its return.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use model::Note;
+use model::World;
+use model::note::Delta;
+use model::world::Named;
+use model::world::Target;
+
+use super::Release;
+use super::TargetEntry;
+
+/// Time after the registry's return in which lapsed entries come back, in
+/// microseconds: the two seconds that the users' letter gives, and a heartbeat's
+/// jitter.
+const RETURN_US: u64 = 2_300_000;
+/// Longest stay of targets whose entries went together without a known outage,
+/// in microseconds: under the two seconds in which a leaving target may get work.
+const MASS_STAY_US: u64 = 1_200_000;
+/// Share of a service's targets beyond which a loss counts as the registry's.
+const MASS_SHARE: f64 = 0.5;
+/// Entries lost at once below which a loss is never the registry's.
+const MASS_ENTRIES: usize = 3;
+
+#[derive(Clone, Debug)]
+struct Known {
+    target: Target,
+    /// When it is taken out unless its entry comes back.
+    out_at_us: Option<u64>,
+}
+
+/// The registry's view of the world.
+#[derive(Debug, Default)]
+pub struct WorldFeed {
+    release: Option<Release>,
+    targets: BTreeMap<Arc<str>, Known>,
+    listed: bool,
+    away: bool,
+    lapses_until_us: u64,
+}
+
+impl WorldFeed {
+    /// Whether a release and the targets are known.
+    pub fn is_complete(&self) -> bool {
+        self.release.is_some() && self.listed
+    }
+
+    /// Takes in a release; false if it is not newer than the one known.
+    pub fn released(&mut self, release: Release) -> bool {
+        let known = self.release.as_ref().map_or(0, |known| known.number);
+        if release.number <= known {
+            return false;
+        }
+        self.release = Some(release);
+        true
+    }
+
+    /// Takes in the list of all targets.
+    pub fn listed(&mut self, now_us: u64, targets: Vec<Target>) {
+        self.listed = true;
+        let mut missing: Vec<Arc<str>> = self.targets.keys().cloned().collect();
+        missing.retain(|name| !targets.iter().any(|target| target.name == *name));
+        for target in targets {
+            self.stands(target);
+        }
+        self.lost(now_us, &missing);
+    }
+
+    /// Takes in changes of entries, in order.
+    pub fn changed(&mut self, now_us: u64, entries: Vec<TargetEntry>) {
+        let mut removed = Vec::new();
+        for entry in entries {
+            match entry {
+                TargetEntry::Stands(target) => {
+                    removed.retain(|name| *name != target.name);
+                    self.stands(target);
+                }
+                TargetEntry::Removed(name) => removed.push(name),
+            }
+        }
+        self.lost(now_us, &removed);
+    }
+
+    /// Notes whether the registry answers.
+    pub fn reachable(&mut self, now_us: u64, reachable: bool) {
+        if self.away && reachable {
+            self.lapses_until_us = now_us + RETURN_US;
+            for known in self.targets.values_mut() {
+                if known.out_at_us.is_some() {
+                    known.out_at_us = Some(now_us + RETURN_US);
+                }
+            }
+        }
+        self.away = !reachable;
+    }
+
+    /// Takes out targets whose entries have not come back in time.
+    pub fn tick(&mut self, now_us: u64) {
+        let away = self.away;
+        self.targets
+            .retain(|_, known| away || known.out_at_us.is_none_or(|at_us| now_us < at_us));
+    }
+
+    /// The note that turns `world` into what the registry says, if they differ,
+    /// and the number that it has afterwards.
+    pub fn change(&self, world: &World) -> Option<(u64, Note)> {
+        let release = self.release.as_ref()?;
+        let listed = |service: &Arc<str>| {
+            let named = release.services.iter().any(|known| known.name == *service);
+            named.then_some(())
+        };
+        let wanted = self.targets.values().map(|known| &known.target);
+        let wanted = wanted.filter(|target| listed(&target.service).is_some());
+        let mut note = Note {
+            title: "registry".into(),
+            targets: delta(wanted, &world.targets),
+            ..Note::default()
+        };
+        if release.number > world.number {
+            note.services = delta(release.services.iter(), &world.services);
+            note.routes = delta(release.routes.iter(), &world.routes);
+        }
+        let differs = release.number > world.number || !note.targets.is_empty();
+        differs.then_some((release.number.max(world.number), note))
+    }
+
+    fn stands(&mut self, target: Target) {
+        let known = Known {
+            target,
+            out_at_us: None,
+        };
+        self.targets.insert(known.target.name.clone(), known);
+    }
+
+    fn lost(&mut self, now_us: u64, names: &[Arc<str>]) {
+        let together = self.lost_together(names);
+        for name in names {
+            let Some(known) = self.targets.get_mut(name) else {
+                continue;
+            };
+            if known.target.leaving {
+                self.targets.remove(name);
+            } else if self.away || now_us < self.lapses_until_us {
+                known
+                    .out_at_us
+                    .get_or_insert(self.lapses_until_us.max(now_us));
+            } else if together {
+                known.out_at_us.get_or_insert(now_us + MASS_STAY_US);
+            } else {
+                self.targets.remove(name);
+            }
+        }
+    }
+
+    /// Whether the loss of these entries looks like an outage of the registry.
+    fn lost_together(&self, names: &[Arc<str>]) -> bool {
+        let mut of: HashMap<&Arc<str>, (usize, usize)> = HashMap::new();
+        for (name, known) in &self.targets {
+            let counts = of.entry(&known.target.service).or_default();
+            counts.0 += 1;
+            counts.1 += usize::from(names.contains(name) && !known.target.leaving);
+        }
+        of.values()
+            .any(|(all, lost)| *lost >= MASS_ENTRIES && *lost as f64 > MASS_SHARE * *all as f64)
+    }
+}
+
+/// What turns the objects of `known` into the `wanted` ones.
+fn delta<'a, T: Named + Clone + PartialEq + 'a>(
+    wanted: impl Iterator<Item = &'a T>,
+    known: &imbl::HashMap<Arc<str>, Arc<T>>,
+) -> Delta<T> {
+    let mut delta = Delta::default();
+    let mut names = std::collections::HashSet::new();
+    for object in wanted {
+        names.insert(object.name().clone());
+        match known.get(object.name()) {
+            None => delta.add.push(object.clone()),
+            Some(old) if **old != *object => delta.change.push(object.clone()),
+            Some(_) => {}
+        }
+    }
+    let gone = known.keys().filter(|name| !names.contains(*name));
+    delta.withdraw = gone.cloned().collect();
+    delta
+}
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -6,6 +6,7 @@
 use model::world::Target;
 
 use super::Envelope;
+use crate::evidence::Signal;
 use crate::evidence::Standing;
 
 /// One thing to do.
@@ -29,6 +30,8 @@
     },
     /// Call the platform and report its answer.
     Call(PlatformCall),
+    /// Read the registry's configuration again: a peer holds a newer one.
+    Reread,
     /// Log that something happened.
     Log(Happening),
 }
@@ -89,6 +92,30 @@
         /// The new standing.
         standing: Standing,
     },
+    /// What is believed of a target has changed from good to bad or back.
+    Doubted {
+        /// The service's name.
+        service: Arc<str>,
+        /// The target's name.
+        target: Arc<str>,
+        /// What was seen last.
+        signal: Signal,
+        /// Id of the instance that saw it.
+        by: Arc<str>,
+        /// Probability before, in thousandths.
+        before_milli: u32,
+        /// Probability now, in thousandths.
+        after_milli: u32,
+    },
+    /// A change of targets is in force.
+    TargetsInForce {
+        /// Targets that came or changed.
+        put: Vec<Arc<str>>,
+        /// Targets that went.
+        withdrawn: Vec<Arc<str>>,
+    },
+    /// The registry answers again, or no longer.
+    RegistryReachable(bool),
     /// An instance has joined.
     Joined {
         /// Its id.
--- a/policy/src/instance/evidence.rs
+++ b/policy/src/instance/evidence.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use super::Action;
+use super::EvidenceSharing;
 use super::Happening;
 use super::Instance;
 use super::Message;
@@ -19,7 +20,7 @@
 
 const FLUSH_PERIOD_US: u64 = 250_000;
 /// Pause after a target sheds load, in medians of its service.
-const SHED_PAUSE_MEDIANS: u64 = 2;
+pub(super) const SHED_PAUSE_MEDIANS: u64 = 2;
 const ASSUMED_MEDIAN_US: u64 = 25_000;
 /// Bytes of a message besides its reports.
 const REPORT_OVERHEAD_BYTES: u64 = 40;
@@ -41,6 +42,9 @@
         } else {
             ASSUMED_MEDIAN_US
         };
+        if self.evidence == EvidenceSharing::Alerts {
+            return self.weigh(now_us, &service, &load, observation);
+        }
         let tally = match observation.end {
             AttemptEnd::Answered { good, latency_us } => {
                 let tally = self.observer.classify(&service.name, good, latency_us);
@@ -59,7 +63,10 @@
                 return;
             }
             AttemptEnd::Cancelled => return,
-            AttemptEnd::NotSent | AttemptEnd::Cut | AttemptEnd::Overdue => Tally {
+            AttemptEnd::NotSent
+            | AttemptEnd::Unreachable
+            | AttemptEnd::Cut
+            | AttemptEnd::Overdue => Tally {
                 normal: 0,
                 abnormal: 1,
             },
@@ -74,7 +81,7 @@
         let failing = self
             .steering
             .count(now_us, &service, &target.name, &here, tally, &load);
-        if !self.shares_evidence && failing {
+        if self.evidence == EvidenceSharing::Alone && failing {
             self.judge_alone(now_us, &service.name, &target.name);
         }
     }
@@ -101,7 +108,7 @@
                 }
             }
         }
-        if !self.shares_evidence {
+        if self.evidence == EvidenceSharing::Alone {
             return;
         }
         let own = self.membership.own().id.clone();
@@ -201,7 +208,7 @@
         }
         let own = self.membership.own().id.clone();
         self.learn_verdicts(now_us, &own, &verdicts);
-        if self.shares_evidence {
+        if self.evidence == EvidenceSharing::Homes {
             let ids = self.other_ids();
             self.spread_verdicts(now_us, &own, &verdicts, &ids);
         }
--- a/policy/src/instance/input.rs
+++ b/policy/src/instance/input.rs
@@ -2,8 +2,12 @@
 
 use std::sync::Arc;
 
+use model::world::Target;
+
 use super::Envelope;
 use crate::exchange::Observation;
+use crate::feed::Release;
+use crate::feed::TargetEntry;
 use crate::membership::Member;
 use crate::notes::NumberedNote;
 
@@ -27,10 +31,25 @@
     },
     /// The platform answered or did not.
     Platform(PlatformAnswer),
+    /// The registry told something.
+    Registry(RegistryNews),
     /// The instance is to stop.
     Drain,
 }
 
+/// What a registry told.
+#[derive(Clone, Debug)]
+pub enum RegistryNews {
+    /// A configuration.
+    Release(Release),
+    /// All targets.
+    Targets(Vec<Target>),
+    /// Changes of targets.
+    Entries(Vec<TargetEntry>),
+    /// Whether it answers.
+    Reachable(bool),
+}
+
 /// What came of a call to the platform.
 #[derive(Clone, Debug)]
 pub enum PlatformAnswer {
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -9,12 +9,15 @@
 
 use super::Action;
 use super::Envelope;
+use super::EvidenceSharing;
 use super::Happening;
 use super::Input;
 use super::Message;
 use super::PlatformAnswer;
 use super::Settings;
 use super::Shared;
+use super::WorldSource;
+use super::demand::Demand;
 use super::freshness::Freshness;
 use super::notes::Incoming;
 use super::platform::Calls;
@@ -24,14 +27,17 @@
 use crate::evidence::Home;
 use crate::evidence::Observer;
 use crate::evidence::VerdictBook;
+use crate::feed::WorldFeed;
 use crate::membership::Homes;
 use crate::membership::Membership;
 use crate::membership::RelayedPings;
 use crate::notes::NoteLog;
 use crate::routing::RoutingTable;
 
-/// How often an instance wants a tick.
+/// How often an instance wants a tick, where homes weigh counted outcomes.
 pub const TICK_US: u64 = 50_000;
+/// How often it wants one where all that matters comes as an input of its own.
+const SLOW_TICK_US: u64 = 250_000;
 
 /// Time without a peer's message after which an instance watches the platform itself.
 const SILENCE_US: u64 = 2_500_000;
@@ -58,7 +64,12 @@
     pub(super) readiness: Readiness,
     pub(super) freshness: Freshness,
     pub(super) rng: ChaCha8Rng,
-    pub(super) shares_evidence: bool,
+    pub(super) evidence: EvidenceSharing,
+    pub(super) source: WorldSource,
+    pub(super) feed: WorldFeed,
+    pub(super) demand: Demand,
+    pub(super) next_reread_us: u64,
+    pub(super) shared_retry_reserve: Option<f64>,
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) own_ids: Vec<Arc<str>>,
     pub(super) next_flush_us: u64,
@@ -92,7 +103,12 @@
             readiness: Readiness::default(),
             freshness: Freshness::default(),
             rng: ChaCha8Rng::seed_from_u64(settings.seed),
-            shares_evidence: settings.shares_evidence,
+            evidence: settings.evidence,
+            source: settings.source,
+            feed: WorldFeed::default(),
+            demand: Demand::default(),
+            next_reread_us: 0,
+            shared_retry_reserve: settings.shared_retry_reserve,
             seeds: settings.seeds,
             own_ids: Vec::new(),
             next_flush_us: 0,
@@ -102,6 +118,14 @@
         }
     }
 
+    /// How often the instance wants a tick, in microseconds.
+    pub fn tick_us(&self) -> u64 {
+        match self.evidence {
+            EvidenceSharing::Alerts => SLOW_TICK_US,
+            EvidenceSharing::Alone | EvidenceSharing::Homes => TICK_US,
+        }
+    }
+
     /// What the request path reads.
     pub fn shared(&self) -> &Arc<Shared> {
         &self.shared
@@ -134,6 +158,7 @@
                 good,
             } => self.probed(now_us, &service, &target, good),
             Input::Platform(answer) => self.platform_answered(now_us, answer),
+            Input::Registry(news) => self.registry_told(now_us, news),
             Input::Drain => self.drain(now_us),
         }
         self.publish();
@@ -147,10 +172,26 @@
         }
         self.members_changed();
         self.ask_to_join(now_us);
+        match self.source {
+            WorldSource::Notes => self.tick_notes(now_us),
+            WorldSource::Registry => self.tick_registry(now_us),
+        }
+        if self.evidence == EvidenceSharing::Alerts {
+            self.measure_demand(now_us);
+        } else {
+            self.tick_evidence(now_us);
+        }
+        self.decide_readiness();
+    }
+
+    fn tick_notes(&mut self, now_us: u64) {
         let watches = self.is_watcher || self.hears_nobody(now_us);
         let calls = self.calls.due(now_us, self.log.number(), watches);
         self.actions.extend(calls.into_iter().map(Action::Call));
         self.write_snapshot(now_us);
+    }
+
+    fn tick_evidence(&mut self, now_us: u64) {
         self.flush_reports(now_us);
         self.steering.tick(now_us);
         let events = self.home.tick(now_us, self.log.world());
@@ -158,7 +199,6 @@
         for target in self.book.expire(now_us) {
             self.rebuild_of_target(&target);
         }
-        self.decide_readiness();
     }
 
     /// Whether there are others and none of them was heard lately.
@@ -215,8 +255,12 @@
                 count,
                 text,
             } => self.take_part(number, index, count, &text),
+            Message::Alerts { alerts, span } => self.alerted(now_us, &from, &alerts, span.as_ref()),
+        }
+        match self.source {
+            WorldSource::Notes => self.pull_if_behind(now_us, &from, envelope.note),
+            WorldSource::Registry => self.reread_if_behind(now_us, envelope.note),
         }
-        self.pull_if_behind(now_us, &from, envelope.note);
         if !self.freshness.is_fresh() {
             self.freshness.decide(now_us, self.log.number());
         }
--- a/policy/src/instance/members.rs
+++ b/policy/src/instance/members.rs
@@ -6,6 +6,7 @@
 use super::Happening;
 use super::Instance;
 use super::Message;
+use super::WorldSource;
 use crate::membership::Change;
 use crate::membership::Member;
 
@@ -111,7 +112,11 @@
     }
 
     pub(super) fn decide_readiness(&mut self) {
-        if self.readiness.decide(self.log.number(), &self.membership) {
+        let is_now_ready = match self.source {
+            WorldSource::Notes => self.readiness.decide(self.log.number(), &self.membership),
+            WorldSource::Registry => self.readiness.decide_by_feed(&self.feed),
+        };
+        if is_now_ready {
             self.table.ready = true;
             self.tables_stale = true;
             self.actions.push(Action::Log(Happening::Ready));
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::evidence::Report;
+use crate::evidence::Signal;
 use crate::evidence::Verdict;
 use crate::membership::Member;
 use crate::notes::NumberedNote;
@@ -37,6 +38,17 @@
     pub slow_us: u64,
 }
 
+/// What one instance has seen of a target that the others should know at once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Alert {
+    /// The target's name.
+    pub target: Arc<str>,
+    /// Start of the target's process that was seen.
+    pub incarnation: u64,
+    /// What was seen.
+    pub signal: Signal,
+}
+
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -99,4 +111,11 @@
         /// The part as JSON.
         text: Arc<str>,
     },
+    /// What the sender, or one before it, has just seen of targets.
+    Alerts {
+        /// What was seen.
+        alerts: Vec<Alert>,
+        /// Whom the receiver passes them on to.
+        span: Option<Span>,
+    },
 }
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -1,6 +1,8 @@
 //! The control decisions of one instance behind one entry point.
 
 mod action;
+mod alerts;
+mod demand;
 mod evidence;
 mod freshness;
 mod input;
@@ -12,6 +14,7 @@
 mod platform;
 mod publishing;
 mod readiness;
+mod registry;
 mod settings;
 mod shared;
 mod steering;
@@ -22,10 +25,14 @@
 pub use action::PlatformCall;
 pub use input::Input;
 pub use input::PlatformAnswer;
+pub use input::RegistryNews;
 pub use instance::Instance;
 pub use instance::TICK_US;
+pub use message::Alert;
 pub use message::Envelope;
 pub use message::Message;
 pub use message::ToldLatencies;
+pub use settings::EvidenceSharing;
 pub use settings::Settings;
+pub use settings::WorldSource;
 pub use shared::Shared;
--- a/policy/src/instance/publishing.rs
+++ b/policy/src/instance/publishing.rs
@@ -11,9 +11,13 @@
 impl Instance {
     /// Rebuilds what a note has changed.
     pub(super) fn world_changed(&mut self, text: &str) {
-        let Ok(note) = serde_json::from_str::<Note>(text) else {
-            return;
-        };
+        if let Ok(note) = serde_json::from_str::<Note>(text) {
+            self.note_applied(&note);
+        }
+    }
+
+    /// Rebuilds what a change that is in the world already concerns.
+    pub(super) fn note_applied(&mut self, note: &Note) {
         for name in &note.targets.withdraw {
             self.tables.withdraw(name);
         }
--- a/policy/src/instance/readiness.rs
+++ b/policy/src/instance/readiness.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use crate::feed::WorldFeed;
 use crate::membership::Membership;
 
 /// What an instance has heard while it starts.
@@ -58,6 +59,13 @@
         self.ready
     }
 
+    /// Decides by what a registry has told; true as above.
+    pub(super) fn decide_by_feed(&mut self, feed: &WorldFeed) -> bool {
+        let becomes_ready = !self.ready && feed.is_complete();
+        self.ready |= becomes_ready;
+        becomes_ready
+    }
+
     fn heard_everywhere(&self, membership: &Membership) -> bool {
         let own = &membership.own().id;
         let peers = || membership.present().filter(|member| member.id != *own);
--- a/policy/src/instance/tables.rs
+++ b/policy/src/instance/tables.rs
@@ -9,8 +9,10 @@
 
 use super::settings::same_load;
 use crate::evidence::VerdictBook;
+use crate::limits::RetryBudget;
 use crate::routing::Candidate;
 use crate::routing::Currency;
+use crate::routing::Placement;
 use crate::routing::ServiceLoad;
 use crate::routing::ServiceTable;
 use crate::routing::TargetLoad;
@@ -22,6 +24,9 @@
     targets: BTreeMap<Arc<str>, (Arc<Target>, Arc<TargetLoad>)>,
     services: BTreeMap<Arc<str>, Arc<ServiceLoad>>,
     currency: Arc<Currency>,
+    /// Retries to a service that this instance saves up at most.
+    pub(super) retry_reserve: Option<f64>,
+    pub(super) placement: Placement,
 }
 
 impl Tables {
@@ -55,7 +60,13 @@
 
     /// The counters of a service.
     pub(super) fn service_load(&mut self, service: &Service) -> Arc<ServiceLoad> {
-        let fresh = || Arc::new(ServiceLoad::new(service.retry_share, self.currency.clone()));
+        let fresh = || {
+            let retries = match self.retry_reserve {
+                Some(reserve) => RetryBudget::with_reserve(service.retry_share, reserve),
+                None => RetryBudget::new(service.retry_share),
+            };
+            Arc::new(ServiceLoad::with_retries(retries, self.currency.clone()))
+        };
         self.services
             .entry(service.name.clone())
             .or_insert_with(fresh)
@@ -101,6 +112,7 @@
             service: service.clone(),
             load: self.service_load(service),
             candidates,
+            placement: self.placement,
         })
     }
 }
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod command;
 pub mod evidence;
 pub mod exchange;
+pub mod feed;
 pub mod instance;
 pub mod invariant;
 pub mod limits;
--- a/policy/src/notes/note_log.rs
+++ b/policy/src/notes/note_log.rs
@@ -93,6 +93,21 @@
         true
     }
 
+    /// Takes in a change that a registry tells, and the number that it leaves.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of applying the change; nothing has changed then.
+    pub fn adjust(&mut self, number: u64, change: &Note) -> model::note::Result<()> {
+        let mut next = change.apply(&self.world)?;
+        next.number = number;
+        next.submissions = self.world.submissions.clone();
+        if invariant::check(Invariant::NoRevert, number >= self.world.number) {
+            self.world = next;
+        }
+        Ok(())
+    }
+
     /// The notes after `number`; none if some of them are no longer kept.
     pub fn after(&self, number: u64, max_bytes: usize) -> Option<Vec<NumberedNote>> {
         if number >= self.world.number {
--- a/policy/src/routing/choice.rs
+++ b/policy/src/routing/choice.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 
 use super::Candidate;
+use super::Placement;
 use super::ServiceTable;
 use super::Slot;
 use crate::evidence::Standing;
@@ -49,10 +50,10 @@
             .filter(|at| self.candidates[*at].load.has_room(now_us))
             .collect();
         while !free.is_empty() {
-            let at = if repeatable {
-                self.choose_repeatable(now_us, &free, rng)
-            } else {
-                self.choose_once(now_us, &free, rng)
+            let at = match (self.placement, repeatable) {
+                (Placement::Doubt, _) => self.choose_by_doubt(now_us, repeatable, &free, rng),
+                (Placement::Standing, true) => self.choose_repeatable(now_us, &free, rng),
+                (Placement::Standing, false) => self.choose_once(now_us, &free, rng),
             };
             if let Some(slot) = self.candidates[at].load.take(now_us) {
                 return Choice::Target(at, slot);
--- a/policy/src/routing/currency.rs
+++ b/policy/src/routing/currency.rs
@@ -14,6 +14,7 @@
 pub struct Currency {
     last_tick_us: AtomicU64,
     asks: AtomicBool,
+    source_away: AtomicBool,
 }
 
 impl Default for Currency {
@@ -21,6 +22,7 @@
         Self {
             last_tick_us: AtomicU64::new(u64::MAX),
             asks: AtomicBool::new(false),
+            source_away: AtomicBool::new(false),
         }
     }
 }
@@ -32,6 +34,16 @@
         gap_us <= FREEZE_US && !self.asks.load(Ordering::Acquire)
     }
 
+    /// Whether a route that the tables do not have can be said not to exist.
+    pub fn is_certain(&self) -> bool {
+        !self.source_away.load(Ordering::Acquire)
+    }
+
+    /// Notes whether the source of the tables answers.
+    pub(crate) fn source_reachable(&self, reachable: bool) {
+        self.source_away.store(!reachable, Ordering::Release);
+    }
+
     /// Notes a tick, and whether the instance still asks others what it missed.
     pub(crate) fn ticked(&self, now_us: u64, asks: bool) {
         self.asks.store(asks, Ordering::Release);
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -7,6 +7,9 @@
 use std::sync::atomic::Ordering;
 
 use super::Currency;
+use crate::evidence::Doubt;
+use crate::evidence::RESTING;
+use crate::evidence::Signal;
 use crate::limits::RetryBudget;
 
 const MILLI: u32 = 1_000;
@@ -26,6 +29,9 @@
     paused_until_us: AtomicU64,
     steer_milli: AtomicU32,
     closed: AtomicBool,
+    doubt_milli: AtomicU32,
+    doubted_us: AtomicU64,
+    unreachable_until_us: AtomicU64,
 }
 
 impl TargetLoad {
@@ -40,9 +46,41 @@
             paused_until_us: AtomicU64::new(0),
             steer_milli: AtomicU32::new(0),
             closed: AtomicBool::new(false),
+            doubt_milli: AtomicU32::new((RESTING * f64::from(MILLI)) as u32),
+            doubted_us: AtomicU64::new(0),
+            unreachable_until_us: AtomicU64::new(0),
         }
     }
 
+    /// The probability that the target fails now.
+    pub fn doubt(&self, now_us: u64) -> f64 {
+        if now_us < self.unreachable_until_us.load(Ordering::Relaxed) {
+            return 1.0;
+        }
+        self.known_doubt().at(now_us)
+    }
+
+    /// Takes in a signal; gives the probabilities before and after it.
+    pub fn signal(&self, now_us: u64, signal: Signal) -> (f64, f64) {
+        let before = self.known_doubt();
+        let after = before.after(now_us, signal);
+        let milli = (after.at(now_us) * f64::from(MILLI)) as u32;
+        self.doubt_milli.store(milli, Ordering::Relaxed);
+        self.doubted_us.store(now_us, Ordering::Relaxed);
+        (before.at(now_us), after.at(now_us))
+    }
+
+    /// Takes the target for unreachable from this instance for a while.
+    pub fn unreachable(&self, now_us: u64, for_us: u64) {
+        self.unreachable_until_us
+            .store(now_us + for_us, Ordering::Relaxed);
+    }
+
+    fn known_doubt(&self) -> Doubt {
+        let level = f64::from(self.doubt_milli.load(Ordering::Relaxed)) / f64::from(MILLI);
+        Doubt::new(level, self.doubted_us.load(Ordering::Relaxed))
+    }
+
     /// Requests in flight from this instance.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Relaxed)
@@ -152,14 +190,31 @@
     pub slow_us: AtomicU64,
     /// Whether the instance's tables can be relied on.
     pub currency: Arc<Currency>,
+    /// Requests begun.
+    pub begun: AtomicU64,
+    /// Requests that ended without an answer of a target.
+    pub unserved: AtomicU64,
+    /// Slots that the requests of all instances take up, with room to spare.
+    pub required_slots: AtomicU32,
+    /// Slots that the requests of this data centre's instances take up.
+    pub local_slots: AtomicU32,
 }
 
 impl ServiceLoad {
     /// A service without load.
     pub fn new(retry_share: f64, currency: Arc<Currency>) -> Self {
+        Self::with_retries(RetryBudget::new(retry_share), currency)
+    }
+
+    /// A service without load that has a budget of retries.
+    pub fn with_retries(retries: RetryBudget, currency: Arc<Currency>) -> Self {
         Self {
             currency,
-            retries: RetryBudget::new(retry_share),
+            retries,
+            begun: AtomicU64::new(0),
+            unserved: AtomicU64::new(0),
+            required_slots: AtomicU32::new(0),
+            local_slots: AtomicU32::new(0),
             median_us: AtomicU64::new(0),
             slow_us: AtomicU64::new(0),
         }
--- a/policy/src/routing/mod.rs
+++ b/policy/src/routing/mod.rs
@@ -7,6 +7,7 @@
 mod load;
 mod routing_table;
 mod service_table;
+mod working_set;
 
 pub use candidate::Candidate;
 pub use choice::Choice;
@@ -18,4 +19,5 @@
 pub use load::Slot;
 pub use load::TargetLoad;
 pub use routing_table::RoutingTable;
+pub use service_table::Placement;
 pub use service_table::ServiceTable;
--- a/policy/src/routing/service_table.rs
+++ b/policy/src/routing/service_table.rs
@@ -9,6 +9,16 @@
 use super::Candidate;
 use super::ServiceLoad;
 
+/// How a target is chosen for a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Placement {
+    /// By the standings that homes give.
+    #[default]
+    Standing,
+    /// By the doubt of each target and the load that all must carry.
+    Doubt,
+}
+
 /// A service and the targets that requests may go to.
 #[derive(Clone, Debug)]
 pub struct ServiceTable {
@@ -18,6 +28,8 @@
     pub load: Arc<ServiceLoad>,
     /// Targets in use, the floor enforced.
     pub candidates: Vec<Candidate>,
+    /// How one of them is chosen.
+    pub placement: Placement,
 }
 
 impl ServiceTable {
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -18,6 +18,7 @@
 use policy::exchange::Request;
 use policy::exchange::Step;
 use policy::routing::Candidate;
+use policy::routing::Placement;
 use policy::routing::ServiceLoad;
 use policy::routing::ServiceTable;
 use policy::routing::TargetLoad;
@@ -50,6 +51,7 @@
             connections: 10,
             refusal_is_not_run: true,
             leaving: false,
+            incarnation: 0,
         }),
         load: Arc::new(TargetLoad::new(1)),
         standing: Standing::Healthy,
@@ -59,6 +61,7 @@
         service: Arc::new(service),
         load: Arc::new(ServiceLoad::new(1.0, Arc::default())),
         candidates: (0..targets).map(candidate).collect(),
+        placement: Placement::Standing,
     })
 }
 
@@ -73,6 +76,8 @@
             deadline_us: DEADLINE_US,
             claims_key,
             replayable: true,
+            repeatable: repeat == Repeat::Idempotent,
+            max_attempts: policy::exchange::MAX_ATTEMPTS,
         };
         Self {
             exchange: Exchange::new(request, table(repeat, 3)),
--- a/policy/tests/floor.rs
+++ b/policy/tests/floor.rs
@@ -37,6 +37,7 @@
         connections: 10,
         refusal_is_not_run: false,
         leaving,
+        incarnation: 0,
     })
 }
 
--- a/policy/tests/notes.rs
+++ b/policy/tests/notes.rs
@@ -271,5 +271,6 @@
         connections: 10,
         refusal_is_not_run: false,
         leaving: false,
+        incarnation: 0,
     }
 }
--- a/proof/examples/capacity/full_size.rs
+++ b/proof/examples/capacity/full_size.rs
@@ -60,6 +60,7 @@
         connections: 300,
         refusal_is_not_run: false,
         leaving: false,
+        incarnation: 0,
     }
 }
 
@@ -77,6 +78,8 @@
         host: Some(format!("host-{}.example", at % 500).into()),
         path: format!("/area-{}/part-{at}", at % 50).into(),
         service: service_name(at % SERVICES),
+        shares: Vec::new(),
+        terms: Default::default(),
     };
     let note = |routes| Note {
         routes,
--- a/proof/src/deployment.rs
+++ b/proof/src/deployment.rs
@@ -199,6 +199,8 @@
                 host: None,
                 path: format!("/{}", row.name).into(),
                 service: row.name.into(),
+                shares: Vec::new(),
+                terms: Default::default(),
             });
             for number in 0..row.targets {
                 note.targets.add.push(Target {
@@ -210,6 +212,7 @@
                     connections: CONNECTIONS,
                     refusal_is_not_run: true,
                     leaving: false,
+                    incarnation: 0,
                 });
             }
         }
--- a/proof/src/platform_fake.rs
+++ b/proof/src/platform_fake.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use platform::Created;
-use platform::RangeQuery;
-use platform::Swapped;
-use platform::Written;
+use border::Created;
+use border::RangeQuery;
+use border::Swapped;
+use border::Written;
 use policy::command::Claim;
 use policy::command::ClaimAnswer;
 use policy::command::ClaimState;
--- a/proof/src/requests.rs
+++ b/proof/src/requests.rs
@@ -185,6 +185,8 @@
             deadline_us,
             claims_key: matches!(flight.naming, Naming::Key(_)),
             replayable: true,
+            repeatable: service_table.repeatable(),
+            max_attempts: policy::exchange::MAX_ATTEMPTS,
         };
         flight.exchange = Some(Exchange::new(request, service_table.clone()));
         if flight.command.is_some() {
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -12,6 +12,7 @@
 use policy::command::TicketTable;
 use policy::evidence::Standing;
 use policy::instance::Envelope;
+use policy::instance::EvidenceSharing;
 use policy::instance::Happening;
 use policy::instance::Message;
 use policy::instance::PlatformAnswer;
@@ -351,7 +352,10 @@
         let incarnation = self.nodes[at].incarnation + 1 + self.now_us / MILLI_US;
         let member = self.member(at, incarnation);
         let mut settings = policy::Settings::new(member.clone(), self.rng.random());
-        settings.shares_evidence = self.mode == Mode::Shared;
+        settings.evidence = match self.mode {
+            Mode::Shared => EvidenceSharing::Homes,
+            _ => EvidenceSharing::Alone,
+        };
         settings.seeds = (0..self.nodes.len())
             .filter(|other| *other != at)
             .take(5)
@@ -526,7 +530,7 @@
                 standing: Standing::Ejected,
                 ..
             }) => self.stats.ejections.push((self.now_us, target)),
-            Action::Log(_) => {}
+            Action::Log(_) | Action::Reread => {}
         }
     }
 
@@ -637,7 +641,7 @@
         Message::Ping { .. } | Message::Ack { .. } | Message::PingFor { .. } => "heartbeats",
         Message::Join | Message::Members(_) => "joining",
         Message::Reports(_) | Message::Latencies(_) => "reports",
-        Message::Verdicts { .. } => "verdicts",
+        Message::Verdicts { .. } | Message::Alerts { .. } => "verdicts",
         Message::NewNote { .. }
         | Message::PullNotes { .. }
         | Message::Notes(_)
--- a/sniperun/src/commands/command_error.rs
+++ b/sniperun/src/commands/command_error.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use border::PlatformError;
+use border::SubmitError;
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
 use model::NoteError;
 use model::ResultCode;
 use model::document::DocumentError;
-use platform::PlatformError;
-use platform::SubmitError;
 use sniperund::settings::SettingsError;
 
 /// Result of a command: what it prints.
--- a/sniperun/src/commands/note.rs
+++ b/sniperun/src/commands/note.rs
@@ -5,12 +5,12 @@
 use std::path::Path;
 use std::sync::Arc;
 
+use border::HttpPlatform;
+use border::NoteStore;
 use model::Note;
 use model::World;
 use model::note::Delta;
 use model::world::Named;
-use platform::HttpPlatform;
-use platform::NoteStore;
 use sniperund::clock::unix_ms;
 
 use super::CommandError;
--- a/sniperun/src/trial/scene.rs
+++ b/sniperun/src/trial/scene.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use border::HttpPlatform;
+use border::NoteStore;
 use model::Note;
 use model::world::Class;
-use platform::HttpPlatform;
-use platform::NoteStore;
 use policy::evidence::Standing;
 use sniperund::App;
 use sniperund::Settings;
--- a/sniperund/src/admin/admin.rs
+++ b/sniperund/src/admin/admin.rs
@@ -33,24 +33,30 @@
 
 #[derive(Clone)]
 struct Shown {
+    ready_path: &'static str,
     control: ControlHandle,
     metrics: Arc<Metrics>,
 }
 
 impl Admin {
-    /// Serves at `address`.
+    /// Serves at `address`, and tells readiness at `ready_path`.
     ///
     /// # Errors
     ///
     /// Returns the error of binding the address.
     pub async fn bind(
         address: SocketAddr,
-        control: ControlHandle,
-        metrics: Arc<Metrics>,
+        ready_path: &'static str,
+        control: &ControlHandle,
+        metrics: &Arc<Metrics>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let shown = Shown { control, metrics };
+        let shown = Shown {
+            ready_path,
+            control: control.clone(),
+            metrics: metrics.clone(),
+        };
         let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -88,7 +94,7 @@
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let (status, text) = match request.uri().path() {
         "/live" => (StatusCode::OK, "live\n".to_owned()),
-        "/ready" => ready(&shown),
+        path if path == shown.ready_path => ready(&shown),
         "/metrics" => (StatusCode::OK, shown.metrics.text()),
         "/status" => match shown.control.status().await {
             Some(status) => (
--- a/sniperund/src/app/app.rs
+++ b/sniperund/src/app/app.rs
@@ -6,24 +6,26 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use border::ClaimStore;
 use parking_lot::Mutex;
 use peers::Listener;
 use peers::Sender;
-use platform::CallBudget;
-use platform::ClaimStore;
-use platform::HttpPlatform;
-use platform::Platform;
 use policy::Input;
 use policy::Instance;
 use policy::command::TicketTable;
+use policy::instance::EvidenceSharing;
+use policy::instance::WorldSource;
 use policy::limits::Admission;
 use policy::limits::Customers;
 use policy::membership::Member;
 use policy::membership::Status;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use super::AppError;
+use super::ReadyAddress;
 use super::Result;
+use super::Surroundings;
 use crate::Clock;
 use crate::Settings;
 use crate::admin::Admin;
@@ -35,10 +37,14 @@
 use crate::control::Control;
 use crate::control::ControlHandle;
 use crate::control::ControlParts;
+use crate::control::RegistryFollower;
+use crate::logs::Sampler;
 use crate::metrics::Metrics;
 use crate::targets::Pool;
 use crate::targets::Prober;
 
+/// Path at which the administrative address tells readiness.
+const OWN_READY_PATH: &str = "/ready";
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
 
 /// A running instance.
@@ -51,19 +57,30 @@
     entry: Arc<Entry>,
     tasks: Vec<JoinHandle<()>>,
     drain_grace: Duration,
+    stop_limit: Option<Duration>,
+    _ready: Option<Admin>,
 }
 
 impl App {
-    /// Starts an instance.
+    /// Starts an instance between the project's own interfaces.
     ///
     /// # Errors
     ///
     /// Returns [`AppError`] if an address cannot be bound.
     pub async fn start(settings: &Settings) -> Result<Self> {
+        Self::start_between(settings, &Surroundings::own(settings)).await
+    }
+
+    /// Starts an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AppError`] if an address cannot be bound.
+    pub async fn start_between(settings: &Settings, around: &Surroundings) -> Result<Self> {
         let metrics = Arc::new(Metrics::default());
         let clock = Clock::default();
         let started_ms = unix_ms();
-        let platform = platform_of(settings);
+        let reread = Arc::new(Notify::new());
 
         // Peers need the address that callers use, so both are bound first.
         let late = Arc::new(LateHandle::default());
@@ -80,10 +97,16 @@
         };
         let mut own = policy::Settings::new(member.clone(), rand::random());
         own.seeds = settings.seeds.clone();
+        own.shared_retry_reserve = around.shared_retry_reserve;
+        if around.registry.is_some() {
+            own.source = WorldSource::Registry;
+            own.evidence = EvidenceSharing::Alerts;
+        }
         let parts = ControlParts {
             clock,
             sender: Sender::new(metrics.peers.clone()),
-            platform: platform.clone(),
+            platform: around.platform.clone(),
+            reread: reread.clone(),
             prober: Prober,
             metrics: metrics.clone(),
         };
@@ -98,7 +121,12 @@
             admission: Arc::new(Admission::new(settings.limits.in_flight)),
             customers: Arc::new(Customers::default()),
             waiting: WaitingRoom::default(),
-            claims: Arc::new(ClaimStore::new(platform, settings.limits.claims)),
+            claims: around
+                .platform
+                .clone()
+                .map(|platform| Arc::new(ClaimStore::new(platform, settings.limits.claims))),
+            dialect: around.dialect.clone(),
+            sampler: Sampler::default(),
             tickets: Mutex::new(TicketTable::new(
                 settings.id.clone(),
                 started_ms,
@@ -112,14 +140,33 @@
         let callers = CallerListener::bind(reserved, entry.clone())
             .await
             .map_err(|source| bind_error("callers", reserved, source))?;
-        let admin = Admin::bind(settings.admin, control.clone(), metrics)
+        let admin = Admin::bind(settings.admin, OWN_READY_PATH, &control, &metrics)
             .await
             .map_err(|source| bind_error("admin", settings.admin, source))?;
-        let tasks = vec![
+        let ready = match around.ready {
+            Some(ReadyAddress { address, path }) => Some(
+                Admin::bind(address, path, &control, &metrics)
+                    .await
+                    .map_err(|source| bind_error("ready", address, source))?,
+            ),
+            None => None,
+        };
+        let mut tasks = vec![
             tokio::spawn(control_loop.run()),
             tokio::spawn(call_waiting(entry.clone())),
             tokio::spawn(sweep(entry.clone())),
         ];
+        if let Some(registry) = around.registry.clone() {
+            let follower = RegistryFollower {
+                registry,
+                handle: control.clone(),
+                metrics,
+                clock,
+                member: member.clone(),
+                reread,
+            };
+            tasks.push(tokio::spawn(follower.run()));
+        }
         log::info!(
             "event=started instance={} data_centre={} callers={} peers={} admin={}",
             member.id,
@@ -136,7 +183,9 @@
             control,
             entry,
             tasks,
+            _ready: ready,
             drain_grace: Duration::from_millis(settings.drain_grace_ms),
+            stop_limit: around.stop_limit_ms.map(Duration::from_millis),
         })
     }
 
@@ -160,8 +209,22 @@
     pub async fn drain(self) {
         self.control.tell(Input::Drain);
         tokio::time::sleep(self.drain_grace).await;
-        self.callers.drain().await;
-        self.entry.background.finished().await;
+        let finish = async {
+            self.callers.drain().await;
+            self.entry.background.finished().await;
+        };
+        match self.stop_limit {
+            Some(limit) => {
+                let left = limit.saturating_sub(self.drain_grace);
+                if tokio::time::timeout(left, finish).await.is_err() {
+                    log::warn!(
+                        "event=stop-limit-reached in_work={}",
+                        self.entry.admission.in_flight()
+                    );
+                }
+            }
+            None => finish.await,
+        }
         for task in &self.tasks {
             task.abort();
         }
@@ -198,15 +261,6 @@
         .map_err(|source| bind_error("peers", settings.peers, source))
 }
 
-fn platform_of(settings: &Settings) -> Arc<dyn Platform> {
-    let calls = settings.limits.platform_calls_per_s;
-    Arc::new(
-        HttpPlatform::new(&settings.platform)
-            .limit_ms(settings.platform_limit_ms)
-            .budget(CallBudget::new(calls, calls * 2)),
-    )
-}
-
 /// Finds a free port where the settings leave it open.
 fn reserve(address: SocketAddr) -> io::Result<SocketAddr> {
     if address.port() != 0 {
--- a/sniperund/src/app/mod.rs
+++ b/sniperund/src/app/mod.rs
@@ -2,7 +2,11 @@
 
 mod app;
 mod app_error;
+mod surroundings;
 
 pub use app::App;
 pub use app_error::AppError;
 pub use app_error::Result;
+pub use surroundings::ReadyAddress;
+pub use surroundings::Surroundings;
+pub use surroundings::users_settings;
--- a/sniperund/src/callers/check.rs
+++ b/sniperund/src/callers/check.rs
@@ -1,8 +1,10 @@
 //! Checks of a request's form, as a layer before everything else.
 
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 
+use border::Dialect;
 use futures::future::BoxFuture;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -19,9 +21,10 @@
 use super::reply::refuse;
 
 /// Refuses requests whose form is ambiguous or too large.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone)]
 pub(super) struct CheckLayer {
     pub(super) header_bytes: usize,
+    pub(super) dialect: Arc<dyn Dialect>,
 }
 
 impl<S> Layer<S> for CheckLayer {
@@ -31,15 +34,17 @@
         Check {
             inner,
             header_bytes: self.header_bytes,
+            dialect: self.dialect.clone(),
         }
     }
 }
 
 /// The service of [`CheckLayer`].
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(super) struct Check<S> {
     inner: S,
     header_bytes: usize,
+    dialect: Arc<dyn Dialect>,
 }
 
 impl<S> Service<Request<Incoming>> for Check<S>
@@ -58,7 +63,7 @@
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         if let Err(code) = check(&request, self.header_bytes) {
-            return Box::pin(std::future::ready(Ok(refuse(code, None))));
+            return Box::pin(std::future::ready(Ok(refuse(&*self.dialect, code, None))));
         }
         Box::pin(self.inner.call(request))
     }
--- a/sniperund/src/callers/command.rs
+++ b/sniperund/src/callers/command.rs
@@ -92,7 +92,10 @@
         let Some(Kind::Claim { key, attempt }) = &self.kind else {
             return ClaimAnswer::Won;
         };
-        let answer = self.entry.claims.claim(key, attempt).await;
+        let Some(claims) = &self.entry.claims else {
+            return ClaimAnswer::Unavailable;
+        };
+        let answer = claims.claim(key, attempt).await;
         if matches!(answer, ClaimAnswer::Held(_) | ClaimAnswer::TooMany) {
             self.kind = None;
         }
@@ -108,7 +111,9 @@
         };
         match self.kind.take() {
             Some(Kind::Claim { key, attempt }) => {
-                let claims = self.entry.claims.clone();
+                let Some(claims) = self.entry.claims.clone() else {
+                    return;
+                };
                 self.entry.background.spawn(async move {
                     if !claims.finish(&key, &attempt, state).await {
                         log::warn!("event=claim-not-recorded key=\"{key}\" state={state:?}");
--- a/sniperund/src/callers/entry.rs
+++ b/sniperund/src/callers/entry.rs
@@ -4,8 +4,9 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use border::ClaimStore;
+use border::Dialect;
 use parking_lot::Mutex;
-use platform::ClaimStore;
 use policy::command::TicketTable;
 use policy::limits::Admission;
 use policy::limits::Customers;
@@ -14,6 +15,7 @@
 use super::WaitingRoom;
 use crate::Clock;
 use crate::control::ControlHandle;
+use crate::logs::Sampler;
 use crate::metrics::Metrics;
 use crate::settings::Limits;
 use crate::targets::Pool;
@@ -36,8 +38,12 @@
     pub customers: Arc<Customers>,
     /// Requests that wait.
     pub waiting: WaitingRoom,
-    /// Claims of keys.
-    pub claims: Arc<ClaimStore>,
+    /// Claims of keys; none where commands have no names.
+    pub claims: Option<Arc<ClaimStore>>,
+    /// How callers and targets mark requests and answers.
+    pub dialect: Arc<dyn Dialect>,
+    /// Which requests are logged.
+    pub sampler: Sampler,
     /// Tickets of this start.
     pub tickets: Mutex<TicketTable>,
     /// Metrics.
@@ -51,6 +57,11 @@
 }
 
 impl Entry {
+    /// Whether callers may name commands by keys and tickets.
+    pub fn names_commands(&self) -> bool {
+        self.claims.is_some()
+    }
+
     /// A tag that no other attempt has, here or elsewhere.
     pub fn attempt_tag(&self) -> Arc<str> {
         let number = self.attempts.fetch_add(1, Ordering::Relaxed);
--- a/sniperund/src/callers/listener.rs
+++ b/sniperund/src/callers/listener.rs
@@ -20,7 +20,9 @@
 use super::check::CheckLayer;
 use super::service::CallerService;
 
-const HEADER_READ_LIMIT: Duration = Duration::from_secs(10);
+/// Time in which a caller sends the head of its next request. Connections stay
+/// idle for this long too, so it is beyond the idle time of all callers' sheets.
+const HEADER_READ_LIMIT: Duration = Duration::from_secs(20);
 /// Buffer beyond the limit of headers, so that an excess is answered with a code.
 const BUFFER_FACTOR: usize = 4;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -89,6 +91,7 @@
         let service = ServiceBuilder::new()
             .layer(CheckLayer {
                 header_bytes: entry.limits.header_bytes,
+                dialect: entry.dialect.clone(),
             })
             .service(CallerService {
                 entry: entry.clone(),
--- /dev/null
+++ b/sniperund/src/callers/own_dialect.rs
@@ -0,0 +1,63 @@
+//! The project's own headers.
+
+use border::Asked;
+use border::Dialect;
+use border::Judgement;
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::RETRY_AFTER;
+use model::Outcome;
+use model::ResultCode;
+use model::world::Target;
+use policy::exchange::Reply;
+
+use super::headers::names;
+use super::headers::remove_own;
+use super::headers::remove_reserved;
+use super::reply::outcome_value;
+
+const MAX_DEADLINE_MS: u64 = 24 * 3_600_000;
+
+/// The project's own headers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnDialect;
+
+impl Dialect for OwnDialect {
+    fn asked(&self, headers: &HeaderMap) -> Result<Asked, ResultCode> {
+        let Some(value) = headers.get(names::DEADLINE_MS) else {
+            return Ok(Asked::default());
+        };
+        let bad = ResultCode::BadDeadline;
+        let limit_ms: u64 = value.to_str().map_err(|_| bad)?.parse().map_err(|_| bad)?;
+        Ok(Asked {
+            request_id: None,
+            time_limit_ms: Some(limit_ms.min(MAX_DEADLINE_MS)),
+        })
+    }
+
+    fn dress(&self, _asked: &Asked, _target: &Target, left_ms: u64, headers: &mut HeaderMap) {
+        remove_own(headers);
+        headers.insert(names::DEADLINE_MS, left_ms.into());
+    }
+
+    fn judge(&self, _asked: &Asked, _status: StatusCode, _headers: &HeaderMap) -> Judgement {
+        Judgement::Own
+    }
+
+    fn pass_on(&self, headers: &mut HeaderMap) {
+        remove_reserved(headers);
+        headers.insert(names::OUTCOME, outcome_value(Outcome::Ran));
+        headers.insert(names::CODE, ResultCode::Served.number().into());
+    }
+
+    fn reply(&self, reply: &Reply) -> (StatusCode, HeaderMap) {
+        let status = StatusCode::from_u16(reply.code.http_status());
+        let mut headers = HeaderMap::new();
+        headers.insert(names::OUTCOME, outcome_value(reply.outcome));
+        if let Some(retry_after_ms) = reply.retry_after_ms {
+            headers.insert(RETRY_AFTER, retry_after_ms.div_ceil(1_000).into());
+            headers.insert(names::RETRY_AFTER_MS, retry_after_ms.into());
+        }
+        (status.unwrap_or(StatusCode::BAD_GATEWAY), headers)
+    }
+}
--- a/sniperund/src/callers/owner.rs
+++ b/sniperund/src/callers/owner.rs
@@ -31,10 +31,10 @@
 ) -> Response<AnswerBody> {
     let directory = entry.control.shared().directory();
     let Some(owner) = directory.get(&ticket.instance) else {
-        return refuse(ResultCode::TicketLost, None);
+        return refuse(&*entry.dialect, ResultCode::TicketLost, None);
     };
     let Ok(mut connection) = Connection::open(owner.caller_address).await else {
-        return refuse(ResultCode::TicketLost, None);
+        return refuse(&*entry.dialect, ResultCode::TicketLost, None);
     };
     let mut request = request.map(BodyExt::boxed);
     remove_hop_by_hop(request.headers_mut());
@@ -55,8 +55,10 @@
                 .boxed(),
             )
         }
-        Err(SendFailure::NotSent) => refuse(ResultCode::TicketLost, None),
-        Err(_) => refuse(ResultCode::TargetCut, None),
+        Err(SendFailure::NotSent | SendFailure::Unreachable) => {
+            refuse(&*entry.dialect, ResultCode::TicketLost, None)
+        }
+        Err(_) => refuse(&*entry.dialect, ResultCode::TargetCut, None),
     }
 }
 
--- a/sniperund/src/callers/pass_body.rs
+++ b/sniperund/src/callers/pass_body.rs
@@ -17,6 +17,7 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use model::ResultCode;
+use model::world::Class;
 use policy::Input;
 use policy::exchange::AttemptEnd;
 use policy::exchange::Event;
@@ -37,6 +38,9 @@
 
 /// What goes with a body until its end.
 pub(super) struct PassedAnswer {
+    /// The request's id, for the log.
+    pub(super) id: Arc<str>,
+    pub(super) class: Class,
     pub(super) entry: Arc<Entry>,
     pub(super) exchange: Exchange,
     pub(super) record: CommandRecord,
@@ -102,7 +106,8 @@
                 counted: false,
             }));
             log::warn!(
-                "event=answer-cut code={} service={} target={}",
+                "event=answer-cut id={} code={} service={} target={}",
+                self.id,
                 code.number(),
                 service.name,
                 self.target
@@ -110,7 +115,7 @@
         }
         self.entry.metrics.request(&RequestLabels {
             service: service.name.to_string(),
-            class: service.class.as_str().to_owned(),
+            class: self.class.as_str().to_owned(),
             code: code.number(),
             outcome: outcome.to_string(),
         });
--- a/sniperund/src/callers/reply.rs
+++ b/sniperund/src/callers/reply.rs
@@ -1,10 +1,9 @@
 //! Answers that the instance gives itself.
 
+use border::Dialect;
 use hyper::Response;
-use hyper::StatusCode;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
-use hyper::header::RETRY_AFTER;
 use model::Outcome;
 use model::ResultCode;
 use policy::exchange::Reply;
@@ -14,28 +13,29 @@
 use super::headers::names;
 
 /// An answer for a code whose outcome stands by itself.
-pub(super) fn refuse(code: ResultCode, retry_after_ms: Option<u64>) -> Response<AnswerBody> {
-    answer(Reply {
+pub(super) fn refuse(
+    dialect: &dyn Dialect,
+    code: ResultCode,
+    retry_after_ms: Option<u64>,
+) -> Response<AnswerBody> {
+    let reply = Reply {
         code,
         outcome: code.outcome(),
         retry_after_ms,
-    })
+    };
+    answer(dialect, &reply)
 }
 
 /// An answer with code, outcome and when to come back.
-pub(super) fn answer(reply: Reply) -> Response<AnswerBody> {
+pub(super) fn answer(dialect: &dyn Dialect, reply: &Reply) -> Response<AnswerBody> {
     let text = format!("{}; outcome {}\n", reply.code, reply.outcome);
     let mut response = Response::new(whole(text));
-    *response.status_mut() =
-        StatusCode::from_u16(reply.code.http_status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let (status, headers) = dialect.reply(reply);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     headers.insert(names::CODE, reply.code.number().into());
-    headers.insert(names::OUTCOME, outcome_value(reply.outcome));
-    if let Some(retry_after_ms) = reply.retry_after_ms {
-        headers.insert(RETRY_AFTER, retry_after_ms.div_ceil(1_000).into());
-        headers.insert(names::RETRY_AFTER_MS, retry_after_ms.into());
-    }
     response
 }
 
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -1,7 +1,11 @@
 //! Running an exchange: its steps carried out, its events brought in.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
+use border::Asked;
+use border::Judgement;
 use futures::FutureExt;
 use futures::StreamExt;
 use futures::future::BoxFuture;
@@ -11,11 +15,14 @@
 use hyper::Response;
 use hyper::Uri;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use hyper::http::request::Parts;
 use model::Outcome;
 use model::ResultCode;
+use model::world::Class;
+use model::world::Route;
 use model::world::Target;
 use policy::Input;
 use policy::exchange::AttemptEnd;
@@ -32,14 +39,10 @@
 use super::body::AnswerBody;
 use super::body::CallerBody;
 use super::command::CommandRecord;
-use super::headers::names;
 use super::headers::remove_hop_by_hop;
-use super::headers::remove_own;
-use super::headers::remove_reserved;
 use super::pass_body::PassBody;
 use super::pass_body::PassedAnswer;
 use super::reply::answer;
-use super::reply::outcome_value;
 use crate::metrics::RequestLabels;
 use crate::targets::Connection;
 use crate::targets::SendFailure;
@@ -57,6 +60,12 @@
 pub(super) struct Call {
     pub(super) parts: Parts,
     pub(super) body: CallerBody,
+    pub(super) asked: Asked,
+    pub(super) route: Arc<Route>,
+    pub(super) class: Class,
+    /// Number of the note that the request was routed by.
+    pub(super) note: u64,
+    pub(super) repeatable: bool,
     pub(super) exchange: Exchange,
     pub(super) record: CommandRecord,
     pub(super) places: Places,
@@ -83,6 +92,7 @@
     sent: Vec<SentAttempt>,
     head: Option<Head>,
     slow_us: Option<u64>,
+    is_logged: bool,
 }
 
 struct SentAttempt {
@@ -93,7 +103,9 @@
 
 impl Runner {
     pub(super) fn new(entry: Arc<Entry>, call: Call) -> Self {
+        let is_logged = entry.sampler.keeps(call.began_us, call.asked.id());
         Self {
+            is_logged,
             entry,
             call,
             attempts: FuturesUnordered::new(),
@@ -171,15 +183,27 @@
         let table = self.call.exchange.table();
         let target = table.candidates[candidate].target.clone();
         let now_us = self.entry.clock.now_us();
-        self.slow_us = table.slow_us().map(|slow_us| now_us + slow_us);
+        let objective_us = self.call.route.terms.objective_ms;
+        let assumed_us = objective_us.map(|time_ms| time_ms * MICROS_PER_MILLI);
+        self.slow_us = table
+            .slow_us()
+            .or(assumed_us)
+            .map(|slow_us| now_us + slow_us);
         self.sent.push(SentAttempt {
             target: target.clone(),
             sent_us: now_us,
             counted: false,
         });
-        let fresh = !table.repeatable();
+        let fresh = !self.call.repeatable;
         let left_ms = self.call.deadline_us.saturating_sub(now_us) / MICROS_PER_MILLI;
-        let parts = outgoing(&self.call.parts, left_ms);
+        if self.is_logged || attempt > 0 {
+            self.log_sent(attempt, candidate, left_ms);
+        }
+        let mut parts = outgoing(&self.call.parts);
+        let headers = parts.headers_mut();
+        self.entry
+            .dialect
+            .dress(&self.call.asked, &target, left_ms, headers);
         let body = self.call.body.clone();
         let entry = self.entry.clone();
         let sending = async move {
@@ -212,24 +236,68 @@
         let replayable = self.call.body.is_replayable();
         self.call.exchange.set_replayable(replayable);
         match ended.result {
-            Ok(head) => {
-                let status = head.response.status().as_u16();
-                self.observe(attempt, self.end_of(attempt, &head.response));
-                self.head = Some(head);
-                self.on(Event::Head { attempt, status })
-            }
+            Ok(head) => self.judge(attempt, head),
             Err(failure) => {
                 let (end, failure) = match failure {
                     SendFailure::NotSent => (AttemptEnd::NotSent, Failure::NotSent),
+                    SendFailure::Unreachable => (AttemptEnd::Unreachable, Failure::NotSent),
                     SendFailure::Cut => (AttemptEnd::Cut, Failure::Cut),
                     SendFailure::Malformed => (AttemptEnd::Cut, Failure::Malformed),
                 };
-                self.observe(attempt, end);
-                self.on(Event::Failed { attempt, failure })
+                self.fail(attempt, end, failure)
+            }
+        }
+    }
+
+    /// Goes on after the head of an answer; one that is not the target's own
+    /// answer to this request ends the connection.
+    fn judge(&mut self, attempt: usize, head: Head) -> Step {
+        let response = &head.response;
+        let status = response.status();
+        let dialect = &self.entry.dialect;
+        match dialect.judge(&self.call.asked, status, response.headers()) {
+            Judgement::Own => {
+                self.observe(attempt, self.end_of(attempt, &head.response));
+                self.head = Some(head);
+                let status = status.as_u16();
+                self.on(Event::Head { attempt, status })
             }
+            Judgement::NotRun => self.fail(attempt, AttemptEnd::Shed, Failure::Refused),
+            Judgement::OtherTarget => self.fail(attempt, AttemptEnd::Unreachable, Failure::Refused),
+            Judgement::Foreign => self.fail(attempt, AttemptEnd::Cut, Failure::Malformed),
         }
     }
 
+    fn fail(&mut self, attempt: usize, end: AttemptEnd, failure: Failure) -> Step {
+        let sent = &self.sent[attempt];
+        log::warn!(
+            "event=attempt-failed id={} attempt={attempt} target={} end={end:?} failure={failure:?} after_ms={}",
+            self.call.asked.id(),
+            sent.target.name,
+            self.entry.clock.now_us().saturating_sub(sent.sent_us) / MICROS_PER_MILLI
+        );
+        self.observe(attempt, end);
+        self.on(Event::Failed { attempt, failure })
+    }
+
+    /// Logs where an attempt goes and what decided that.
+    fn log_sent(&self, attempt: usize, candidate: usize, left_ms: u64) {
+        let now_us = self.entry.clock.now_us();
+        let table = self.call.exchange.table();
+        let chosen = &table.candidates[candidate];
+        log::info!(
+            "event=request-sent id={} route={} note={} service={} attempt={attempt} target={} doubt_milli={} in_flight={} required_slots={} left_ms={left_ms}",
+            self.call.asked.id(),
+            self.call.route.name,
+            self.call.note,
+            table.service.name,
+            chosen.target.name,
+            (chosen.load.doubt(now_us) * 1e3) as u32,
+            chosen.load.in_flight(),
+            table.load.required_slots.load(Ordering::Relaxed),
+        );
+    }
+
     fn end_of(&self, attempt: usize, response: &Response<Incoming>) -> AttemptEnd {
         let status = response.status().as_u16();
         let sent = &self.sent[attempt];
@@ -274,11 +342,24 @@
         let service = self.call.exchange.table().service.clone();
         self.entry.metrics.answered(
             &service.name,
-            service.class.as_str(),
+            self.call.class.as_str(),
             answer_us,
             answer_us - target_us,
         );
+        let status = head.response.status().as_u16();
+        if self.is_logged || status >= 500 {
+            log::info!(
+                "event=request-answered id={} service={} attempt={attempt} target={} status={status} answer_ms={} target_ms={}",
+                self.call.asked.id(),
+                service.name,
+                sent.target.name,
+                answer_us / MICROS_PER_MILLI,
+                target_us / MICROS_PER_MILLI
+            );
+        }
         let answer = PassedAnswer {
+            id: self.call.asked.id().into(),
+            class: self.call.class,
             entry: self.entry.clone(),
             exchange: self.call.exchange,
             record: self.call.record,
@@ -288,13 +369,12 @@
         };
         let (mut parts, incoming) = head.response.into_parts();
         remove_hop_by_hop(&mut parts.headers);
-        remove_reserved(&mut parts.headers);
-        parts
-            .headers
-            .insert(names::OUTCOME, outcome_value(Outcome::Ran));
-        parts
-            .headers
-            .insert(names::CODE, ResultCode::Served.number().into());
+        self.entry.dialect.pass_on(&mut parts.headers);
+        if self.entry.control.shared().table().draining {
+            parts
+                .headers
+                .insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         parts.version = hyper::Version::HTTP_11;
         Response::from_parts(parts, PassBody::new(incoming, answer).boxed())
     }
@@ -304,17 +384,25 @@
         let service = &self.call.exchange.table().service;
         self.entry.metrics.request(&RequestLabels {
             service: service.name.to_string(),
-            class: service.class.as_str().to_owned(),
+            class: self.call.class.as_str().to_owned(),
             code: reply.code.number(),
             outcome: reply.outcome.to_string(),
         });
-        log::debug!(
-            "event=request-refused code={} outcome={} service={}",
+        let now_us = self.entry.clock.now_us();
+        log::warn!(
+            "event=request-failed id={} route={} note={} service={} code={} outcome={} reason=\"{}\" attempts={} after_ms={} retry_after_ms={:?}",
+            self.call.asked.id(),
+            self.call.route.name,
+            self.call.note,
+            service.name,
             reply.code.number(),
             reply.outcome,
-            service.name
+            reply.code.phrase(),
+            self.sent.len(),
+            now_us.saturating_sub(self.call.began_us) / MICROS_PER_MILLI,
+            reply.retry_after_ms
         );
-        answer(reply)
+        answer(&*self.entry.dialect, &reply)
     }
 }
 
@@ -327,7 +415,7 @@
 }
 
 /// The head of the request to the target.
-fn outgoing(parts: &Parts, left_ms: u64) -> Request<()> {
+fn outgoing(parts: &Parts) -> Request<()> {
     let mut request = Request::new(());
     *request.method_mut() = parts.method.clone();
     *request.uri_mut() = origin_form(&parts.uri);
@@ -339,8 +427,6 @@
         headers.insert("host", host);
     }
     remove_hop_by_hop(headers);
-    remove_own(headers);
-    headers.insert(names::DEADLINE_MS, left_ms.into());
     request
 }
 
@@ -361,7 +447,10 @@
     } else {
         entry.pool.take(target.address).await
     };
-    let mut connection = opened.map_err(|_| SendFailure::NotSent)?;
+    let mut connection = opened.map_err(|error| match error.kind() {
+        ErrorKind::TimedOut => SendFailure::Unreachable,
+        _ => SendFailure::NotSent,
+    })?;
     let body = body.take().ok_or(SendFailure::NotSent)?;
     let response = connection.send(head.map(|()| body)).await?;
     Ok(Head {
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -6,6 +6,7 @@
 use std::task::Context;
 use std::task::Poll;
 
+use border::Asked;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http_body_util::BodyExt;
@@ -19,10 +20,15 @@
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use model::ResultCode;
+use model::world::Class;
+use model::world::Repeat;
+use model::world::Route;
 use policy::command::TicketAnswer;
 use policy::exchange::Exchange;
+use policy::exchange::MAX_ATTEMPTS;
 use policy::routing::RoutingTable;
 use policy::routing::ServiceTable;
+use rand::RngExt;
 use tower::Service;
 
 use super::Entry;
@@ -43,7 +49,6 @@
 const RETRY_AFTER_LOAD_MS: u64 = 1_000;
 const RETRY_AFTER_START_MS: u64 = 2_000;
 const MICROS_PER_MILLI: u64 = 1_000;
-const MAX_DEADLINE_MS: u64 = 24 * 3_600_000;
 
 /// Serves the requests of one connection.
 #[derive(Clone)]
@@ -73,14 +78,26 @@
     caller: IpAddr,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    if request.uri().path() == TICKETS_PATH {
+    if entry.names_commands() && request.uri().path() == TICKETS_PATH {
         return issue_ticket(&entry, request.method());
     }
     let table = entry.control.shared().table();
+    let id: Arc<str> = entry
+        .dialect
+        .asked(request.headers())
+        .map_or_else(|_| "-".into(), |asked| asked.id().into());
     match route(&entry, &table, request).await {
         Ok(Routed::Answer(response)) => response,
         Ok(Routed::Run(found)) => run(entry, &table, caller, *found).await,
         Err(refused) => {
+            log::warn!(
+                "event=request-refused id={id} code={} outcome={} note={} reason=\"{}\" retry_after_ms={:?}",
+                refused.code.number(),
+                refused.code.outcome(),
+                table.world.number,
+                refused.code.phrase(),
+                refused.retry_after_ms
+            );
             entry.metrics.request(&RequestLabels {
                 service: refused
                     .service
@@ -90,7 +107,7 @@
                 code: refused.code.number(),
                 outcome: refused.code.outcome().to_string(),
             });
-            refuse(refused.code, refused.retry_after_ms)
+            refuse(&*entry.dialect, refused.code, refused.retry_after_ms)
         }
     }
 }
@@ -113,6 +130,8 @@
 
 struct Found {
     request: Request<Incoming>,
+    asked: Asked,
+    route: Arc<Route>,
     service: Arc<ServiceTable>,
     record: CommandRecord,
     began_us: u64,
@@ -138,25 +157,29 @@
         });
     }
     let host = host_of(&request);
-    let route = table
-        .world
-        .route(host, request.uri().path())
-        .ok_or(ResultCode::NoRoute)?;
-    let service = table
-        .services
-        .get(&route.service)
-        .ok_or(ResultCode::NoRoute)?
-        .clone();
-    let name = CommandName::read(request.headers())?;
-    let limit_ms = deadline_ms(request.headers())?.unwrap_or(service.service.time_limit_ms);
+    let Some(route) = table.world.route(&host, request.uri().path()).cloned() else {
+        return Err(no_route(entry));
+    };
+    let part = route.draw(rand::rng().random());
+    let Some(service) = table.services.get(part).cloned() else {
+        return Err(no_route(entry));
+    };
+    let name = match entry.names_commands() {
+        true => CommandName::read(request.headers())?,
+        false => None,
+    };
+    let asked = entry.dialect.asked(request.headers())?;
+    let asked_ms = asked.time_limit_ms.unwrap_or(service.service.time_limit_ms);
+    let limit_ms = asked_ms.min(route.terms.time_limit_ms.unwrap_or(u64::MAX));
     let deadline_us = began_us + limit_ms * MICROS_PER_MILLI;
+    let repeatable = repeatable(&route, &service);
     let record = match name {
-        Some(CommandName::Key(key)) if !service.repeatable() => {
+        Some(CommandName::Key(key)) if !repeatable => {
             let customer = customer_header(request.headers()).unwrap_or("-");
             let key = format!("claims/{}/{customer}/{key}", service.service.name);
             CommandRecord::claim(entry.clone(), key.into())
         }
-        Some(CommandName::Ticket(ticket)) if !service.repeatable() => {
+        Some(CommandName::Ticket(ticket)) if !repeatable => {
             if ticket.instance != entry.id && !request.headers().contains_key(names::RELAYED) {
                 return Ok(Routed::Answer(
                     relay_to_owner(entry, &ticket, request).await,
@@ -178,6 +201,8 @@
     };
     Ok(Routed::Run(Box::new(Found {
         request,
+        asked,
+        route,
         service,
         record,
         began_us,
@@ -185,6 +210,26 @@
     })))
 }
 
+/// The refusal of a path that no route fits; where the configuration may be
+/// outdated, the caller is to come back.
+fn no_route(entry: &Entry) -> Refused {
+    if entry.control.shared().currency().is_certain() {
+        return ResultCode::NoRoute.into();
+    }
+    Refused {
+        retry_after_ms: Some(RETRY_AFTER_START_MS),
+        ..ResultCode::NotReady.into()
+    }
+}
+
+fn repeatable(route: &Route, service: &ServiceTable) -> bool {
+    let own = route
+        .terms
+        .repeat
+        .map(|repeat| repeat == Repeat::Idempotent);
+    own.unwrap_or_else(|| service.repeatable())
+}
+
 /// Admits a request and runs its exchange.
 async fn run(
     entry: Arc<Entry>,
@@ -197,13 +242,23 @@
         Err(code) => {
             found.record.finish(code.outcome());
             let service = &found.service.service;
+            log::warn!(
+                "event=request-refused id={} route={} service={} code={} outcome={} reason=\"{}\" in_work={}",
+                found.asked.id(),
+                found.route.name,
+                service.name,
+                code.number(),
+                code.outcome(),
+                code.phrase(),
+                entry.admission.in_flight()
+            );
             entry.metrics.request(&RequestLabels {
                 service: service.name.to_string(),
-                class: service.class.as_str().to_owned(),
+                class: class_of(&found).as_str().to_owned(),
                 code: code.number(),
                 outcome: code.outcome().to_string(),
             });
-            return refuse(code, Some(RETRY_AFTER_LOAD_MS));
+            return refuse(&*entry.dialect, code, Some(RETRY_AFTER_LOAD_MS));
         }
     };
     let customer: Arc<str> = match customer_header(found.request.headers()) {
@@ -211,21 +266,33 @@
         None => caller.to_string().into(),
     };
     let named = found.record.is_named();
+    let class = class_of(&found);
     let (parts, incoming) = found.request.into_parts();
     let Ok(body) = CallerBody::read(incoming, entry.limits.kept_body_bytes).await else {
         found.record.finish(ResultCode::BadRequest.outcome());
-        return refuse(ResultCode::BadRequest, None);
+        return refuse(&*entry.dialect, ResultCode::BadRequest, None);
     };
     let request = policy::exchange::Request {
         deadline_us: found.deadline_us,
         claims_key: found.record.claims_key(),
         replayable: body.is_replayable(),
+        repeatable: repeatable(&found.route, &found.service),
+        max_attempts: found
+            .route
+            .terms
+            .max_attempts
+            .map_or(MAX_ATTEMPTS, |attempts| attempts as usize),
     };
     let runner = Runner::new(
         entry.clone(),
         Call {
             parts,
             body,
+            asked: found.asked,
+            route: found.route,
+            class,
+            note: table.world.number,
+            repeatable: request.repeatable,
             exchange: Exchange::new(request, found.service),
             record: found.record,
             places,
@@ -239,6 +306,7 @@
     }
     // A named command goes on without its caller, so that a repeat hears its true end.
     let (sender, answer) = tokio::sync::oneshot::channel();
+    let dialect = entry.dialect.clone();
     entry.background.spawn(async move {
         if let Err(unheard) = sender.send(runner.run().await) {
             let _ = unheard.into_body().collect().await;
@@ -246,7 +314,12 @@
     });
     answer
         .await
-        .unwrap_or_else(|_| refuse(ResultCode::EarlierUnknown, None))
+        .unwrap_or_else(|_| refuse(&*dialect, ResultCode::EarlierUnknown, None))
+}
+
+fn class_of(found: &Found) -> Class {
+    let own = found.route.terms.class;
+    own.unwrap_or(found.service.service.class)
 }
 
 fn admit(entry: &Arc<Entry>, table: &RoutingTable, found: &Found) -> Result<Places, ResultCode> {
@@ -262,7 +335,7 @@
         }
         None => None,
     };
-    let admitted = entry.admission.admit(found.service.service.class);
+    let admitted = entry.admission.admit(class_of(found));
     Ok(Places {
         _admitted: admitted.ok_or(ResultCode::QueueFull)?,
         _customer: customer,
@@ -271,19 +344,31 @@
 
 fn issue_ticket(entry: &Arc<Entry>, method: &Method) -> Response<AnswerBody> {
     if method != Method::POST {
-        return refuse(ResultCode::BadRequest, None);
+        return refuse(&*entry.dialect, ResultCode::BadRequest, None);
     }
     let table = entry.control.shared().table();
     if !table.ready {
-        return refuse(ResultCode::NotReady, Some(RETRY_AFTER_START_MS));
+        return refuse(
+            &*entry.dialect,
+            ResultCode::NotReady,
+            Some(RETRY_AFTER_START_MS),
+        );
     }
     if table.draining {
-        return refuse(ResultCode::Draining, Some(RETRY_AFTER_LOAD_MS));
+        return refuse(
+            &*entry.dialect,
+            ResultCode::Draining,
+            Some(RETRY_AFTER_LOAD_MS),
+        );
     }
     let now_us = entry.clock.now_us();
     let issued = entry.tickets.lock().issue(now_us, &mut rand::rng());
     let Some(ticket) = issued else {
-        return refuse(ResultCode::TicketTableFull, Some(RETRY_AFTER_LOAD_MS));
+        return refuse(
+            &*entry.dialect,
+            ResultCode::TicketTableFull,
+            Some(RETRY_AFTER_LOAD_MS),
+        );
     };
     let mut response = Response::new(whole(format!("{{\"ticket\":\"{ticket}\"}}\n")));
     *response.status_mut() = StatusCode::CREATED;
@@ -293,24 +378,15 @@
     response
 }
 
-fn host_of(request: &Request<Incoming>) -> &str {
+fn host_of(request: &Request<Incoming>) -> String {
     let header = request
         .headers()
         .get(HOST)
         .and_then(|host| host.to_str().ok());
     let host = request.uri().host().or(header).unwrap_or("");
-    host.split(':').next().unwrap_or("")
+    host.split(':').next().unwrap_or("").to_ascii_lowercase()
 }
 
 fn customer_header(headers: &HeaderMap) -> Option<&str> {
     headers.get(names::CUSTOMER)?.to_str().ok()
 }
-
-fn deadline_ms(headers: &HeaderMap) -> Result<Option<u64>, ResultCode> {
-    let Some(value) = headers.get(names::DEADLINE_MS) else {
-        return Ok(None);
-    };
-    let bad = ResultCode::BadDeadline;
-    let limit_ms: u64 = value.to_str().map_err(|_| bad)?.parse().map_err(|_| bad)?;
-    Ok(Some(limit_ms.min(MAX_DEADLINE_MS)))
-}
--- a/sniperund/src/callers/waiting_room.rs
+++ b/sniperund/src/callers/waiting_room.rs
@@ -49,6 +49,7 @@
             table.service.queue as usize,
             turn,
         )?;
+        self.freed.notify_one();
         Ok(waiting)
     }
 
@@ -67,15 +68,19 @@
     /// Calls waiting requests as places become free, until the task is ended.
     pub async fn run(&self, clock: Clock, shared: &Shared) {
         loop {
-            let _ = tokio::time::timeout(LOOK_PERIOD, self.freed.notified()).await;
-            self.call_next(clock.now_us(), shared);
+            if self.call_next(clock.now_us(), shared) {
+                let _ = tokio::time::timeout(LOOK_PERIOD, self.freed.notified()).await;
+            } else {
+                self.freed.notified().await;
+            }
         }
     }
 
-    fn call_next(&self, now_us: u64, shared: &Shared) {
+    /// Calls those whose turn has come; whether others still wait.
+    fn call_next(&self, now_us: u64, shared: &Shared) -> bool {
         let mut queues = self.queues.lock();
         if queues.is_empty() {
-            return;
+            return false;
         }
         let table = shared.table();
         queues.retain(|name, queue| {
@@ -88,6 +93,7 @@
             }
             !queue.is_empty()
         });
+        !queues.is_empty()
     }
 }
 
--- a/sniperund/src/cli.rs
+++ b/sniperund/src/cli.rs
@@ -11,5 +11,8 @@
 pub(crate) struct Args {
     /// file with the instance's settings, JSON with comments
     #[argh(option)]
-    pub settings: PathBuf,
+    pub settings: Option<PathBuf>,
+    /// run on the users' platform, which names its own settings file
+    #[argh(switch)]
+    pub users_platform: bool,
 }
--- a/sniperund/src/control/control_loop.rs
+++ b/sniperund/src/control/control_loop.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use border::Platform;
 use peers::Sender;
-use platform::Platform;
 use policy::Input;
 use policy::Instance;
-use policy::instance::TICK_US;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
@@ -25,8 +25,10 @@
     pub clock: Clock,
     /// Sends messages to peers.
     pub sender: Sender,
-    /// The platform.
-    pub platform: Arc<dyn Platform>,
+    /// The platform's key-value service, where notes come from it.
+    pub platform: Option<Arc<dyn Platform>>,
+    /// Asks for another reading of the registry's release.
+    pub reread: Arc<Notify>,
     /// Probes targets.
     pub prober: Prober,
     /// Metrics.
@@ -50,6 +52,7 @@
             handle: handle.clone(),
             sender: parts.sender,
             platform: parts.platform,
+            reread: parts.reread,
             prober: parts.prober,
             metrics: parts.metrics,
         };
@@ -64,7 +67,7 @@
 
     /// Runs until the task is ended.
     pub async fn run(mut self) {
-        let mut ticks = tokio::time::interval(Duration::from_micros(TICK_US));
+        let mut ticks = tokio::time::interval(Duration::from_micros(self.instance.tick_us()));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -2,17 +2,18 @@
 
 use std::sync::Arc;
 
+use border::NoteStore;
+use border::Platform;
+use border::SnapshotStore;
 use model::world::Target;
 use peers::Sender;
-use platform::NoteStore;
-use platform::Platform;
-use platform::SnapshotStore;
 use policy::Action;
 use policy::Input;
 use policy::evidence::Standing;
 use policy::instance::Happening;
 use policy::instance::PlatformAnswer;
 use policy::instance::PlatformCall;
+use tokio::sync::Notify;
 
 use super::ControlHandle;
 use crate::metrics::Metrics;
@@ -26,7 +27,8 @@
     pub(super) id: Arc<str>,
     pub(super) handle: ControlHandle,
     pub(super) sender: Sender,
-    pub(super) platform: Arc<dyn Platform>,
+    pub(super) platform: Option<Arc<dyn Platform>>,
+    pub(super) reread: Arc<Notify>,
     pub(super) prober: Prober,
     pub(super) metrics: Arc<Metrics>,
 }
@@ -40,6 +42,7 @@
             } => self.sender.send(address, &envelope),
             Action::Probe { target, path } => self.probe(target, path),
             Action::Call(call) => self.call(call),
+            Action::Reread => self.reread.notify_one(),
             Action::Log(happening) => self.log(&happening),
         }
     }
@@ -58,9 +61,12 @@
     }
 
     fn call(&self, call: PlatformCall) {
+        let Some(platform) = self.platform.clone() else {
+            log::error!("event=platform-call-without-platform call={call:?}");
+            return;
+        };
         self.metrics.platform_calls.inc();
         let handle = self.handle.clone();
-        let platform = self.platform.clone();
         let id = self.id.clone();
         tokio::spawn(async move {
             let answer = answer(platform, call, &id).await;
@@ -94,6 +100,25 @@
             Happening::Standing { target, standing } => {
                 log::info!("event=target-standing target={target} standing={standing:?}");
             }
+            Happening::Doubted {
+                service,
+                target,
+                signal,
+                by,
+                before_milli,
+                after_milli,
+            } => {
+                self.metrics.doubts.inc();
+                log::info!(
+                    "event=target-doubted service={service} target={target} signal={signal:?} by={by} doubt_before_milli={before_milli} doubt_milli={after_milli}"
+                );
+            }
+            Happening::TargetsInForce { put, withdrawn } => {
+                let (put, withdrawn) = (put.join(","), withdrawn.join(","));
+                log::info!("event=targets-in-force put=\"{put}\" withdrawn=\"{withdrawn}\"");
+            }
+            Happening::RegistryReachable(true) => log::info!("event=registry-regained"),
+            Happening::RegistryReachable(false) => log::warn!("event=registry-lost"),
             Happening::Joined { instance } => {
                 log::info!("event=instance-joined instance={instance}")
             }
--- a/sniperund/src/control/mod.rs
+++ b/sniperund/src/control/mod.rs
@@ -3,12 +3,14 @@
 mod control_loop;
 mod driver;
 mod handle;
+mod registry_follower;
 mod status;
 
 pub use control_loop::Control;
 pub use control_loop::ControlParts;
 pub use handle::ControlHandle;
 pub use handle::ControlMessage;
+pub use registry_follower::RegistryFollower;
 pub use status::MemberStatus;
 pub use status::Status;
 pub use status::TargetStatus;
--- a/sniperund/src/metrics/metrics.rs
+++ b/sniperund/src/metrics/metrics.rs
@@ -55,6 +55,10 @@
     pub note_in_force: Gauge,
     /// Calls to the platform.
     pub platform_calls: Counter,
+    /// Calls to the platform that failed.
+    pub platform_failures: Counter,
+    /// Changes of what is believed of targets.
+    pub doubts: Counter,
     /// Messages between instances.
     pub peers: Arc<Counters>,
 }
@@ -94,7 +98,21 @@
             "Calls to the platform",
             platform_calls.clone(),
         );
+        let platform_failures = Counter::default();
+        registry.register(
+            "platform_failures",
+            "Calls to the platform that failed",
+            platform_failures.clone(),
+        );
+        let doubts = Counter::default();
+        registry.register(
+            "target_doubts",
+            "Targets taken for failing, and for good again",
+            doubts.clone(),
+        );
         Self {
+            platform_failures,
+            doubts,
             registry,
             requests,
             answer_seconds,
@@ -159,6 +177,7 @@
             ("peer_bytes_received", load(&peers.received_bytes)),
             ("peer_messages_dropped", load(&peers.dropped)),
             ("peer_messages_refused", load(&peers.refused)),
+            ("log_lines_dropped", crate::logs::dropped()),
         ];
         for (name, value) in counters {
             let _ = writeln!(text, "# TYPE sniperun_{name} counter");
--- a/sniperund/src/targets/connection.rs
+++ b/sniperund/src/targets/connection.rs
@@ -16,13 +16,18 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 /// The body of a request to a target.
 pub type OutBody = BoxBody<Bytes, hyper::Error>;
 
-const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Time to open a connection: under the second after which a lost first packet
+/// is sent again, as another target can be asked by then.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// Time after which bytes that were not acknowledged end a connection.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
 
 /// Why no head of an answer came.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
@@ -30,6 +35,9 @@
     /// No byte of the request has left.
     #[display("not sent")]
     NotSent,
+    /// No connection was opened in time.
+    #[display("unreachable")]
+    Unreachable,
     /// The connection ended early.
     #[display("cut")]
     Cut,
@@ -55,6 +63,7 @@
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
--- a/sniperund/tests/processes/fleet.rs
+++ b/sniperund/tests/processes/fleet.rs
@@ -12,6 +12,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use border::HttpPlatform;
+use border::NoteStore;
 use model::Note;
 use model::note::Delta;
 use model::world::Class;
@@ -19,8 +21,6 @@
 use model::world::Route;
 use model::world::Service;
 use model::world::Target;
-use platform::HttpPlatform;
-use platform::NoteStore;
 use policy::membership::Member;
 use policy::membership::Status;
 use standin::Backend;
@@ -175,6 +175,7 @@
             connections: 300,
             refusal_is_not_run: true,
             leaving: false,
+            incarnation: 0,
         };
         Note {
             title: "first".into(),
@@ -220,6 +221,8 @@
         host: None,
         path: path.into(),
         service: service.into(),
+        shares: Vec::new(),
+        terms: Default::default(),
     }
 }
 
--- a/standin/src/key_values.rs
+++ b/standin/src/key_values.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use platform::Created;
-use platform::Entry;
-use platform::RangeQuery;
-use platform::Swapped;
-use platform::Written;
+use border::Created;
+use border::Entry;
+use border::RangeQuery;
+use border::Swapped;
+use border::Written;
 
 #[derive(Clone, Debug)]
 struct Stored {
--- a/standin/src/memory_platform.rs
+++ b/standin/src/memory_platform.rs
@@ -6,17 +6,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use border::Created;
+use border::Entry;
+use border::Platform;
+use border::PlatformError;
+use border::RangeQuery;
+use border::Result;
+use border::Swapped;
+use border::Written;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
-use platform::Created;
-use platform::Entry;
-use platform::Platform;
-use platform::PlatformError;
-use platform::RangeQuery;
-use platform::Result;
-use platform::Swapped;
-use platform::Written;
 use policy::membership::Member;
 use tokio::sync::watch;
 
--- a/standin/src/platform_server.rs
+++ b/standin/src/platform_server.rs
@@ -4,6 +4,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use border::Created;
+use border::Platform;
+use border::RangeQuery;
+use border::Swapped;
+use border::Written;
+use border::wire;
 use bytes::Bytes;
 use futures::FutureExt;
 use http_body_util::BodyExt;
@@ -11,12 +17,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use platform::Created;
-use platform::Platform;
-use platform::RangeQuery;
-use platform::Swapped;
-use platform::Written;
-use platform::wire;
 use policy::membership::Member;
 use serde::Serialize;
 
