Try doubted targets out at a bounded pace for the fleet

Also a route limit of 400 ms, shorter than usual answers, made each of its time-outs a signal against a good target; instances that restart knew no doubts. Change: undoubted targets only, at least a fifth of the slots; doubted ones get single trial requests at a pace for the fleet; no signal from a deadline shorter than usual answers; new instances ask two others what they doubt; strain is judged by what the fleet tells.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -393,6 +393,9 @@
     fn finish(&mut self, outcome: Outcome) -> Step {
         self.state = State::Over;
         self.outcome = outcome;
+        if outcome != Outcome::Ran {
+            self.table.load.unserved.fetch_add(1, Ordering::Relaxed);
+        }
         for attempt in &mut self.attempts {
             attempt.slot = None;
         }
--- a/policy/src/instance/alerts.rs
+++ b/policy/src/instance/alerts.rs
@@ -13,7 +13,9 @@
 use super::Happening;
 use super::Instance;
 use super::Message;
+use super::ToldDoubt;
 use super::evidence::SHED_PAUSE_MEDIANS;
+use super::settings::EvidenceSharing;
 use crate::evidence::Signal;
 use crate::exchange::AttemptEnd;
 use crate::exchange::Observation;
@@ -24,6 +26,8 @@
 const KNOWN_BAD: f64 = 0.95;
 /// A good answer of a target that is doubted less than this is no news.
 const KNOWN_GOOD: f64 = 0.1;
+/// Others that a new instance asks for what they doubt.
+const DOUBTS_ASKED: usize = 2;
 /// Doubt at which the belief of a target changes sides in the log.
 const SIDES: f64 = 0.5;
 /// Time for which a target that gave no connection in time is left alone, in
@@ -67,6 +71,12 @@
         if observation.counted && signal != Signal::Reset {
             return;
         }
+        let slow_service = self
+            .demand
+            .is_slow(&service.name, signal == Signal::Overdue);
+        if slow_service && signal == Signal::Overdue {
+            return;
+        }
         let Some(target) = self.log.world().targets.get(&observation.target) else {
             return;
         };
@@ -104,11 +114,54 @@
         }
     }
 
+    /// Asks the first others that become known what they doubt.
+    pub(super) fn ask_for_doubts(&mut self, now_us: u64) {
+        if self.has_asked_doubts || self.evidence != EvidenceSharing::Alerts {
+            return;
+        }
+        let others: Vec<Arc<str>> = self.own_ids.iter().take(DOUBTS_ASKED).cloned().collect();
+        self.has_asked_doubts = !others.is_empty();
+        for id in others {
+            self.send(now_us, &id, Message::AskDoubts);
+        }
+    }
+
+    /// Tells an instance that has just started what is doubted here.
+    pub(super) fn tell_doubts(&mut self, now_us: u64, to: &Arc<str>) {
+        let told: Vec<ToldDoubt> = self
+            .tables
+            .doubted(now_us, KNOWN_GOOD)
+            .map(|(target, level)| ToldDoubt {
+                target: target.name.clone(),
+                incarnation: target.incarnation,
+                level_milli: (level * 1e3) as u32,
+            })
+            .collect();
+        if !told.is_empty() {
+            self.send(now_us, to, Message::Doubts(told));
+        }
+    }
+
+    /// Takes over what another instance doubts, where nothing is known here.
+    pub(super) fn learn_doubts(&mut self, now_us: u64, told: &[ToldDoubt]) {
+        for told in told {
+            let known = self.log.world().targets.get(&told.target).cloned();
+            let Some(target) = known.filter(|target| target.incarnation == told.incarnation) else {
+                continue;
+            };
+            let level = f64::from(told.level_milli) / 1e3;
+            self.tables.load_of(&target).doubt_at_least(now_us, level);
+        }
+    }
+
     fn take_alert(&mut self, now_us: u64, by: &Arc<str>, alert: &Alert) -> (f64, f64) {
         let known = self.log.world().targets.get(&alert.target).cloned();
         let Some(target) = known.filter(|target| target.incarnation == alert.incarnation) else {
             return (0.0, 0.0);
         };
+        if alert.signal != Signal::Good {
+            self.demand.failure_told(&target.service);
+        }
         let (before, after) = self.tables.load_of(&target).signal(now_us, alert.signal);
         if (before < SIDES) != (after < SIDES) {
             let milli = |level: f64| (level * 1_000.0) as u32;
--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -13,19 +13,38 @@
 /// Weight of a new measurement: a rate is half forgotten after about 9 s, as an
 /// instance sees one or two requests a second.
 const RATE_WEIGHT: f64 = 0.04;
+/// What is left after a period of a count of the latest outcomes: a window of
+/// about 4 s, twice the span in which the floor is asked for.
+const RECENT_KEPT: f64 = 0.88;
+/// Recent requests without an answer, and their share, from which a service
+/// counts as strained.
+const STRAINED_REQUESTS: f64 = 2.5;
+const STRAINED_SHARE: f64 = 0.2;
+/// Failures told by all instances, as a share of their requests, from which a
+/// service counts as strained: just below the tenth at which the floor is asked for.
+const STRAINED_FLEET_SHARE: f64 = 0.09;
+/// Failures told that are never a strain: the first ones of some targets.
+const FEW_FAILURES: f64 = 6.0;
 const LATENCY_WEIGHT: f64 = 0.1;
 /// Latency assumed while none is known, in microseconds.
 const ASSUMED_US: f64 = 500_000.0;
-/// Share of the slots that the load may fill: queues stay short below it.
-const FILL: f64 = 0.8;
-/// Smallest share of a service's slots in use, as an instance sees few requests.
-const LEAST_SHARE: f64 = 0.2;
+/// Weight of one outcome in the share of overdue ones.
+const OVERDUE_WEIGHT: f64 = 0.1;
+/// Share of overdue outcomes above which the service as a whole is slow, and an
+/// overdue one says nothing of its target.
+const SLOW_SERVICE: f64 = 0.25;
 
 #[derive(Debug, Default)]
 struct ServiceDemand {
     begun: u64,
-    rate_per_s: f64,
+    unserved: u64,
+    recent: f64,
+    recent_unserved: f64,
+    recent_told: f64,
+    counted: f64,
+    counted_s: f64,
     latency_us: f64,
+    overdue_share: f64,
 }
 
 /// The demand for each service, as measured by this instance.
@@ -47,13 +66,51 @@
     }
 }
 
+impl Demand {
+    /// Takes in that an instance has told of a failure.
+    pub(super) fn failure_told(&mut self, service: &Arc<str>) {
+        let demand = self.services.entry(service.clone()).or_default();
+        demand.recent_told += 1.0;
+    }
+
+    /// Takes in whether an outcome was overdue; true if the whole service is slow.
+    pub(super) fn is_slow(&mut self, service: &Arc<str>, overdue: bool) -> bool {
+        let demand = self.services.entry(service.clone()).or_default();
+        let was_slow = demand.overdue_share > SLOW_SERVICE;
+        let overdue = if overdue { 1.0 } else { 0.0 };
+        demand.overdue_share += OVERDUE_WEIGHT * (overdue - demand.overdue_share);
+        was_slow
+    }
+}
+
 impl ServiceDemand {
     fn measure(&mut self, load: &ServiceLoad) {
         let begun = load.begun.load(Ordering::Relaxed);
         let new = begun.saturating_sub(self.begun) as f64;
-        self.begun = begun;
-        let rate_per_s = new * 1e6 / PERIOD_US as f64;
-        self.rate_per_s += RATE_WEIGHT * (rate_per_s - self.rate_per_s);
+        let unserved = load.unserved.load(Ordering::Relaxed);
+        let lost = unserved.saturating_sub(self.unserved) as f64;
+        (self.begun, self.unserved) = (begun, unserved);
+        self.recent = self.recent * RECENT_KEPT + new;
+        self.recent_unserved = self.recent_unserved * RECENT_KEPT + lost;
+        self.recent_told *= RECENT_KEPT;
+        if self.begun > 0 {
+            self.counted = self.counted * (1.0 - RATE_WEIGHT) + new;
+            self.counted_s = self.counted_s * (1.0 - RATE_WEIGHT) + PERIOD_US as f64 / 1e6;
+        }
+    }
+
+    /// Whether many requests of the fleet fail.
+    fn is_strained(&self, members: f64) -> bool {
+        let own = self.recent_unserved >= STRAINED_REQUESTS
+            && self.recent_unserved >= STRAINED_SHARE * self.recent;
+        let span_s = PERIOD_US as f64 / 1e6 / (1.0 - RECENT_KEPT);
+        let all = self.rate_per_s() * members * span_s;
+        own || self.recent_told > (STRAINED_FLEET_SHARE * all).max(FEW_FAILURES)
+    }
+
+    /// Requests a second; 0 while unknown.
+    fn rate_per_s(&self) -> f64 {
+        self.counted / self.counted_s.max(f64::MIN_POSITIVE)
     }
 
     fn slots_per_instance(&self) -> f64 {
@@ -62,7 +119,7 @@
         } else {
             ASSUMED_US
         };
-        self.rate_per_s * latency_us / 1e6
+        self.rate_per_s() * latency_us / 1e6
     }
 }
 
@@ -84,11 +141,16 @@
             }
             let demand = self.demand.services.entry(name.clone()).or_default();
             demand.measure(&table.load);
-            let all = f64::from(table.slots());
-            let least = all * LEAST_SHARE;
+            let strained = demand.is_strained(members);
+            table.load.strained.store(strained, Ordering::Relaxed);
             let slots = demand.slots_per_instance();
-            let required = (slots * members / FILL).max(least).min(all).ceil() as u32;
-            table.load.required_slots.store(required, Ordering::Relaxed);
+            let needed = (slots * members).ceil() as u32;
+            table.load.needed_slots.store(needed, Ordering::Relaxed);
+            let rate_milli = (demand.rate_per_s() * members * 1e3) as u64;
+            table
+                .load
+                .fleet_rate_milli
+                .store(rate_milli, Ordering::Relaxed);
             let local = (slots * near).ceil() as u32;
             table.load.local_slots.store(local, Ordering::Relaxed);
         }
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -69,6 +69,7 @@
     pub(super) feed: WorldFeed,
     pub(super) demand: Demand,
     pub(super) next_reread_us: u64,
+    pub(super) has_asked_doubts: bool,
     pub(super) shared_retry_reserve: Option<f64>,
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) own_ids: Vec<Arc<str>>,
@@ -108,6 +109,7 @@
             feed: WorldFeed::default(),
             demand: Demand::default(),
             next_reread_us: 0,
+            has_asked_doubts: false,
             shared_retry_reserve: settings.shared_retry_reserve,
             seeds: settings.seeds,
             own_ids: Vec::new(),
@@ -177,6 +179,7 @@
             WorldSource::Registry => self.tick_registry(now_us),
         }
         if self.evidence == EvidenceSharing::Alerts {
+            self.ask_for_doubts(now_us);
             self.measure_demand(now_us);
         } else {
             self.tick_evidence(now_us);
@@ -255,6 +258,8 @@
                 count,
                 text,
             } => self.take_part(number, index, count, &text),
+            Message::AskDoubts => self.tell_doubts(now_us, &from),
+            Message::Doubts(told) => self.learn_doubts(now_us, &told),
             Message::Alerts { alerts, span } => self.alerted(now_us, &from, &alerts, span.as_ref()),
         }
         match self.source {
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -49,6 +49,17 @@
     pub signal: Signal,
 }
 
+/// What an instance believes of a target that it doubts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldDoubt {
+    /// The target's name.
+    pub target: Arc<str>,
+    /// Start of its process.
+    pub incarnation: u64,
+    /// Probability that it fails, in thousandths.
+    pub level_milli: u32,
+}
+
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -111,6 +122,10 @@
         /// The part as JSON.
         text: Arc<str>,
     },
+    /// Asks for what is doubted; answered by [`Message::Doubts`].
+    AskDoubts,
+    /// The targets that the sender doubts.
+    Doubts(Vec<ToldDoubt>),
     /// What the sender, or one before it, has just seen of targets.
     Alerts {
         /// What was seen.
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -31,6 +31,7 @@
 pub use message::Alert;
 pub use message::Envelope;
 pub use message::Message;
+pub use message::ToldDoubt;
 pub use message::ToldLatencies;
 pub use settings::EvidenceSharing;
 pub use settings::Settings;
--- a/policy/src/instance/tables.rs
+++ b/policy/src/instance/tables.rs
@@ -58,6 +58,13 @@
         load
     }
 
+    /// The targets that are doubted more than `level`, and how much.
+    pub(super) fn doubted(&self, now_us: u64, level: f64) -> impl Iterator<Item = (&Target, f64)> {
+        let all = self.targets.values();
+        all.map(move |(target, load)| (&**target, load.doubt(now_us)))
+            .filter(move |(_, doubt)| *doubt > level)
+    }
+
     /// The counters of a service.
     pub(super) fn service_load(&mut self, service: &Service) -> Arc<ServiceLoad> {
         let fresh = || {
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -70,6 +70,15 @@
         (before.at(now_us), after.at(now_us))
     }
 
+    /// Raises the probability that the target fails to `level` if it is lower.
+    pub fn doubt_at_least(&self, now_us: u64, level: f64) {
+        if self.known_doubt().at(now_us) < level {
+            self.doubt_milli
+                .store((level * f64::from(MILLI)) as u32, Ordering::Relaxed);
+            self.doubted_us.store(now_us, Ordering::Relaxed);
+        }
+    }
+
     /// Takes the target for unreachable from this instance for a while.
     pub fn unreachable(&self, now_us: u64, for_us: u64) {
         self.unreachable_until_us
@@ -192,8 +201,14 @@
     pub currency: Arc<Currency>,
     /// Requests begun.
     pub begun: AtomicU64,
-    /// Slots that the requests of all instances take up, with room to spare.
-    pub required_slots: AtomicU32,
+    /// Requests that ended without an answer of a target.
+    pub unserved: AtomicU64,
+    /// Whether many requests of the fleet fail.
+    pub strained: AtomicBool,
+    /// Slots that the requests of all instances take up.
+    pub needed_slots: AtomicU32,
+    /// Requests that all instances get in a second, in thousandths.
+    pub fleet_rate_milli: AtomicU64,
     /// Slots that the requests of this data centre's instances take up.
     pub local_slots: AtomicU32,
 }
@@ -210,7 +225,10 @@
             currency,
             retries,
             begun: AtomicU64::new(0),
-            required_slots: AtomicU32::new(0),
+            unserved: AtomicU64::new(0),
+            strained: AtomicBool::new(false),
+            needed_slots: AtomicU32::new(0),
+            fleet_rate_milli: AtomicU64::new(0),
             local_slots: AtomicU32::new(0),
             median_us: AtomicU64::new(0),
             slow_us: AtomicU64::new(0),
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -2,9 +2,11 @@
 //!
 //! Answers faults that come to each target alone and last seconds, with a third
 //! of the targets failing at any time. Requests go to the targets that nothing
-//! speaks against. Where these cannot carry the load, the least doubted others
-//! join, one after the other; a target left alone becomes less doubted with
-//! time, so those that failed longest ago join first.
+//! speaks against; what these cannot carry they refuse themselves, which loses
+//! less than a target that fails nearly all it gets. Doubted targets are tried
+//! out by single requests at a bounded pace for the whole fleet: by repeatable
+//! requests at any time, by others only while targets are short. A target that
+//! is left alone becomes less doubted with time.
 
 use std::sync::atomic::Ordering;
 
@@ -13,18 +15,34 @@
 
 use super::ServiceTable;
 
-/// Doubt below which a target takes part whatever the load: four times the
-/// doubt of a target that nothing speaks against, reached 11 s after a reset.
+/// Doubt below which a target takes part: reached 11 s after a reset.
 const UNDOUBTED: f64 = 0.15;
-/// Doubt up to which a repeatable request may try a target out: about five
-/// seconds after a reset, the shortest of the faults.
-const TRIAL_DOUBT: f64 = 0.45;
-/// Share of repeatable requests that try a doubted target out; each that fails
-/// costs a retry, of which a fifth of the requests may make one.
-const TRIAL_SHARE: f64 = 0.08;
+/// Trials: about five seconds after a reset, the shortest of the faults.
+const USUAL_PACE: TrialPace = TrialPace {
+    doubt: 0.45,
+    trials_per_s: 1.0,
+};
+/// Trials while many requests fail, so that targets that are sound again get work
+/// within the two seconds of the floor; a part of the instances only sees them fail.
+const STRAINED_PACE: TrialPace = TrialPace {
+    doubt: 0.5,
+    trials_per_s: 2.0,
+};
+/// Share of a service's slots that is used however doubted the targets are.
+const LEAST_SHARE: f64 = 0.2;
+/// Share of the slots in use that the load may fill before targets are short.
+const FILL: f64 = 0.75;
 /// Share of the nearby targets' slots that is filled before others are used.
 const LOCAL_FILL: f64 = 0.6;
 
+#[derive(Clone, Copy, Debug)]
+struct TrialPace {
+    /// Doubt up to which a target is tried out.
+    doubt: f64,
+    /// Trials of one target that all instances make together in a second.
+    trials_per_s: f64,
+}
+
 impl ServiceTable {
     pub(super) fn choose_by_doubt(
         &self,
@@ -38,11 +56,14 @@
             .map(|at| (self.candidates[*at].load.doubt(now_us), *at))
             .collect();
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let set = self.working_set(&ranked);
-        if repeatable && let Some(at) = self.trial(&ranked[set.len()..], rng) {
+        let (undoubted, doubted) = ranked.split_at(self.working_set_len(&ranked));
+        let pace = self.pace(repeatable, undoubted);
+        if let Some(pace) = pace
+            && let Some(at) = self.trial(doubted, pace, rng)
+        {
             return at;
         }
-        let pool = self.near(set, rng);
+        let pool = self.near(undoubted, rng);
         let first = pool[rng.random_range(0..pool.len())];
         let second = pool[rng.random_range(0..pool.len())];
         if self.busyness(now_us, second) < self.busyness(now_us, first) {
@@ -52,26 +73,50 @@
         }
     }
 
-    /// The least doubted targets that carry the load together.
-    fn working_set<'a>(&self, ranked: &'a [(f64, usize)]) -> &'a [(f64, usize)] {
-        let required = self.load.required_slots.load(Ordering::Relaxed);
+    /// How many of the targets, the least doubted first, take part.
+    fn working_set_len(&self, ranked: &[(f64, usize)]) -> usize {
+        let least = (f64::from(self.slots()) * LEAST_SHARE) as u32;
         let mut slots = 0;
         let mut len = 0;
         for (doubt, at) in ranked {
-            if *doubt > UNDOUBTED && slots >= required && len > 0 {
+            if *doubt > UNDOUBTED && slots >= least && len > 0 {
                 break;
             }
             slots += self.candidates[*at].target.slots;
             len += 1;
         }
-        &ranked[..len]
+        len
+    }
+
+    /// Whether the load fills the targets of a set.
+    fn is_short(&self, set: &[(f64, usize)]) -> bool {
+        let slots = set.iter().map(|(_, at)| self.candidates[*at].target.slots);
+        let slots: u32 = slots.sum();
+        let needed = self.load.needed_slots.load(Ordering::Relaxed);
+        f64::from(needed) > FILL * f64::from(slots)
+    }
+
+    /// How soon and how often doubted targets are tried out; none if not at all.
+    fn pace(&self, repeatable: bool, set: &[(f64, usize)]) -> Option<TrialPace> {
+        if self.load.strained.load(Ordering::Relaxed) {
+            return Some(STRAINED_PACE);
+        }
+        (repeatable || self.is_short(set)).then_some(USUAL_PACE)
     }
 
     /// A doubted target to try out, if this request is one that does so.
-    fn trial(&self, others: &[(f64, usize)], rng: &mut impl Rng) -> Option<usize> {
-        let (doubt, at) = others.first()?;
-        let idle = self.candidates[*at].load.in_flight() == 0;
-        (*doubt <= TRIAL_DOUBT && idle && rng.random_bool(TRIAL_SHARE)).then_some(*at)
+    fn trial(
+        &self,
+        doubted: &[(f64, usize)],
+        pace: TrialPace,
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        let ripe = doubted.iter().filter(|(doubt, _)| *doubt <= pace.doubt);
+        let idle = |at: &usize| self.candidates[*at].load.in_flight() == 0;
+        let ripe: Vec<usize> = ripe.map(|(_, at)| *at).filter(idle).collect();
+        let rate_milli = self.load.fleet_rate_milli.load(Ordering::Relaxed).max(1);
+        let share = pace.trials_per_s * 1e3 * ripe.len() as f64 / rate_milli as f64;
+        (!ripe.is_empty() && rng.random_bool(share.min(1.0))).then(|| ripe[0])
     }
 
     /// Those of a working set that a request goes to: the nearby ones for as
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -641,7 +641,10 @@
         Message::Ping { .. } | Message::Ack { .. } | Message::PingFor { .. } => "heartbeats",
         Message::Join | Message::Members(_) => "joining",
         Message::Reports(_) | Message::Latencies(_) => "reports",
-        Message::Verdicts { .. } | Message::Alerts { .. } => "verdicts",
+        Message::Verdicts { .. }
+        | Message::Alerts { .. }
+        | Message::AskDoubts
+        | Message::Doubts(_) => "verdicts",
         Message::NewNote { .. }
         | Message::PullNotes { .. }
         | Message::Notes(_)
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -183,12 +183,7 @@
         let table = self.call.exchange.table();
         let target = table.candidates[candidate].target.clone();
         let now_us = self.entry.clock.now_us();
-        let objective_us = self.call.route.terms.objective_ms;
-        let assumed_us = objective_us.map(|time_ms| time_ms * MICROS_PER_MILLI);
-        self.slow_us = table
-            .slow_us()
-            .or(assumed_us)
-            .map(|slow_us| now_us + slow_us);
+        self.slow_us = self.usual_us().map(|usual_us| now_us + usual_us);
         self.sent.push(SentAttempt {
             target: target.clone(),
             sent_us: now_us,
@@ -225,7 +220,7 @@
                 self.on(Event::Slow)
             }
             () = tokio::time::sleep_until(deadline) => {
-                self.observe_overdue();
+                self.end_overdue();
                 self.on(Event::Deadline)
             }
         }
@@ -286,7 +281,7 @@
         let table = self.call.exchange.table();
         let chosen = &table.candidates[candidate];
         log::info!(
-            "event=request-sent id={} route={} note={} service={} attempt={attempt} target={} doubt_milli={} in_flight={} required_slots={} left_ms={left_ms}",
+            "event=request-sent id={} route={} note={} service={} attempt={attempt} target={} doubt_milli={} in_flight={} needed_slots={} left_ms={left_ms}",
             self.call.asked.id(),
             self.call.route.name,
             self.call.note,
@@ -294,7 +289,7 @@
             chosen.target.name,
             (chosen.load.doubt(now_us) * 1e3) as u32,
             chosen.load.in_flight(),
-            table.load.required_slots.load(Ordering::Relaxed),
+            table.load.needed_slots.load(Ordering::Relaxed),
         );
     }
 
@@ -331,6 +326,32 @@
         }
     }
 
+    /// Ends the attempts at the deadline. One that had less time than answers
+    /// usually take says nothing of its target.
+    fn end_overdue(&mut self) {
+        let now_us = self.entry.clock.now_us();
+        for attempt in 0..self.sent.len() {
+            let sent = &self.sent[attempt];
+            if sent.counted {
+                continue;
+            }
+            let usual_us = self.usual_us().unwrap_or(u64::MAX);
+            let waited_us = now_us.saturating_sub(sent.sent_us);
+            let end = match waited_us >= usual_us {
+                true => AttemptEnd::Overdue,
+                false => AttemptEnd::Cancelled,
+            };
+            self.observe(attempt, end);
+        }
+    }
+
+    /// The time beyond which an answer is slow, if it can be told.
+    fn usual_us(&self) -> Option<u64> {
+        let objective_us = self.call.route.terms.objective_ms;
+        let assumed_us = objective_us.map(|time_ms| time_ms * MICROS_PER_MILLI);
+        self.call.exchange.table().slow_us().or(assumed_us)
+    }
+
     fn pass(mut self, attempt: usize) -> Response<AnswerBody> {
         let Some(head) = self.head.take() else {
             return self.reply(gone(Outcome::Unknown));
