Follow the registry by a few watchers, place near by data centre, spread returns

Ruled out: longer watches for all (a change still wakes each instance). Change: two watchers a data centre spread releases and entries, others read when a peer's numbers are ahead; is_local by data centre; times to return by reason, spread; a message is sent once more on a new connection; repeatable requests try doubted targets out sooner while targets are short; no hedge while targets are full.

--- a/peers/src/sender.rs
+++ b/peers/src/sender.rs
@@ -13,6 +13,7 @@
 use parking_lot::Mutex;
 use policy::instance::Envelope;
 use tarpc::client;
+use tarpc::client::RpcError;
 use tarpc::context;
 use tarpc::serde_transport::tcp;
 use tarpc::tokio_serde::formats::Bincode;
@@ -27,7 +28,8 @@
 const QUEUE: usize = 256;
 const IDLE: Duration = Duration::from_secs(30);
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
-const DELIVERY_LIMIT: Duration = Duration::from_secs(2);
+/// Time after which a message is out of date, and its connection silent.
+const DELIVERY_LIMIT: Duration = Duration::from_secs(1);
 
 /// Sends messages to other instances.
 #[derive(Debug)]
@@ -71,25 +73,51 @@
 async fn drain(to: SocketAddr, mut waiting: mpsc::Receiver<Vec<u8>>, counters: Arc<Counters>) {
     let mut connection = None;
     while let Ok(Some(payload)) = tokio::time::timeout(IDLE, waiting.recv()).await {
-        if connection.is_none() {
-            connection = connect(to).await;
-        }
-        let Some(client) = &connection else {
-            Counters::add(&counters.dropped, 1);
-            continue;
-        };
         let bytes = payload.len();
-        let mut context = context::current();
-        context.deadline = Instant::now() + DELIVERY_LIMIT;
-        match client.deliver(context, VERSION, payload).await {
-            Ok(_) => {
+        let was_open = connection.is_some();
+        let mut delivered = deliver(to, &mut connection, payload.clone()).await;
+        if delivered == Err(Lost::Broken) && was_open {
+            // The peer has started again since the last message.
+            delivered = deliver(to, &mut connection, payload).await;
+        }
+        match delivered {
+            Ok(()) => {
                 Counters::add(&counters.sent, 1);
                 Counters::add(&counters.sent_bytes, bytes);
             }
-            Err(_) => {
-                Counters::add(&counters.dropped, 1);
-                connection = None;
-            }
+            Err(_) => Counters::add(&counters.dropped, 1),
+        }
+    }
+}
+
+/// Why a message was not delivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lost {
+    /// The peer cannot be reached or has ended the connection.
+    Broken,
+    /// The peer does not answer.
+    Silent,
+}
+
+async fn deliver(
+    to: SocketAddr,
+    connection: &mut Option<DeliveryClient>,
+    payload: Vec<u8>,
+) -> Result<(), Lost> {
+    if connection.is_none() {
+        *connection = connect(to).await;
+    }
+    let client = connection.as_ref().ok_or(Lost::Broken)?;
+    let mut context = context::current();
+    context.deadline = Instant::now() + DELIVERY_LIMIT;
+    match client.deliver(context, VERSION, payload).await {
+        Ok(_) => Ok(()),
+        Err(error) => {
+            *connection = None;
+            Err(match error {
+                RpcError::DeadlineExceeded => Lost::Silent,
+                _ => Lost::Broken,
+            })
         }
     }
 }
--- a/peers/tests/messages.rs
+++ b/peers/tests/messages.rs
@@ -24,6 +24,7 @@
         from: "a".into(),
         incarnation: 1,
         note: 2,
+        targets_changed: 0,
         news: Vec::new(),
         message: Message::Ping { sequence },
     }
--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -17,22 +17,23 @@
 use crate::invariant;
 use crate::invariant::Invariant;
 use crate::limits::Refusal;
+use crate::limits::Refused;
 use crate::routing::Choice;
 use crate::routing::ServiceTable;
 use crate::routing::Slot;
 
 /// Targets that a request may be sent to unless its route says otherwise.
 pub const MAX_ATTEMPTS: usize = 3;
-/// When to come back after a failure, in milliseconds.
-const RETRY_AFTER_FAILURE_MS: u64 = 1_000;
 /// When to come back while the platform is away, in milliseconds.
 const RETRY_AFTER_CLAIM_MS: u64 = 5_000;
 
 /// What is asked of an exchange.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Request {
-    /// When the answer is of no more use, in microseconds.
+    /// When the request is given up, in microseconds.
     pub deadline_us: u64,
+    /// When the answer is of no more use to its caller, in microseconds.
+    pub caller_deadline_us: u64,
     /// Whether a key must be claimed before anything is sent.
     pub claims_key: bool,
     /// Whether the body can be sent a second time.
@@ -179,7 +180,7 @@
             (State::Claiming, Event::Claimed(answer)) => self.claimed(now_us, answer, rng),
             (State::Waiting, Event::Turn) => self.send(now_us, rng),
             (State::Waiting, Event::Refused(refusal)) => {
-                self.refuse(refusal.code, Some(refusal.retry_after_ms))
+                self.refuse_for(refusal.code, Some(refusal.retry_after_ms))
             }
             (State::Sent, Event::Failed { attempt, failure }) => {
                 self.failed(now_us, attempt, failure, rng)
@@ -193,7 +194,7 @@
                 self.finish(Outcome::Unknown);
                 Step::Break
             }
-            (_, Event::Deadline) => self.deadline(),
+            (_, Event::Deadline) => self.deadline(now_us, rng),
             (_, Event::CallerGone) => self.caller_gone(),
             _ => Step::Continue,
         }
@@ -203,10 +204,10 @@
         self.table.load.retries.earn();
         self.table.load.begun.fetch_add(1, Ordering::Relaxed);
         if now_us >= self.request.deadline_us {
-            return self.refuse(ResultCode::DeadlineTooNear, Some(1));
+            return self.refuse_for(ResultCode::DeadlineTooNear, Some(1));
         }
         if self.table.candidates.is_empty() {
-            return self.refuse(ResultCode::NoTarget, Some(RETRY_AFTER_FAILURE_MS));
+            return self.give_up(now_us, ResultCode::NoTarget, rng);
         }
         if self.request.claims_key {
             self.state = State::Claiming;
@@ -219,10 +220,10 @@
         match answer {
             ClaimAnswer::Won => self.send(now_us, rng),
             ClaimAnswer::Unavailable => {
-                self.refuse(ResultCode::ClaimUnavailable, Some(RETRY_AFTER_CLAIM_MS))
+                self.refuse_for(ResultCode::ClaimUnavailable, Some(RETRY_AFTER_CLAIM_MS))
             }
             ClaimAnswer::TooMany => {
-                self.refuse(ResultCode::ClaimRateExceeded, Some(RETRY_AFTER_CLAIM_MS))
+                self.refuse_for(ResultCode::ClaimRateExceeded, Some(RETRY_AFTER_CLAIM_MS))
             }
             ClaimAnswer::Held(state) => {
                 let code = state.repeat_code().unwrap_or(ResultCode::AlreadyBegun);
@@ -235,10 +236,10 @@
         let repeatable = self.request.repeatable;
         let once = repeatable || (!self.may_have_run && self.in_flight() == 0);
         if !invariant::check(Invariant::AtMostOnce, once) {
-            return self.give_up(ResultCode::TargetCut);
+            return self.give_up(now_us, ResultCode::TargetCut, rng);
         }
         if !self.table.load.currency.is_current(now_us) {
-            return self.give_up(ResultCode::NotReady);
+            return self.give_up(now_us, ResultCode::NotReady, rng);
         }
         match self.table.choose(now_us, repeatable, &self.tried, rng) {
             Choice::Target(candidate, slot) => self.start_attempt(candidate, slot),
@@ -246,7 +247,7 @@
                 self.state = State::Waiting;
                 Step::Wait
             }
-            Choice::Nothing => self.refuse(ResultCode::NoTarget, Some(RETRY_AFTER_FAILURE_MS)),
+            Choice::Nothing => self.give_up(now_us, ResultCode::NoTarget, rng),
         }
     }
 
@@ -278,12 +279,13 @@
         if self.may_try_again(now_us, failure) {
             return self.send(now_us, rng);
         }
-        self.give_up(match failure {
+        let code = match failure {
             Failure::NotSent => ResultCode::ConnectFailed,
             Failure::Refused => ResultCode::TargetRefused,
             Failure::Cut => ResultCode::TargetCut,
             Failure::Malformed => ResultCode::TargetMalformed,
-        })
+        };
+        self.give_up(now_us, code, rng)
     }
 
     fn head(&mut self, now_us: u64, attempt: usize, status: u16, rng: &mut impl Rng) -> Step {
@@ -304,7 +306,7 @@
         }
         let first = invariant::check(Invariant::OwnAnswer, self.attempts[attempt].slot.is_some());
         if !first {
-            return self.give_up(ResultCode::TargetMalformed);
+            return self.give_up(now_us, ResultCode::TargetMalformed, rng);
         }
         self.state = State::Passing;
         self.may_have_run = true;
@@ -319,6 +321,7 @@
     fn hedge(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
         let may = self.request.repeatable
             && self.in_flight() == 1
+            && !self.table.is_full(now_us)
             && self.may_try_again(now_us, Failure::Cut);
         if !may {
             return Step::Continue;
@@ -329,12 +332,12 @@
         }
     }
 
-    fn deadline(&mut self) -> Step {
+    fn deadline(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
         if self.in_flight() > 0 {
             self.may_have_run = true;
-            return self.give_up(ResultCode::TargetTimeout);
+            return self.give_up(now_us, ResultCode::TargetTimeout, rng);
         }
-        self.give_up(ResultCode::DeadlineTooNear)
+        self.give_up(now_us, ResultCode::DeadlineTooNear, rng)
     }
 
     fn caller_gone(&mut self) -> Step {
@@ -357,13 +360,19 @@
             && (failure == Failure::NotSent || self.table.load.retries.take())
     }
 
-    fn refuse(&mut self, code: ResultCode, retry_after_ms: Option<u64>) -> Step {
+    fn refuse_for(&mut self, code: ResultCode, retry_after_ms: Option<u64>) -> Step {
         let outcome = self.honest(code.outcome());
         self.answer(code, outcome, retry_after_ms)
     }
 
-    fn give_up(&mut self, code: ResultCode) -> Step {
-        self.refuse(code, Some(RETRY_AFTER_FAILURE_MS))
+    fn give_up(&mut self, now_us: u64, code: ResultCode, rng: &mut impl Rng) -> Step {
+        let refused = Refused {
+            code,
+            is_full: self.table.is_full(now_us),
+            left_us: self.request.caller_deadline_us.saturating_sub(now_us),
+        };
+        let return_after_ms = refused.return_after_ms(rng);
+        self.refuse_for(code, Some(return_after_ms))
     }
 
     /// The outcome to report: never `not-run` for what may have run.
--- a/policy/src/feed/pace.rs
+++ b/policy/src/feed/pace.rs
@@ -6,9 +6,9 @@
 use rand::Rng;
 use rand::RngExt;
 
-/// Time that a watch waits, in milliseconds. A watch that the registry has
-/// swallowed is known as such well within the bounds on leaving targets.
-pub const WATCH_MS: u64 = 4_000;
+/// Time that a watch waits, in milliseconds. An instance whose watch was swallowed
+/// hears from peers that it is behind.
+pub const WATCH_MS: u64 = 8_000;
 /// Pause after changes, so that those that come together are read together, in
 /// microseconds: a fifth of the bound on new configurations.
 const GATHER_US: u64 = 350_000;
--- a/policy/src/feed/release.rs
+++ b/policy/src/feed/release.rs
@@ -5,9 +5,11 @@
 use model::world::Route;
 use model::world::Service;
 use model::world::Target;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// A whole configuration under a number that only rises.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Release {
     /// Its number.
     pub number: u64,
@@ -20,7 +22,7 @@
 }
 
 /// What the registry says of one target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetEntry {
     /// It stands, in this shape.
     Stands(Target),
--- a/policy/src/feed/world_feed.rs
+++ b/policy/src/feed/world_feed.rs
@@ -44,6 +44,21 @@
     listed: bool,
     away: bool,
     lapses_until_us: u64,
+    /// Revision up to which all changes of targets are known.
+    known_to: u64,
+    /// Revision at which targets changed last.
+    changed_at: u64,
+}
+
+/// What came of offering changes of targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offered {
+    /// They are taken in.
+    Taken,
+    /// They are known.
+    Old,
+    /// Changes before them are missing.
+    Gap,
 }
 
 impl WorldFeed {
@@ -62,9 +77,23 @@
         true
     }
 
-    /// Takes in the list of all targets.
-    pub fn listed(&mut self, now_us: u64, targets: Vec<Target>) {
+    /// Revision up to which all changes of targets are known.
+    pub fn targets_known_to(&self) -> u64 {
+        self.known_to
+    }
+
+    /// Revision at which targets changed last.
+    pub fn targets_changed(&self) -> u64 {
+        self.changed_at
+    }
+
+    /// Takes in the list of all targets as of a revision.
+    pub fn listed(&mut self, now_us: u64, revision: u64, targets: Vec<Target>) {
+        if self.listed && revision < self.known_to {
+            return;
+        }
         self.listed = true;
+        self.known_to = revision;
         let mut missing: Vec<Arc<str>> = self.targets.keys().cloned().collect();
         missing.retain(|name| !targets.iter().any(|target| target.name == *name));
         for target in targets {
@@ -73,8 +102,25 @@
         self.lost(now_us, &missing);
     }
 
-    /// Takes in changes of entries, in order.
-    pub fn changed(&mut self, now_us: u64, entries: Vec<TargetEntry>) {
+    /// Takes in all changes of entries after one revision up to another, in order.
+    pub fn changed(
+        &mut self,
+        now_us: u64,
+        after: u64,
+        revision: u64,
+        entries: Vec<TargetEntry>,
+    ) -> Offered {
+        if !self.listed || after > self.known_to {
+            return Offered::Gap;
+        }
+        if revision <= self.known_to {
+            return Offered::Old;
+        }
+        self.known_to = revision;
+        if entries.is_empty() {
+            return Offered::Old;
+        }
+        self.changed_at = revision;
         let mut removed = Vec::new();
         for entry in entries {
             match entry {
@@ -86,6 +132,7 @@
             }
         }
         self.lost(now_us, &removed);
+        Offered::Taken
     }
 
     /// Notes whether the registry answers.
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -30,12 +30,21 @@
     },
     /// Call the platform and report its answer.
     Call(PlatformCall),
-    /// Read the registry's configuration again: a peer holds a newer one.
-    Reread,
+    /// Read a part of the registry again: a peer knows of something newer.
+    Reread(RegistryPart),
     /// Log that something happened.
     Log(Happening),
 }
 
+/// A part of a registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RegistryPart {
+    /// The configuration.
+    Release,
+    /// The targets' entries.
+    Targets,
+}
+
 /// A call to the platform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlatformCall {
--- a/policy/src/instance/input.rs
+++ b/policy/src/instance/input.rs
@@ -4,6 +4,9 @@
 
 use model::world::Target;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::Envelope;
 use crate::exchange::Observation;
 use crate::feed::Release;
@@ -43,13 +46,29 @@
     /// A configuration.
     Release(Release),
     /// All targets.
-    Targets(Vec<Target>),
+    Targets {
+        /// Revision as of which.
+        revision: u64,
+        /// The targets.
+        targets: Vec<Target>,
+    },
     /// Changes of targets.
-    Entries(Vec<TargetEntry>),
+    Entries(EntryChanges),
     /// Whether it answers.
     Reachable(bool),
 }
 
+/// All changes of targets between two revisions of a registry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryChanges {
+    /// The revision after which.
+    pub after: u64,
+    /// The revision up to which.
+    pub revision: u64,
+    /// The changes in order.
+    pub entries: Vec<TargetEntry>,
+}
+
 /// What came of a call to the platform.
 #[derive(Clone, Debug)]
 pub enum PlatformAnswer {
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -69,6 +69,7 @@
     pub(super) feed: WorldFeed,
     pub(super) demand: Demand,
     pub(super) next_reread_us: u64,
+    pub(super) behind_since_us: Option<u64>,
     pub(super) has_asked_doubts: bool,
     pub(super) shared_retry_reserve: Option<f64>,
     pub(super) seeds: Vec<SocketAddr>,
@@ -109,6 +110,7 @@
             feed: WorldFeed::default(),
             demand: Demand::default(),
             next_reread_us: 0,
+            behind_since_us: None,
             has_asked_doubts: false,
             shared_retry_reserve: settings.shared_retry_reserve,
             seeds: settings.seeds,
@@ -258,13 +260,21 @@
                 count,
                 text,
             } => self.take_part(number, index, count, &text),
+            Message::Release { release, span } => {
+                self.release_spread(now_us, release, span.as_ref())
+            }
+            Message::Entries { changes, span } => {
+                self.entries_spread(now_us, changes, span.as_ref())
+            }
             Message::AskDoubts => self.tell_doubts(now_us, &from),
             Message::Doubts(told) => self.learn_doubts(now_us, &told),
             Message::Alerts { alerts, span } => self.alerted(now_us, &from, &alerts, span.as_ref()),
         }
         match self.source {
             WorldSource::Notes => self.pull_if_behind(now_us, &from, envelope.note),
-            WorldSource::Registry => self.reread_if_behind(now_us, envelope.note),
+            WorldSource::Registry => {
+                self.reread_if_behind(now_us, envelope.note, envelope.targets_changed);
+            }
         }
         if !self.freshness.is_fresh() {
             self.freshness.decide(now_us, self.log.number());
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -5,15 +5,17 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::EntryChanges;
 use crate::evidence::Report;
 use crate::evidence::Signal;
 use crate::evidence::Verdict;
+use crate::feed::Release;
 use crate::membership::Member;
 use crate::notes::NumberedNote;
 use crate::notes::Span;
 
 /// A message and what travels with each one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Envelope {
     /// Id of the sender.
     pub from: Arc<str>,
@@ -21,6 +23,9 @@
     pub incarnation: u64,
     /// Number of the note in force at the sender.
     pub note: u64,
+    /// Revision of the registry at which targets changed last, as the sender
+    /// knows; 0 without a registry.
+    pub targets_changed: u64,
     /// News of members.
     pub news: Vec<Member>,
     /// The message itself.
@@ -61,7 +66,7 @@
 }
 
 /// A message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// Asks for an [`Message::Ack`].
     Ping {
@@ -122,6 +127,20 @@
         /// The part as JSON.
         text: Arc<str>,
     },
+    /// A configuration that a watcher has read.
+    Release {
+        /// The configuration.
+        release: Release,
+        /// Whom the receiver passes it on to.
+        span: Option<Span>,
+    },
+    /// Changes of targets that a watcher has heard of.
+    Entries {
+        /// The changes.
+        changes: EntryChanges,
+        /// Whom the receiver passes them on to.
+        span: Option<Span>,
+    },
     /// Asks for what is doubted; answered by [`Message::Doubts`].
     AskDoubts,
     /// The targets that the sender doubts.
--- a/policy/src/instance/messages.rs
+++ b/policy/src/instance/messages.rs
@@ -30,6 +30,7 @@
             from: self.membership.own().id.clone(),
             incarnation: self.membership.own().incarnation,
             note: self.log.number(),
+            targets_changed: self.feed.targets_changed(),
             news: self.membership.take_news(),
             message,
         }
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -3,14 +3,26 @@
 use std::sync::Arc;
 
 use super::Action;
+use super::EntryChanges;
 use super::Happening;
 use super::Instance;
+use super::Message;
 use super::RegistryNews;
+use super::RegistryPart;
 use super::settings::EvidenceSharing;
+use crate::feed::Offered;
+use crate::feed::Release;
+use crate::notes::Span;
 use crate::routing::Placement;
 
 /// Time between two readings that peers' newer numbers cause, in microseconds.
 const REREAD_PERIOD_US: u64 = 700_000;
+/// Time in which what a watcher spreads arrives, in microseconds; after it an
+/// instance that is behind reads by itself.
+const SPREAD_US: u64 = 150_000;
+/// Routes of a release that is spread as a whole; of a larger one each instance
+/// reads its own copy, as a message of a megabyte would hold up alerts.
+const SPREAD_ROUTES: usize = 100;
 
 /// Retries saved up until the number of instances is known.
 const FIRST_RETRY_RESERVE: f64 = 1.0;
@@ -20,10 +32,20 @@
     pub(super) fn registry_told(&mut self, now_us: u64, news: RegistryNews) {
         match news {
             RegistryNews::Release(release) => {
-                self.feed.released(release);
+                if self.feed.released(release.clone()) && self.is_watcher {
+                    let ids = self.other_ids();
+                    self.spread_release(now_us, &release, &ids);
+                }
+            }
+            RegistryNews::Targets { revision, targets } => {
+                self.feed.listed(now_us, revision, targets);
+            }
+            RegistryNews::Entries(changes) => {
+                if self.take_entries(now_us, changes.clone()) && self.is_watcher {
+                    let ids = self.other_ids();
+                    self.spread_entries(now_us, &changes, &ids);
+                }
             }
-            RegistryNews::Targets(targets) => self.feed.listed(now_us, targets),
-            RegistryNews::Entries(entries) => self.feed.changed(now_us, entries),
             RegistryNews::Reachable(reachable) => {
                 self.feed.reachable(now_us, reachable);
                 self.shared.currency().source_reachable(reachable);
@@ -31,23 +53,106 @@
                     .push(Action::Log(Happening::RegistryReachable(reachable)));
             }
         }
+        self.show_watching();
         self.follow_registry();
         self.decide_readiness();
     }
 
     pub(super) fn tick_registry(&mut self, now_us: u64) {
+        self.show_watching();
         self.feed.tick(now_us);
         self.follow_registry();
     }
 
-    /// Reads the release again if a peer holds a newer one.
-    pub(super) fn reread_if_behind(&mut self, now_us: u64, number: u64) {
-        if number > self.log.number() && now_us >= self.next_reread_us {
-            self.next_reread_us = now_us + REREAD_PERIOD_US;
-            self.actions.push(Action::Reread);
+    /// Reads again what a peer knows better, unless watchers tell it first.
+    pub(super) fn reread_if_behind(&mut self, now_us: u64, number: u64, targets_changed: u64) {
+        let release = number > self.log.number();
+        let targets = targets_changed > self.feed.targets_known_to();
+        if !release && !targets {
+            return;
+        }
+        let since_us = *self.behind_since_us.get_or_insert(now_us);
+        let waited_us = now_us.saturating_sub(since_us);
+        if waited_us < SPREAD_US || now_us < self.next_reread_us {
+            return;
+        }
+        self.next_reread_us = now_us + REREAD_PERIOD_US;
+        self.behind_since_us = None;
+        if release {
+            self.actions.push(Action::Reread(RegistryPart::Release));
+        }
+        if targets {
+            self.actions.push(Action::Reread(RegistryPart::Targets));
+        }
+    }
+
+    /// Takes in a release that a watcher spreads.
+    pub(super) fn release_spread(&mut self, now_us: u64, release: Release, span: Option<&Span>) {
+        if let Some(span) = span {
+            let ids = span.cut(&self.other_ids());
+            self.spread_release(now_us, &release, &ids);
+        }
+        if self.feed.released(release) {
+            self.follow_registry();
+        }
+    }
+
+    /// Takes in changes of targets that a watcher spreads.
+    pub(super) fn entries_spread(
+        &mut self,
+        now_us: u64,
+        changes: EntryChanges,
+        span: Option<&Span>,
+    ) {
+        if let Some(span) = span {
+            let ids = span.cut(&self.other_ids());
+            self.spread_entries(now_us, &changes, &ids);
+        }
+        if self.take_entries(now_us, changes) {
+            self.follow_registry();
         }
     }
 
+    /// Takes in changes of targets; true if they say something new.
+    fn take_entries(&mut self, now_us: u64, changes: EntryChanges) -> bool {
+        let EntryChanges {
+            after,
+            revision,
+            entries,
+        } = changes;
+        match self.feed.changed(now_us, after, revision, entries) {
+            Offered::Taken => true,
+            Offered::Old => false,
+            Offered::Gap => {
+                self.actions.push(Action::Reread(RegistryPart::Targets));
+                false
+            }
+        }
+    }
+
+    fn spread_release(&mut self, now_us: u64, release: &Release, ids: &[Arc<str>]) {
+        if release.routes.len() > SPREAD_ROUTES {
+            return;
+        }
+        for (to, span) in crate::notes::split(ids) {
+            let release = release.clone();
+            self.send(now_us, &to, Message::Release { release, span });
+        }
+    }
+
+    fn spread_entries(&mut self, now_us: u64, changes: &EntryChanges, ids: &[Arc<str>]) {
+        for (to, span) in crate::notes::split(ids) {
+            let changes = changes.clone();
+            self.send(now_us, &to, Message::Entries { changes, span });
+        }
+    }
+
+    /// Shows the follower of the registry what it is to do.
+    fn show_watching(&self) {
+        let known_to = self.feed.targets_known_to();
+        self.shared.watching().show(self.is_watcher, known_to);
+    }
+
     /// Puts in force what differs between the registry and the world.
     fn follow_registry(&mut self) {
         let Some((number, change)) = self.feed.change(self.log.world()) else {
--- a/policy/src/instance/shared.rs
+++ b/policy/src/instance/shared.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
 
@@ -15,6 +18,41 @@
     table: ArcSwap<RoutingTable>,
     directory: ArcSwap<BTreeMap<Arc<str>, Member>>,
     currency: Arc<Currency>,
+    watching: Watching,
+}
+
+/// Which part an instance takes in following a registry.
+#[derive(Debug)]
+pub struct Watching {
+    is_watcher: AtomicBool,
+    targets_known_to: AtomicU64,
+}
+
+impl Default for Watching {
+    fn default() -> Self {
+        Self {
+            is_watcher: AtomicBool::new(true),
+            targets_known_to: AtomicU64::new(0),
+        }
+    }
+}
+
+impl Watching {
+    /// Whether the instance holds watches and spreads what they tell.
+    pub fn is_watcher(&self) -> bool {
+        self.is_watcher.load(Ordering::Relaxed)
+    }
+
+    /// Revision up to which all changes of targets are known.
+    pub fn targets_known_to(&self) -> u64 {
+        self.targets_known_to.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn show(&self, is_watcher: bool, targets_known_to: u64) {
+        self.is_watcher.store(is_watcher, Ordering::Relaxed);
+        self.targets_known_to
+            .store(targets_known_to, Ordering::Relaxed);
+    }
 }
 
 impl Shared {
@@ -28,6 +66,11 @@
         &self.currency
     }
 
+    /// Which part the instance takes in following a registry.
+    pub fn watching(&self) -> &Watching {
+        &self.watching
+    }
+
     /// The instances that are present, by id.
     pub fn directory(&self) -> Arc<BTreeMap<Arc<str>, Member>> {
         self.directory.load_full()
--- a/policy/src/instance/tables.rs
+++ b/policy/src/instance/tables.rs
@@ -110,6 +110,7 @@
             .into_iter()
             .map(|(target, standing)| Candidate {
                 load: self.load_of(&target),
+                is_local: *target.data_centre == *here,
                 round_trip_us: 2 * world.one_way_us(here, &target.data_centre),
                 target,
                 standing,
--- a/policy/src/limits/mod.rs
+++ b/policy/src/limits/mod.rs
@@ -4,6 +4,7 @@
 mod customers;
 mod fair_queue;
 mod retry_budget;
+mod return_advice;
 
 pub use admission::Admission;
 pub use admission::Admitted;
@@ -12,3 +13,4 @@
 pub use fair_queue::FairQueue;
 pub use fair_queue::Refusal;
 pub use retry_budget::RetryBudget;
+pub use return_advice::Refused;
--- a/policy/src/routing/candidate.rs
+++ b/policy/src/routing/candidate.rs
@@ -24,8 +24,10 @@
     pub load: Arc<TargetLoad>,
     /// How the homes see it.
     pub standing: Standing,
-    /// Time to it and back, in microseconds.
+    /// Time to it and back, in microseconds; 0 also where it is not known.
     pub round_trip_us: u64,
+    /// Whether it runs in the instance's own data centre.
+    pub is_local: bool,
 }
 
 impl Candidate {
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -22,6 +22,12 @@
     doubt: 0.45,
     trials_per_s: 1.0,
 };
+/// Trials by repeatable requests while targets are short: about two seconds after a
+/// reset, as a failed one costs a retry only and a sound target carries a sixth of the load.
+const EAGER_PACE: TrialPace = TrialPace {
+    doubt: 0.7,
+    trials_per_s: 2.0,
+};
 /// Trials while many requests fail, so that targets that are sound again get work
 /// within the two seconds of the floor; a part of the instances only sees them fail.
 const STRAINED_PACE: TrialPace = TrialPace {
@@ -88,6 +94,17 @@
         len
     }
 
+    /// Whether the load fills the targets that nothing speaks against.
+    pub fn is_full(&self, now_us: u64) -> bool {
+        let undoubted = self
+            .candidates
+            .iter()
+            .filter(|candidate| candidate.load.doubt(now_us) <= UNDOUBTED);
+        let slots: u32 = undoubted.map(|candidate| candidate.target.slots).sum();
+        let needed = self.load.needed_slots.load(Ordering::Relaxed);
+        f64::from(needed) > FILL * f64::from(slots)
+    }
+
     /// Whether the load fills the targets of a set.
     fn is_short(&self, set: &[(f64, usize)]) -> bool {
         let slots = set.iter().map(|(_, at)| self.candidates[*at].target.slots);
@@ -98,10 +115,12 @@
 
     /// How soon and how often doubted targets are tried out; none if not at all.
     fn pace(&self, repeatable: bool, set: &[(f64, usize)]) -> Option<TrialPace> {
-        if self.load.strained.load(Ordering::Relaxed) {
-            return Some(STRAINED_PACE);
+        match (repeatable, self.is_short(set)) {
+            (true, true) => Some(EAGER_PACE),
+            _ if self.load.strained.load(Ordering::Relaxed) => Some(STRAINED_PACE),
+            (true, false) | (false, true) => Some(USUAL_PACE),
+            (false, false) => None,
         }
-        (repeatable || self.is_short(set)).then_some(USUAL_PACE)
     }
 
     /// A doubted target to try out, if this request is one that does so.
@@ -122,7 +141,7 @@
     /// Those of a working set that a request goes to: the nearby ones for as
     /// many requests as they can carry.
     fn near(&self, set: &[(f64, usize)], rng: &mut impl Rng) -> Vec<usize> {
-        let is_near = |at: &usize| self.candidates[*at].round_trip_us == 0;
+        let is_near = |at: &usize| self.candidates[*at].is_local;
         let (near, far): (Vec<usize>, Vec<usize>) =
             set.iter().map(|(_, at)| *at).partition(is_near);
         if near.is_empty() || far.is_empty() {
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -56,6 +56,7 @@
         load: Arc::new(TargetLoad::new(1)),
         standing: Standing::Healthy,
         round_trip_us: 0,
+        is_local: true,
     };
     Arc::new(ServiceTable {
         service: Arc::new(service),
@@ -73,6 +74,7 @@
 impl Run {
     fn new(repeat: Repeat, claims_key: bool) -> Self {
         let request = Request {
+            caller_deadline_us: DEADLINE_US,
             deadline_us: DEADLINE_US,
             claims_key,
             replayable: true,
--- /dev/null
+++ b/policy/tests/feed.rs
@@ -0,0 +1,253 @@
+//! From a registry's releases and entries to the world.
+
+use std::sync::Arc;
+
+use model::Note;
+use model::World;
+use model::world::Class;
+use model::world::Repeat;
+use model::world::Route;
+use model::world::RouteTerms;
+use model::world::Service;
+use model::world::Target;
+use policy::feed::Next;
+use policy::feed::Offered;
+use policy::feed::Outcome;
+use policy::feed::Pace;
+use policy::feed::Release;
+use policy::feed::TargetEntry;
+use policy::feed::WorldFeed;
+use policy::notes::NoteLog;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const SECOND_US: u64 = 1_000_000;
+
+fn service(name: &str) -> Service {
+    Service {
+        name: name.into(),
+        class: Class::Live,
+        repeat: Repeat::Never,
+        time_limit_ms: 8_000,
+        floor_share: 0.7,
+        false_ejection_rate: 1e-6,
+        missed_detection_rate: 1e-6,
+        retry_share: 0.2,
+        queue: 32,
+        probe_path: "/health".into(),
+    }
+}
+
+fn route(name: &str, path: &str, service: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: Some("a.example".into()),
+        path: path.into(),
+        service: service.into(),
+        shares: Vec::new(),
+        terms: RouteTerms::default(),
+    }
+}
+
+fn target(name: &str) -> Target {
+    Target {
+        name: name.into(),
+        service: "reads".into(),
+        data_centre: "devin".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        slots: 6,
+        connections: 330,
+        refusal_is_not_run: false,
+        leaving: false,
+        incarnation: 1,
+    }
+}
+
+fn release(number: u64, routes: &[(&str, &str, &str)]) -> Release {
+    Release {
+        number,
+        services: vec![service("reads"), service("gates")],
+        routes: routes
+            .iter()
+            .map(|(name, path, service)| route(name, path, service))
+            .collect(),
+        idle_limit_ms: None,
+    }
+}
+
+/// A feed and the world that follows it.
+struct Follower {
+    feed: WorldFeed,
+    log: NoteLog,
+}
+
+impl Follower {
+    fn new(targets: &[&str]) -> Self {
+        let mut follower = Self {
+            feed: WorldFeed::default(),
+            log: NoteLog::default(),
+        };
+        let targets = targets.iter().map(|name| target(name)).collect();
+        follower.feed.listed(0, 10, targets);
+        follower.feed.released(release(3, &[("r", "/a/", "reads")]));
+        follower.follow();
+        follower
+    }
+
+    fn follow(&mut self) {
+        if let Some((number, change)) = self.feed.change(self.log.world()) {
+            self.log.adjust(number, &change).expect("the change fits");
+        }
+    }
+
+    fn removed(&mut self, now_us: u64, names: &[&str]) {
+        let after = self.feed.targets_known_to();
+        let removed = |name: &&str| TargetEntry::Removed(Arc::from(*name));
+        let entries = names.iter().map(removed).collect();
+        self.feed.changed(now_us, after, after + 1, entries);
+        self.tick(now_us);
+    }
+
+    fn tick(&mut self, now_us: u64) {
+        self.feed.tick(now_us);
+        self.follow();
+    }
+
+    fn targets(&self) -> usize {
+        self.log.world().targets_of("reads").count()
+    }
+
+    fn world(&self) -> &World {
+        self.log.world()
+    }
+}
+
+#[test]
+fn a_release_takes_effect_as_a_change_and_never_goes_back() {
+    let mut follower = Follower::new(&["t-1"]);
+    assert_eq!(follower.world().number, 3);
+    assert!(follower.feed.released(release(9, &[("r", "/a/", "gates")])));
+    follower.follow();
+    assert!(!follower.feed.released(release(8, &[("r", "/a/", "reads")])));
+    follower.follow();
+    assert_eq!(follower.world().number, 9);
+    let route = follower.world().route("a.example", "/a/x");
+    assert_eq!(route.map(|route| &*route.service), Some("gates"));
+}
+
+#[test]
+fn routes_may_exchange_their_paths_in_one_release() {
+    let mut follower = Follower::new(&["t-1"]);
+    let before = [("r", "/a/", "reads"), ("s", "/b/", "gates")];
+    follower.feed.released(release(4, &before));
+    follower.follow();
+    let after = [("r", "/b/", "reads"), ("s", "/a/", "gates")];
+    follower.feed.released(release(5, &after));
+    follower.follow();
+    let route = follower.world().route("a.example", "/a/x");
+    assert_eq!(route.map(|route| &*route.name), Some("s"));
+}
+
+#[test]
+fn a_path_without_the_last_slash_of_its_route_is_not_below_it() {
+    let follower = Follower::new(&["t-1"]);
+    assert!(follower.world().route("a.example", "/a/x").is_some());
+    assert!(follower.world().route("a.example", "/a/").is_some());
+    assert!(follower.world().route("a.example", "/a").is_none());
+    assert!(follower.world().route("a.example", "/ab/x").is_none());
+}
+
+#[test]
+fn a_target_whose_entry_goes_is_out_at_once() {
+    let mut follower = Follower::new(&["t-1", "t-2", "t-3", "t-4"]);
+    follower.removed(SECOND_US, &["t-1"]);
+    assert_eq!(follower.targets(), 3);
+}
+
+#[test]
+fn entries_that_lapse_with_an_outage_stay_until_they_should_be_back() {
+    let mut follower = Follower::new(&["t-1", "t-2"]);
+    follower.feed.reachable(SECOND_US, false);
+    follower.feed.reachable(9 * SECOND_US, true);
+    follower.removed(9 * SECOND_US + 100_000, &["t-1", "t-2"]);
+    assert_eq!(follower.targets(), 2);
+    let after = follower.feed.targets_known_to();
+    let back = vec![TargetEntry::Stands(target("t-1"))];
+    follower
+        .feed
+        .changed(10 * SECOND_US, after, after + 1, back);
+    follower.tick(11 * SECOND_US);
+    assert_eq!(follower.targets(), 2);
+    follower.tick(12 * SECOND_US);
+    assert_eq!(follower.targets(), 1);
+}
+
+#[test]
+fn most_entries_lost_at_once_are_taken_for_an_outage_for_a_moment() {
+    let mut follower = Follower::new(&["t-1", "t-2", "t-3", "t-4"]);
+    follower.removed(SECOND_US, &["t-1", "t-2", "t-3"]);
+    assert_eq!(follower.targets(), 4);
+    follower.tick(3 * SECOND_US);
+    assert_eq!(follower.targets(), 1);
+}
+
+#[test]
+fn changes_are_taken_in_once_and_only_without_a_gap() {
+    let mut follower = Follower::new(&["t-1"]);
+    let news = || vec![TargetEntry::Stands(target("t-2"))];
+    assert_eq!(follower.feed.changed(0, 12, 14, news()), Offered::Gap);
+    assert_eq!(follower.feed.changed(0, 9, 12, news()), Offered::Taken);
+    assert_eq!(follower.feed.changed(0, 9, 12, news()), Offered::Old);
+    follower.follow();
+    assert_eq!(follower.targets(), 2);
+}
+
+#[test]
+fn targets_of_services_not_yet_released_wait() {
+    let mut follower = Follower::new(&["t-1"]);
+    let mut early = target("t-9");
+    early.service = "new".into();
+    let entries = vec![TargetEntry::Stands(early)];
+    follower.feed.changed(0, 10, 11, entries);
+    follower.follow();
+    assert!(!follower.world().targets.contains_key("t-9"));
+    let mut later = release(7, &[("r", "/a/", "reads")]);
+    later.services.push(service("new"));
+    follower.feed.released(later);
+    follower.follow();
+    assert!(follower.world().targets.contains_key("t-9"));
+}
+
+#[test]
+fn a_change_that_does_not_fit_changes_nothing() {
+    let mut log = NoteLog::default();
+    let mut note = Note::default();
+    note.routes.add.push(route("r", "/a/", "nowhere"));
+    assert!(log.adjust(5, &note).is_err());
+    assert_eq!(log.number(), 0);
+}
+
+#[test]
+fn changes_that_come_together_are_read_together() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut pace = Pace::default();
+    let next = pace.next(0, Outcome::Changes(5), &mut rng);
+    let Next::Watch { after: 5, at_us } = next else {
+        panic!("expected a watch, got {next:?}");
+    };
+    assert!((200_000..800_000).contains(&at_us));
+}
+
+#[test]
+fn a_failing_registry_is_asked_ever_less_and_soon_noticed_when_back() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut pace = Pace::default();
+    let mut now_us = 0;
+    for _ in 0..20 {
+        let next = pace.next(now_us, Outcome::Failed, &mut rng);
+        let (Next::Read { at_us } | Next::Watch { at_us, .. }) = next;
+        assert!(at_us > now_us && at_us - now_us <= 600_000);
+        now_us = at_us;
+    }
+    assert!(now_us > 3 * SECOND_US);
+}
--- a/policy/tests/notes.rs
+++ b/policy/tests/notes.rs
@@ -59,6 +59,7 @@
         from: from.into(),
         incarnation: 1,
         note: number,
+        targets_changed: 0,
         news: Vec::new(),
         message: Message::Ack { sequence: 0 },
     })
@@ -119,6 +120,7 @@
         from: "a".into(),
         incarnation: 1,
         note: 1,
+        targets_changed: 0,
         news: Vec::new(),
         message: Message::Notes(vec![note(1)]),
     });
@@ -130,6 +132,7 @@
         from: "b".into(),
         incarnation: 1,
         note: 2,
+        targets_changed: 0,
         news: Vec::new(),
         message: Message::Notes(vec![note(2)]),
     });
--- a/proof/examples/capacity/slopes.rs
+++ b/proof/examples/capacity/slopes.rs
@@ -356,6 +356,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(number);
     let now_us = 100_000_000 + number;
     let request = Request {
+        caller_deadline_us: now_us + 1_000_000,
         deadline_us: now_us + 1_000_000,
         claims_key: false,
         replayable: true,
--- a/proof/src/requests.rs
+++ b/proof/src/requests.rs
@@ -182,6 +182,7 @@
             }
         }
         let request = Request {
+            caller_deadline_us: deadline_us,
             deadline_us,
             claims_key: matches!(flight.naming, Naming::Key(_)),
             replayable: true,
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -530,7 +530,7 @@
                 standing: Standing::Ejected,
                 ..
             }) => self.stats.ejections.push((self.now_us, target)),
-            Action::Log(_) | Action::Reread => {}
+            Action::Log(_) | Action::Reread(_) => {}
         }
     }
 
@@ -648,6 +648,8 @@
         Message::NewNote { .. }
         | Message::PullNotes { .. }
         | Message::Notes(_)
-        | Message::SnapshotPart { .. } => "notes",
+        | Message::SnapshotPart { .. }
+        | Message::Release { .. }
+        | Message::Entries { .. } => "notes",
     }
 }
--- a/sniperund/src/app/app.rs
+++ b/sniperund/src/app/app.rs
@@ -19,7 +19,6 @@
 use policy::limits::Customers;
 use policy::membership::Member;
 use policy::membership::Status;
-use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use super::AppError;
@@ -38,6 +37,7 @@
 use crate::control::ControlHandle;
 use crate::control::ControlParts;
 use crate::control::RegistryFollower;
+use crate::control::Rereads;
 use crate::logs::Sampler;
 use crate::metrics::Metrics;
 use crate::targets::Pool;
@@ -80,7 +80,7 @@
         let metrics = Arc::new(Metrics::default());
         let clock = Clock::default();
         let started_ms = unix_ms();
-        let reread = Arc::new(Notify::new());
+        let rereads = Arc::new(Rereads::default());
 
         // Peers need the address that callers use, so both are bound first.
         let late = Arc::new(LateHandle::default());
@@ -106,7 +106,7 @@
             clock,
             sender: Sender::new(metrics.peers.clone()),
             platform: around.platform.clone(),
-            reread: reread.clone(),
+            rereads: rereads.clone(),
             prober: Prober,
             metrics: metrics.clone(),
         };
@@ -163,7 +163,7 @@
                 metrics,
                 clock,
                 member: member.clone(),
-                reread,
+                rereads,
             };
             tasks.push(tokio::spawn(follower.run()));
         }
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -135,7 +135,10 @@
     service: Arc<ServiceTable>,
     record: CommandRecord,
     began_us: u64,
+    /// When the request is given up.
     deadline_us: u64,
+    /// When the caller gives up.
+    caller_deadline_us: u64,
 }
 
 enum Routed {
@@ -207,6 +210,7 @@
         record,
         began_us,
         deadline_us,
+        caller_deadline_us: began_us + asked_ms * MICROS_PER_MILLI,
     })))
 }
 
@@ -274,6 +278,7 @@
     };
     let request = policy::exchange::Request {
         deadline_us: found.deadline_us,
+        caller_deadline_us: found.caller_deadline_us,
         claims_key: found.record.claims_key(),
         replayable: body.is_replayable(),
         repeatable: repeatable(&found.route, &found.service),
--- a/sniperund/src/control/control_loop.rs
+++ b/sniperund/src/control/control_loop.rs
@@ -7,12 +7,12 @@
 use peers::Sender;
 use policy::Input;
 use policy::Instance;
-use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
 use super::ControlHandle;
 use super::ControlMessage;
+use super::Rereads;
 use super::Status;
 use super::driver::Driver;
 use crate::Clock;
@@ -27,8 +27,8 @@
     pub sender: Sender,
     /// The platform's key-value service, where notes come from it.
     pub platform: Option<Arc<dyn Platform>>,
-    /// Asks for another reading of the registry's release.
-    pub reread: Arc<Notify>,
+    /// Asks for another reading of the registry.
+    pub rereads: Arc<Rereads>,
     /// Probes targets.
     pub prober: Prober,
     /// Metrics.
@@ -52,7 +52,7 @@
             handle: handle.clone(),
             sender: parts.sender,
             platform: parts.platform,
-            reread: parts.reread,
+            rereads: parts.rereads,
             prober: parts.prober,
             metrics: parts.metrics,
         };
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -13,9 +13,9 @@
 use policy::instance::Happening;
 use policy::instance::PlatformAnswer;
 use policy::instance::PlatformCall;
-use tokio::sync::Notify;
 
 use super::ControlHandle;
+use super::Rereads;
 use crate::metrics::Metrics;
 use crate::targets::Prober;
 
@@ -28,7 +28,7 @@
     pub(super) handle: ControlHandle,
     pub(super) sender: Sender,
     pub(super) platform: Option<Arc<dyn Platform>>,
-    pub(super) reread: Arc<Notify>,
+    pub(super) rereads: Arc<Rereads>,
     pub(super) prober: Prober,
     pub(super) metrics: Arc<Metrics>,
 }
@@ -42,7 +42,7 @@
             } => self.sender.send(address, &envelope),
             Action::Probe { target, path } => self.probe(target, path),
             Action::Call(call) => self.call(call),
-            Action::Reread => self.reread.notify_one(),
+            Action::Reread(part) => self.rereads.ask(part),
             Action::Log(happening) => self.log(&happening),
         }
     }
--- a/sniperund/src/control/mod.rs
+++ b/sniperund/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub use handle::ControlHandle;
 pub use handle::ControlMessage;
 pub use registry_follower::RegistryFollower;
+pub use registry_follower::Rereads;
 pub use status::MemberStatus;
 pub use status::Status;
 pub use status::TargetStatus;
--- a/sniperund/src/control/registry_follower.rs
+++ b/sniperund/src/control/registry_follower.rs
@@ -15,8 +15,10 @@
 use policy::feed::Outcome;
 use policy::feed::Pace;
 use policy::feed::WATCH_MS;
+use policy::instance::EntryChanges;
 use policy::instance::PlatformAnswer;
 use policy::instance::RegistryNews;
+use policy::instance::RegistryPart;
 use policy::membership::Member;
 use tokio::sync::Notify;
 
@@ -32,6 +34,10 @@
 const ANNOUNCEMENT_MS: u64 = 20_000;
 /// Renewals in the life of an announcement.
 const RENEWALS: u64 = 3;
+/// How often an instance without watches looks whether it is to hold them.
+const LOOK_PERIOD: Duration = Duration::from_secs(1);
+/// Looks after which such an instance reads by itself, whatever others tell.
+const LOOKS_PER_FALLBACK: u32 = 20;
 /// Pause after a failed announcement or renewal.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(700);
 /// When the instances are read again after a start, so that those that started
@@ -52,8 +58,25 @@
     pub clock: Clock,
     /// The instance itself.
     pub member: Member,
-    /// Asks for another reading of the release.
-    pub reread: Arc<Notify>,
+    /// Asks for another reading.
+    pub rereads: Arc<Rereads>,
+}
+
+/// Asks for another reading of a part of the registry.
+#[derive(Debug, Default)]
+pub struct Rereads {
+    release: Notify,
+    targets: Notify,
+}
+
+impl Rereads {
+    /// Asks for another reading of `part`.
+    pub fn ask(&self, part: RegistryPart) {
+        match part {
+            RegistryPart::Release => self.release.notify_one(),
+            RegistryPart::Targets => self.targets.notify_one(),
+        }
+    }
 }
 
 #[derive(Default)]
@@ -67,7 +90,7 @@
 
     fn read(&self) -> BoxFuture<'_, Result<Reading<Option<RegistryNews>>>>;
     fn watch(&self, after: u64) -> BoxFuture<'_, Result<Watched<Self::Change>>>;
-    fn news(changes: Vec<Self::Change>) -> Option<RegistryNews>;
+    fn news(after: u64, changes: Reading<Vec<Self::Change>>) -> Option<RegistryNews>;
 }
 
 struct ReleasePart(Arc<dyn Registry>);
@@ -89,8 +112,9 @@
         self.0.watch_release(after, WATCH_MS)
     }
 
-    fn news(changes: Vec<Self::Change>) -> Option<RegistryNews> {
-        changes.into_iter().next_back().map(RegistryNews::Release)
+    fn news(_after: u64, changes: Reading<Vec<Self::Change>>) -> Option<RegistryNews> {
+        let latest = changes.value.into_iter().next_back();
+        latest.map(RegistryNews::Release)
     }
 }
 
@@ -104,7 +128,10 @@
             let reading = self.0.targets().await?;
             Ok(Reading {
                 revision: reading.revision,
-                value: Some(RegistryNews::Targets(reading.value)),
+                value: Some(RegistryNews::Targets {
+                    revision: reading.revision,
+                    targets: reading.value,
+                }),
             })
         })
     }
@@ -113,8 +140,13 @@
         self.0.watch_targets(after, WATCH_MS)
     }
 
-    fn news(changes: Vec<Self::Change>) -> Option<RegistryNews> {
-        (!changes.is_empty()).then_some(RegistryNews::Entries(changes))
+    fn news(after: u64, changes: Reading<Vec<Self::Change>>) -> Option<RegistryNews> {
+        let changes = EntryChanges {
+            after,
+            revision: changes.revision,
+            entries: changes.value,
+        };
+        (!changes.entries.is_empty()).then_some(RegistryNews::Entries(changes))
     }
 }
 
@@ -122,20 +154,11 @@
     /// Follows the registry until the task is ended.
     pub async fn run(self) {
         let reach = Reach::default();
-        let never = Notify::new();
+        let release = ReleasePart(self.registry.clone());
+        let targets = TargetsPart(self.registry.clone());
         tokio::join!(
-            self.follow(
-                "release",
-                ReleasePart(self.registry.clone()),
-                &reach,
-                &self.reread
-            ),
-            self.follow(
-                "targets",
-                TargetsPart(self.registry.clone()),
-                &reach,
-                &never
-            ),
+            self.follow("release", release, &reach, &self.rereads.release),
+            self.follow("targets", targets, &reach, &self.rereads.targets),
             self.stay_announced(),
         );
     }
@@ -148,6 +171,11 @@
         loop {
             let (Next::Read { at_us } | Next::Watch { at_us, .. }) = next;
             tokio::time::sleep_until(self.clock.instant(at_us)).await;
+            if let Next::Watch { .. } = next
+                && !self.handle.shared().watching().is_watcher()
+            {
+                next = self.wait_to_be_needed(reread).await;
+            }
             self.metrics.platform_calls.inc();
             let outcome = match next {
                 Next::Read { .. } => self.read(name, &part, reach).await,
@@ -164,11 +192,10 @@
         match part.read().await {
             Ok(reading) => {
                 self.reached(reach);
-                let Some(news) = reading.value else {
-                    log::info!("event=registry-empty part={name}");
-                    return Outcome::Failed;
-                };
-                self.handle.tell(Input::Registry(news));
+                match reading.value {
+                    Some(news) => self.handle.tell(Input::Registry(news)),
+                    None => log::info!("event=registry-empty part={name}"),
+                }
                 Outcome::Read(reading.revision)
             }
             Err(error) => self.failed(name, reach, &error),
@@ -179,12 +206,13 @@
         match part.watch(after).await {
             Ok(Watched::Changes(reading)) => {
                 self.reached(reach);
-                match P::news(reading.value) {
+                let revision = reading.revision;
+                match P::news(after, reading) {
                     Some(news) => {
                         self.handle.tell(Input::Registry(news));
-                        Outcome::Changes(reading.revision)
+                        Outcome::Changes(revision)
                     }
-                    None => Outcome::Nothing(reading.revision),
+                    None => Outcome::Nothing(revision),
                 }
             }
             Ok(Watched::HistoryLost) => {
@@ -195,6 +223,22 @@
         }
     }
 
+    /// Waits, where others hold the watches, until there is something to read or
+    /// a look is due; gives what to do then.
+    async fn wait_to_be_needed(&self, reread: &Notify) -> Next {
+        let watching = self.handle.shared().watching();
+        let mut looks = LOOKS_PER_FALLBACK;
+        loop {
+            let asked = tokio::time::timeout(LOOK_PERIOD, reread.notified()).await;
+            looks -= 1;
+            if asked.is_ok() || watching.is_watcher() || looks == 0 {
+                return Next::Read {
+                    at_us: self.clock.now_us(),
+                };
+            }
+        }
+    }
+
     fn reached(&self, reach: &Reach) {
         if reach.failures.swap(0, Ordering::Relaxed) >= AWAY_FAILURES {
             self.handle
