--- a/policy/src/evidence/doubt.rs
+++ b/policy/src/evidence/doubt.rs
@@ -35,8 +35,8 @@
 /// as a loaded service is overdue as a whole. One error or overdue answer alone
 /// takes no target out: one in 50 answers of good targets is such a one.
 const OVERDUE_ODDS: f64 = 8.0;
-/// Odds of a good answer: 0.15 to 0.99.
-const GOOD_ODDS: f64 = 0.15;
+/// Odds of a good answer: 0.1 to 0.99.
+const GOOD_ODDS: f64 = 0.1;
 /// Time in which a doubt falls to 1/e, in microseconds: faults last 5 to 13 s.
 const FADE_US: f64 = 8_000_000.0;
 
--- a/policy/src/evidence/service_test.rs
+++ b/policy/src/evidence/service_test.rs
@@ -31,6 +31,11 @@
 /// Share of the worst other targets that the background leaves out.
 const TRIMMED_SHARE: f64 = 1.0 / 3.0;
 
+/// Other targets with a recent abnormal outcome from which, and the share of those
+/// asked from which, no target is ejected; beyond the worst third that is left out.
+const STORM_TARGETS: usize = 2;
+const STORM_SHARE: f64 = 0.4;
+
 /// What the counts of a target say.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Finding {
@@ -195,6 +200,12 @@
         if ratio < bound {
             return Finding::Running(ratio / bound);
         }
+        if self.is_storm(now_us, target) {
+            return Finding::Running(1.0);
+        }
+        let Some(test) = self.targets.get_mut(target) else {
+            return Finding::Running(0.0);
+        };
         let finding = locate(
             alternatives.partly,
             &test.sides,
@@ -231,6 +242,18 @@
         self.targets.entry(target.clone()).or_insert_with(fresh)
     }
 
+    /// Whether many of the other targets that were asked lately did badly too.
+    ///
+    /// Where requests are rare the background is known late: one target reaches
+    /// its bound while each other has had an outcome or two.
+    fn is_storm(&self, now_us: u64, target: &str) -> bool {
+        let others = self.targets.iter().filter(|(name, _)| &***name != target);
+        let recent = others.map(|(_, test)| test.recent.since(now_us, 0));
+        let asked: Vec<_> = recent.filter(|tally| tally.total() > 0).collect();
+        let bad = asked.iter().filter(|tally| tally.abnormal > 0).count();
+        bad >= STORM_TARGETS && bad as f64 >= STORM_SHARE * asked.len() as f64
+    }
+
     /// What a target is held against, from the outcomes of the others.
     fn alternatives(&mut self, now_us: u64, target: &str) -> Option<Alternatives> {
         let since_us = self.targets.get(target)?.pooled.started_us();
--- a/policy/src/feed/mod.rs
+++ b/policy/src/feed/mod.rs
@@ -14,4 +14,5 @@
 pub use release::Release;
 pub use release::TargetEntry;
 pub use world_feed::Offered;
+pub use world_feed::Teller;
 pub use world_feed::WorldFeed;
--- a/policy/src/feed/world_feed.rs
+++ b/policy/src/feed/world_feed.rs
@@ -50,6 +50,18 @@
     changed_at: u64,
 }
 
+/// Who tells of changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Teller {
+    /// The registry itself.
+    Registry,
+    /// A peer that reaches the registry, whatever is reached from here.
+    Peer {
+        /// Whether the peer takes lost entries for lapsed ones.
+        lapsing: bool,
+    },
+}
+
 /// What came of offering changes of targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offered {
@@ -120,7 +132,8 @@
         for target in targets {
             self.stands(target);
         }
-        self.lost(now_us, &missing);
+        let stay_until_us = self.stay_until_us(now_us);
+        self.lost(now_us, &missing, stay_until_us);
         changes
     }
 
@@ -131,6 +144,7 @@
         after: u64,
         revision: u64,
         entries: Vec<TargetEntry>,
+        teller: Teller,
     ) -> Offered {
         if !self.listed || after > self.known_to {
             return Offered::Gap;
@@ -153,16 +167,34 @@
                 TargetEntry::Removed(name) => removed.push(name),
             }
         }
-        self.lost(now_us, &removed);
+        let stay_until_us = match teller {
+            Teller::Registry => self.stay_until_us(now_us),
+            Teller::Peer { lapsing } => lapsing.then_some(now_us + RETURN_US),
+        };
+        self.lost(now_us, &removed, stay_until_us);
         Offered::Taken
     }
 
+    /// Whether entries that go now may have lapsed with an outage.
+    pub fn is_lapsing(&self, now_us: u64) -> bool {
+        self.away || now_us < self.lapses_until_us
+    }
+
+    fn stay_until_us(&self, now_us: u64) -> Option<u64> {
+        let until_us = if self.away {
+            u64::MAX
+        } else {
+            self.lapses_until_us
+        };
+        self.is_lapsing(now_us).then_some(until_us)
+    }
+
     /// Notes whether the registry answers.
     pub fn reachable(&mut self, now_us: u64, reachable: bool) {
         if self.away && reachable {
             self.lapses_until_us = now_us + RETURN_US;
             for known in self.targets.values_mut() {
-                if known.out_at_us.is_some() {
+                if known.out_at_us == Some(u64::MAX) {
                     known.out_at_us = Some(now_us + RETURN_US);
                 }
             }
@@ -172,9 +204,8 @@
 
     /// Takes out targets whose entries have not come back in time.
     pub fn tick(&mut self, now_us: u64) {
-        let away = self.away;
         self.targets
-            .retain(|_, known| away || known.out_at_us.is_none_or(|at_us| now_us < at_us));
+            .retain(|_, known| known.out_at_us.is_none_or(|at_us| now_us < at_us));
     }
 
     /// The note that turns `world` into what the registry says, if they differ,
@@ -208,7 +239,9 @@
         self.targets.insert(known.target.name.clone(), known);
     }
 
-    fn lost(&mut self, now_us: u64, names: &[Arc<str>]) {
+    /// Takes targets out whose entries went; `stay_until_us` is set where these may
+    /// come back by themselves.
+    fn lost(&mut self, now_us: u64, names: &[Arc<str>], stay_until_us: Option<u64>) {
         let together = self.lost_together(names);
         for name in names {
             let Some(known) = self.targets.get_mut(name) else {
@@ -216,10 +249,8 @@
             };
             if known.target.leaving {
                 self.targets.remove(name);
-            } else if self.away || now_us < self.lapses_until_us {
-                known
-                    .out_at_us
-                    .get_or_insert(self.lapses_until_us.max(now_us));
+            } else if let Some(until_us) = stay_until_us {
+                known.out_at_us.get_or_insert(until_us);
             } else if together {
                 known.out_at_us.get_or_insert(now_us + MASS_STAY_US);
             } else {
--- a/policy/src/instance/input.rs
+++ b/policy/src/instance/input.rs
@@ -67,6 +67,8 @@
     pub revision: u64,
     /// The changes in order.
     pub entries: Vec<TargetEntry>,
+    /// Whether entries that went may have lapsed with an outage of the registry.
+    pub lapsing: bool,
 }
 
 /// What came of a call to the platform.
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -13,6 +13,7 @@
 use crate::feed::Offered;
 use crate::feed::Release;
 use crate::feed::TargetEntry;
+use crate::feed::Teller;
 use crate::notes::Span;
 use crate::routing::Placement;
 
@@ -48,7 +49,7 @@
             }
             RegistryNews::Entries(changes) => {
                 let after = self.feed.targets_changed();
-                if self.take_entries(now_us, changes.clone()) {
+                if self.take_entries(now_us, changes.clone(), Teller::Registry) {
                     self.tell_entries(now_us, after, changes.revision, changes.entries);
                 }
             }
@@ -114,7 +115,10 @@
             let ids = span.cut(&self.other_ids());
             self.spread_entries(now_us, &changes, &ids);
         }
-        if self.take_entries(now_us, changes) {
+        let teller = Teller::Peer {
+            lapsing: changes.lapsing,
+        };
+        if self.take_entries(now_us, changes, teller) {
             self.follow_registry();
         }
     }
@@ -129,19 +133,22 @@
             after,
             revision,
             entries,
+            lapsing: self.feed.is_lapsing(now_us),
         };
         let ids = self.other_ids();
         self.spread_entries(now_us, &changes, &ids);
     }
 
     /// Takes in changes of targets; true if they say something new.
-    fn take_entries(&mut self, now_us: u64, changes: EntryChanges) -> bool {
+    fn take_entries(&mut self, now_us: u64, changes: EntryChanges, teller: Teller) -> bool {
         let EntryChanges {
             after,
             revision,
             entries,
+            ..
         } = changes;
-        match self.feed.changed(now_us, after, revision, entries) {
+        let offered = self.feed.changed(now_us, after, revision, entries, teller);
+        match offered {
             Offered::Taken => true,
             Offered::Old => false,
             Offered::Gap => {
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -23,8 +23,8 @@
     doubt: 0.52,
     trials_per_s: 1.0,
 };
-/// Trials by repeatable requests while targets are short: about two seconds after a
-/// reset, as a failed one costs a retry only and a sound target carries a sixth of the load.
+/// Trials by repeatable requests while targets are short, as a failed one costs a
+/// retry only, and by all while targets are overloaded: two seconds after a reset.
 const EAGER_PACE: TrialPace = TrialPace {
     doubt: 0.75,
     trials_per_s: 2.0,
@@ -38,7 +38,10 @@
 /// Share of a service's slots that is used however doubted the targets are.
 const LEAST_SHARE: f64 = 0.2;
 /// Share of the slots in use that the load may fill before targets are short.
-const FILL: f64 = 0.75;
+const SHORT_FILL: f64 = 0.75;
+/// The same, from which requests wait at the targets until they are late: a target
+/// found sound then serves more requests than its trials lose.
+const OVERLOAD_FILL: f64 = 0.95;
 /// Share of the nearby targets' slots that is filled before others are used.
 const LOCAL_FILL: f64 = 0.6;
 
@@ -103,25 +106,27 @@
             .filter(|candidate| candidate.load.doubt(now_us) <= UNDOUBTED);
         let slots: u32 = undoubted.map(|candidate| candidate.target.slots).sum();
         let needed = self.load.needed_slots.load(Ordering::Relaxed);
-        f64::from(needed) > FILL * f64::from(slots)
+        f64::from(needed) > SHORT_FILL * f64::from(slots)
     }
 
-    /// Whether the load fills the targets of a set.
-    fn is_short(&self, set: &[(f64, usize)]) -> bool {
+    /// The share of a set's slots that the load takes up.
+    fn fill(&self, set: &[(f64, usize)]) -> f64 {
         let slots = set.iter().map(|(_, at)| self.candidates[*at].target.slots);
-        let slots: u32 = slots.sum();
         let needed = self.load.needed_slots.load(Ordering::Relaxed);
-        f64::from(needed) > FILL * f64::from(slots)
+        f64::from(needed) / f64::from(slots.sum::<u32>().max(1))
     }
 
     /// How soon and how often doubted targets are tried out; none if not at all.
     fn pace(&self, repeatable: bool, set: &[(f64, usize)]) -> Option<TrialPace> {
-        match (repeatable, self.is_short(set)) {
-            (true, true) => Some(EAGER_PACE),
-            _ if self.load.strained.load(Ordering::Relaxed) => Some(STRAINED_PACE),
-            (true, false) | (false, true) => Some(USUAL_PACE),
-            (false, false) => None,
+        let fill = self.fill(set);
+        let is_short = fill > SHORT_FILL;
+        if fill > OVERLOAD_FILL || (repeatable && is_short) {
+            return Some(EAGER_PACE);
         }
+        if self.load.strained.load(Ordering::Relaxed) {
+            return Some(STRAINED_PACE);
+        }
+        (repeatable || is_short).then_some(USUAL_PACE)
     }
 
     /// A doubted target to try out, if this request is one that does so.
--- a/policy/tests/feed.rs
+++ b/policy/tests/feed.rs
@@ -16,6 +16,7 @@
 use policy::feed::Pace;
 use policy::feed::Release;
 use policy::feed::TargetEntry;
+use policy::feed::Teller;
 use policy::feed::WorldFeed;
 use policy::notes::NoteLog;
 use rand::SeedableRng;
@@ -104,7 +105,8 @@
         let after = self.feed.targets_known_to();
         let removed = |name: &&str| TargetEntry::Removed(Arc::from(*name));
         let entries = names.iter().map(removed).collect();
-        self.feed.changed(now_us, after, after + 1, entries);
+        self.feed
+            .changed(now_us, after, after + 1, entries, Teller::Registry);
         self.tick(now_us);
     }
 
@@ -175,13 +177,34 @@
     let back = vec![TargetEntry::Stands(target("t-1"))];
     follower
         .feed
-        .changed(10 * SECOND_US, after, after + 1, back);
+        .changed(10 * SECOND_US, after, after + 1, back, Teller::Registry);
     follower.tick(11 * SECOND_US);
     assert_eq!(follower.targets(), 2);
     follower.tick(12 * SECOND_US);
     assert_eq!(follower.targets(), 1);
 }
 
+#[test]
+fn a_peer_that_reaches_the_registry_is_believed_while_it_is_away_from_here() {
+    let mut follower = Follower::new(&["t-1", "t-2", "t-3", "t-4"]);
+    follower.feed.reachable(SECOND_US, false);
+    let gone = |name: &str| vec![TargetEntry::Removed(name.into())];
+    let plain = Teller::Peer { lapsing: false };
+    follower
+        .feed
+        .changed(2 * SECOND_US, 10, 11, gone("t-1"), plain);
+    follower.tick(2 * SECOND_US);
+    assert_eq!(follower.targets(), 3);
+    let lapsing = Teller::Peer { lapsing: true };
+    follower
+        .feed
+        .changed(3 * SECOND_US, 11, 12, gone("t-2"), lapsing);
+    follower.tick(4 * SECOND_US);
+    assert_eq!(follower.targets(), 3);
+    follower.tick(6 * SECOND_US);
+    assert_eq!(follower.targets(), 2);
+}
+
 #[test]
 fn most_entries_lost_at_once_are_taken_for_an_outage_for_a_moment() {
     let mut follower = Follower::new(&["t-1", "t-2", "t-3", "t-4"]);
@@ -195,9 +218,18 @@
 fn changes_are_taken_in_once_and_only_without_a_gap() {
     let mut follower = Follower::new(&["t-1"]);
     let news = || vec![TargetEntry::Stands(target("t-2"))];
-    assert_eq!(follower.feed.changed(0, 12, 14, news()), Offered::Gap);
-    assert_eq!(follower.feed.changed(0, 9, 12, news()), Offered::Taken);
-    assert_eq!(follower.feed.changed(0, 9, 12, news()), Offered::Old);
+    assert_eq!(
+        follower.feed.changed(0, 12, 14, news(), Teller::Registry),
+        Offered::Gap
+    );
+    assert_eq!(
+        follower.feed.changed(0, 9, 12, news(), Teller::Registry),
+        Offered::Taken
+    );
+    assert_eq!(
+        follower.feed.changed(0, 9, 12, news(), Teller::Registry),
+        Offered::Old
+    );
     follower.follow();
     assert_eq!(follower.targets(), 2);
 }
@@ -227,7 +259,7 @@
     let mut early = target("t-9");
     early.service = "new".into();
     let entries = vec![TargetEntry::Stands(early)];
-    follower.feed.changed(0, 10, 11, entries);
+    follower.feed.changed(0, 10, 11, entries, Teller::Registry);
     follower.follow();
     assert!(!follower.world().targets.contains_key("t-9"));
     let mut later = release(7, &[("r", "/a/", "reads")]);
--- a/proof/examples/capacity/slopes.rs
+++ b/proof/examples/capacity/slopes.rs
@@ -82,6 +82,7 @@
         from: full_size::member(1).id,
         incarnation: 1_764_800_000_000,
         note: 100_000,
+        targets_changed: 0,
         news: (0..news).map(full_size::member).collect(),
         message,
     };
@@ -119,6 +120,7 @@
         from: member.id,
         incarnation: member.incarnation,
         note: 0,
+        targets_changed: 0,
         news: Vec::new(),
         message,
     })
@@ -304,6 +306,7 @@
         from: full_size::member(1).id,
         incarnation: 1_764_800_000_000,
         note: 100_000,
+        targets_changed: 0,
         news: Vec::new(),
         message: Message::Ping {
             sequence: 1_000_000,
--- a/sniperund/src/control/registry_follower.rs
+++ b/sniperund/src/control/registry_follower.rs
@@ -145,6 +145,7 @@
             after,
             revision: changes.revision,
             entries: changes.value,
+            lapsing: false,
         };
         (!changes.entries.is_empty()).then_some(RegistryNews::Entries(changes))
     }
@@ -174,7 +175,7 @@
             if let Next::Watch { .. } = next
                 && !self.handle.shared().watching().is_watcher()
             {
-                next = self.wait_to_be_needed(reread).await;
+                next = self.wait_to_be_needed(reach, reread).await;
             }
             self.metrics.platform_calls.inc();
             let outcome = match next {
@@ -225,13 +226,14 @@
 
     /// Waits, where others hold the watches, until there is something to read or
     /// a look is due; gives what to do then.
-    async fn wait_to_be_needed(&self, reread: &Notify) -> Next {
+    async fn wait_to_be_needed(&self, reach: &Reach, reread: &Notify) -> Next {
         let watching = self.handle.shared().watching();
         let mut looks = LOOKS_PER_FALLBACK;
         loop {
             let asked = tokio::time::timeout(LOOK_PERIOD, reread.notified()).await;
             looks -= 1;
-            if asked.is_ok() || watching.is_watcher() || looks == 0 {
+            let failing = reach.failures.load(Ordering::Relaxed) > 0;
+            if asked.is_ok() || watching.is_watcher() || failing || looks == 0 {
                 return Next::Read {
                     at_us: self.clock.now_us(),
                 };
