--- a/model/src/code/result_code.rs
+++ b/model/src/code/result_code.rs
@@ -128,6 +128,8 @@
     InstanceAway = 511, 0, NotRun, "instance does not answer";
     /// An address cannot be bound.
     AddressInUse = 512, 0, NotRun, "address cannot be bound";
+    /// No log has a line of the request.
+    RequestUnknown = 513, 0, Unknown, "request is in no log";
     /// A peer's message is larger than allowed.
     PeerOversized = 601, 0, NotRun, "peer message too large";
     /// A peer speaks another version.
--- a/sniperun/src/cli/args.rs
+++ b/sniperun/src/cli/args.rs
@@ -29,12 +29,28 @@
     Settings(SettingsArgs),
     /// Show how instances see the world.
     Status(StatusArgs),
+    /// Tell what became of a request.
+    Explain(ExplainArgs),
     /// Run everything once in this process.
     Try(TryArgs),
     /// Run a fake, for trials.
     StandIn(StandInArgs),
 }
 
+/// Tell what became of a request, from the logs of all instances.
+///
+/// Example: sniperun explain d8965cd2e24216f5 edge-1.log edge-2.log
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// the request's id
+    #[argh(positional)]
+    pub id: String,
+    /// logs of the instances
+    #[argh(positional)]
+    pub logs: Vec<PathBuf>,
+}
+
 /// Check, submit and read release notes.
 ///
 /// Example: sniperun note in-force --platform 127.0.0.1:7000
--- a/sniperun/src/cli/mod.rs
+++ b/sniperun/src/cli/mod.rs
@@ -5,6 +5,7 @@
 pub use args::Args;
 pub use args::Command;
 pub use args::Deployment;
+pub use args::ExplainArgs;
 pub use args::NoteArgs;
 pub use args::NoteCommand;
 pub use args::SettingsArgs;
--- a/sniperun/src/commands/command_error.rs
+++ b/sniperun/src/commands/command_error.rs
@@ -68,6 +68,14 @@
         /// Why.
         source: std::io::Error,
     },
+    /// No log names the request.
+    #[display("{}: no line with request id {id}", ResultCode::RequestUnknown)]
+    #[from(skip)]
+    #[error(ignore)]
+    NoRequest {
+        /// The request's id.
+        id: String,
+    },
     /// A trial broke a promise or could not run.
     #[display("{_0}")]
     #[from(skip)]
--- a/sniperun/src/commands/mod.rs
+++ b/sniperun/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! What the commands do.
 
 mod command_error;
+mod explain;
 mod fetch;
 mod note;
 mod run;
--- a/sniperun/src/commands/run.rs
+++ b/sniperun/src/commands/run.rs
@@ -1,6 +1,7 @@
 //! From a command to what it does.
 
 use super::Result;
+use super::explain;
 use super::note;
 use super::settings;
 use super::stand_in;
@@ -33,6 +34,7 @@
             SettingsCommand::Check(args) => settings::check(&args.file),
         },
         Command::Status(args) => status::show(&args.instance, args.json).await,
+        Command::Explain(args) => explain::explain(&args.id, &args.logs),
         Command::Try(args) => trial::run(&args).await,
         Command::StandIn(args) => match args.command {
             StandInCommand::Platform(args) => stand_in::platform(args.address).await,
--- a/sniperun/tests/commands.rs
+++ b/sniperun/tests/commands.rs
@@ -68,3 +68,32 @@
     let away = sniperun(&["status", "--instance", "127.0.0.1:1"]).await;
     assert!(complained(&away).contains("E511"));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_explained_by_its_own_lines_and_the_beliefs_behind_them() {
+    let log = std::env::temp_dir().join(format!("explain-{}.log", std::process::id()));
+    let lines = [
+        "time=2026-01-01T00:00:01.000Z level=info event=note-in-force note=7",
+        "time=2026-01-01T00:00:02.000Z level=info event=target-doubted service=a target=t-1 signal=Reset by=i-2 doubt_before_milli=30 doubt_milli=925",
+        "time=2026-01-01T00:00:02.500Z level=info event=request-sent id=beef route=r note=7 target=t-9",
+        "time=2026-01-01T00:00:03.000Z level=info event=request-sent id=cafe route=r note=7 target=t-1 doubt_milli=810",
+        "time=2026-01-01T00:00:03.100Z level=warn event=request-failed id=cafe code=303 outcome=unknown",
+    ];
+    std::fs::write(&log, lines.join("\n")).expect("the log can be written");
+    let path = log.display().to_string();
+    let told = printed(&sniperun(&["explain", "cafe", &path]).await);
+    let events: Vec<&str> = told
+        .lines()
+        .filter_map(|line| line.split("event=").nth(1)?.split(' ').next())
+        .collect();
+    let expected = [
+        "note-in-force",
+        "target-doubted",
+        "request-sent",
+        "request-failed",
+    ];
+    assert_eq!(events, expected, "{told}");
+    let unknown = sniperun(&["explain", "f00d", &path]).await;
+    assert!(complained(&unknown).contains("E513"));
+    std::fs::remove_file(&log).expect("the log can be removed");
+}
