Share slow means of the load, use all undoubted targets while they are short

Ruled out: sharing what is in flight (old counts make all choose the same target). Change: each instance tells its mean load to two others a second; the mean of ten seconds is scaled up; while the load fills three quarters of the undoubted targets, nearness does not count.

--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -1,17 +1,24 @@
 //! How many slots the requests of all instances take up.
 //!
-//! Each instance scales its own requests up to the fleet, as load is not shared.
+//! The mean of what some instances see is scaled up to the fleet.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use rand::seq::IndexedRandom;
+
 use super::Action;
 use super::Happening;
 use super::Instance;
+use super::Message;
+use super::ToldLoad;
+use super::fleet_load::MeanLoad;
 use crate::routing::ServiceLoad;
 
 const PERIOD_US: u64 = 500_000;
+/// Others that an instance tells its load in a second.
+const LOADS_TOLD_TO: usize = 2;
 /// Weight of a new measurement: a rate is half forgotten after about 9 s, as an
 /// instance sees one or two requests a second.
 const RATE_WEIGHT: f64 = 0.04;
@@ -53,6 +60,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Demand {
     next_us: u64,
+    tells: bool,
     services: HashMap<Arc<str>, ServiceDemand>,
 }
 
@@ -102,11 +110,11 @@
     }
 
     /// Whether many requests of the fleet fail.
-    fn is_strained(&self, members: f64) -> bool {
+    fn is_strained(&self, fleet_rate_per_s: f64) -> bool {
         let own = self.recent_unserved >= STRAINED_REQUESTS
             && self.recent_unserved >= STRAINED_SHARE * self.recent;
         let span_s = PERIOD_US as f64 / 1e6 / (1.0 - RECENT_KEPT);
-        let all = self.rate_per_s() * members * span_s;
+        let all = fleet_rate_per_s * span_s;
         own || self.recent_told > (STRAINED_FLEET_SHARE * all).max(FEW_FAILURES)
     }
 
@@ -115,13 +123,18 @@
         self.counted / self.counted_s.max(f64::MIN_POSITIVE)
     }
 
-    fn slots_per_instance(&self) -> f64 {
+    /// The load as this instance sees it.
+    fn own_load(&self) -> MeanLoad {
         let latency_us = if self.latency_us > 0.0 {
             self.latency_us
         } else {
             ASSUMED_US
         };
-        self.rate_per_s() * latency_us / 1e6
+        let rate_per_s = self.rate_per_s();
+        MeanLoad {
+            slots: rate_per_s * latency_us / 1e6,
+            rate_per_s,
+        }
     }
 }
 
@@ -143,24 +156,44 @@
                 instances: members as u32,
             }));
         }
+        let mut loads = Vec::new();
         for (name, table) in &self.table.services {
             if let Some(all) = reserve {
                 table.load.retries.set_reserve(all / members, PERIOD_US);
             }
             let demand = self.demand.services.entry(name.clone()).or_default();
             demand.measure(&table.load);
-            let strained = demand.is_strained(members);
-            table.load.strained.store(strained, Ordering::Relaxed);
-            let slots = demand.slots_per_instance();
-            let needed = (slots * members).ceil() as u32;
-            table.load.needed_slots.store(needed, Ordering::Relaxed);
-            let rate_milli = (demand.rate_per_s() * members * 1e3) as u64;
-            table
-                .load
-                .fleet_rate_milli
-                .store(rate_milli, Ordering::Relaxed);
-            let local = (slots * near).ceil() as u32;
-            table.load.local_slots.store(local, Ordering::Relaxed);
+            let own = demand.own_load();
+            loads.push(ToldLoad {
+                service: name.clone(),
+                slots_milli: (own.slots * 1e3) as u32,
+                rate_milli: (own.rate_per_s * 1e3) as u32,
+            });
+            let mean = self.fleet_load.mean(now_us, name, own);
+            let fleet_rate_per_s = mean.rate_per_s * members;
+            let load = &table.load;
+            let strained = demand.is_strained(fleet_rate_per_s);
+            load.strained.store(strained, Ordering::Relaxed);
+            let needed = (mean.slots * members).ceil() as u32;
+            load.needed_slots.store(needed, Ordering::Relaxed);
+            let rate_milli = (fleet_rate_per_s * 1e3) as u64;
+            load.fleet_rate_milli.store(rate_milli, Ordering::Relaxed);
+            let local = (mean.slots * near).ceil() as u32;
+            load.local_slots.store(local, Ordering::Relaxed);
+        }
+        self.tell_loads(now_us, loads);
+    }
+
+    /// Tells some others the load, at half the pace at which it is measured.
+    fn tell_loads(&mut self, now_us: u64, loads: Vec<ToldLoad>) {
+        self.demand.tells = !self.demand.tells;
+        if !self.demand.tells || loads.iter().all(|load| load.rate_milli == 0) {
+            return;
+        }
+        let others = self.own_ids.sample(&mut self.rng, LOADS_TOLD_TO);
+        let others: Vec<Arc<str>> = others.cloned().collect();
+        for id in others {
+            self.send(now_us, &id, Message::Loads(loads.clone()));
         }
     }
 }
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -18,6 +18,7 @@
 use super::Shared;
 use super::WorldSource;
 use super::demand::Demand;
+use super::fleet_load::FleetLoad;
 use super::freshness::Freshness;
 use super::notes::Incoming;
 use super::platform::Calls;
@@ -68,6 +69,7 @@
     pub(super) source: WorldSource,
     pub(super) feed: WorldFeed,
     pub(super) demand: Demand,
+    pub(super) fleet_load: FleetLoad,
     pub(super) next_reread_us: u64,
     pub(super) behind_since_us: Option<u64>,
     pub(super) has_asked_doubts: bool,
@@ -111,6 +113,7 @@
             source: settings.source,
             feed: WorldFeed::default(),
             demand: Demand::default(),
+            fleet_load: FleetLoad::default(),
             next_reread_us: 0,
             behind_since_us: None,
             has_asked_doubts: false,
@@ -270,6 +273,7 @@
             Message::Entries { changes, span } => {
                 self.entries_spread(now_us, changes, span.as_ref())
             }
+            Message::Loads(loads) => self.fleet_load.told(now_us, loads),
             Message::AskDoubts => self.tell_doubts(now_us, &from),
             Message::Doubts(told) => self.learn_doubts(now_us, &told),
             Message::Alerts { alerts, span } => self.alerted(now_us, &from, &alerts, span.as_ref()),
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::EntryChanges;
+use super::ToldLoad;
 use crate::evidence::Report;
 use crate::evidence::Signal;
 use crate::evidence::Verdict;
@@ -141,6 +142,8 @@
         /// Whom the receiver passes them on to.
         span: Option<Span>,
     },
+    /// The load of services as the sender sees it.
+    Loads(Vec<ToldLoad>),
     /// Asks for what is doubted; answered by [`Message::Doubts`].
     AskDoubts,
     /// The targets that the sender doubts.
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -73,7 +73,11 @@
         {
             return at;
         }
-        let pool = self.near(undoubted, rng);
+        let pool = if self.fill(undoubted) > SHORT_FILL {
+            undoubted.iter().map(|(_, at)| *at).collect()
+        } else {
+            self.near(undoubted, rng)
+        };
         let first = pool[rng.random_range(0..pool.len())];
         let second = pool[rng.random_range(0..pool.len())];
         if self.busyness(now_us, second) < self.busyness(now_us, first) {
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -644,6 +644,7 @@
         Message::Verdicts { .. }
         | Message::Alerts { .. }
         | Message::AskDoubts
+        | Message::Loads(_)
         | Message::Doubts(_) => "verdicts",
         Message::NewNote { .. }
         | Message::PullNotes { .. }
