--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -237,6 +237,7 @@
                     SendFailure::NotSent => (AttemptEnd::NotSent, Failure::NotSent),
                     SendFailure::Unreachable => (AttemptEnd::Unreachable, Failure::NotSent),
                     SendFailure::Cut => (AttemptEnd::Cut, Failure::Cut),
+                    SendFailure::Silent => (AttemptEnd::Unreachable, Failure::Cut),
                     SendFailure::Malformed => (AttemptEnd::Cut, Failure::Malformed),
                 };
                 self.fail(attempt, end, failure)
--- a/sniperund/src/logs.rs
+++ b/sniperund/src/logs.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::io::Write;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -27,8 +28,21 @@
 const MAX_HALVINGS: u32 = 12;
 const SECOND_US: u64 = 1_000_000;
 
+/// Time that the end of the process waits for the last lines.
+const FINISH_LIMIT: Duration = Duration::from_millis(200);
+
 /// Lines that were dropped, as the queue was full.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+/// The way to the writer.
+static QUEUE_OF_LINES: OnceLock<mpsc::SyncSender<Queued>> = OnceLock::new();
+
+/// What the writer is sent.
+enum Queued {
+    /// A whole line.
+    Line(Vec<u8>),
+    /// Asks to be told once all lines before are written.
+    Finish(mpsc::SyncSender<()>),
+}
 
 /// Starts the log.
 ///
@@ -37,6 +51,7 @@
 /// Returns an error if a log was started before.
 pub fn start(level: LevelFilter) -> Result<(), log::SetLoggerError> {
     let (lines, waiting) = mpsc::sync_channel(QUEUE);
+    let _ = QUEUE_OF_LINES.set(lines.clone());
     let writer = QueueWriter {
         lines,
         line: Vec::new(),
@@ -54,6 +69,17 @@
         .apply()
 }
 
+/// Waits until the lines so far are written, for a bounded time.
+pub fn finish() {
+    let (written, waiting) = mpsc::sync_channel(1);
+    if let Some(lines) = QUEUE_OF_LINES.get()
+        && lines.try_send(Queued::Finish(written)).is_ok()
+    {
+        // Without an answer the reader of the log has stalled; the process ends all the same.
+        let _ = waiting.recv_timeout(FINISH_LIMIT);
+    }
+}
+
 /// Lines dropped since the start.
 pub fn dropped() -> u64 {
     DROPPED.load(Ordering::Relaxed)
@@ -61,7 +87,7 @@
 
 /// Puts whole lines into the queue; never blocks.
 struct QueueWriter {
-    lines: mpsc::SyncSender<Vec<u8>>,
+    lines: mpsc::SyncSender<Queued>,
     line: Vec<u8>,
 }
 
@@ -70,7 +96,7 @@
         self.line.extend_from_slice(bytes);
         if self.line.ends_with(b"\n") {
             let line = std::mem::take(&mut self.line);
-            if self.lines.try_send(line).is_err() {
+            if self.lines.try_send(Queued::Line(line)).is_err() {
                 DROPPED.fetch_add(1, Ordering::Relaxed);
             }
         }
@@ -82,13 +108,27 @@
     }
 }
 
-fn write_lines(waiting: &mpsc::Receiver<Vec<u8>>) {
+/// Adds a line to a text, or gives whom to tell once it is written.
+fn take(queued: Queued, text: &mut Vec<u8>) -> Option<mpsc::SyncSender<()>> {
+    match queued {
+        Queued::Line(line) => {
+            text.extend_from_slice(&line);
+            None
+        }
+        Queued::Finish(written) => Some(written),
+    }
+}
+
+fn write_lines(waiting: &mpsc::Receiver<Queued>) {
     let mut told = 0;
     while let Ok(first) = waiting.recv() {
-        std::thread::sleep(GATHER);
-        let mut text = first;
-        while let Ok(line) = waiting.try_recv() {
-            text.extend_from_slice(&line);
+        let mut text = Vec::new();
+        let mut finishing = take(first, &mut text);
+        if finishing.is_none() {
+            std::thread::sleep(GATHER);
+        }
+        while let Ok(queued) = waiting.try_recv() {
+            finishing = take(queued, &mut text).or(finishing);
         }
         let dropped = dropped();
         if dropped > told {
@@ -98,6 +138,9 @@
         }
         // Without a reader there is nobody to tell of a failed write.
         let _ = io::stdout().write_all(&text);
+        if let Some(written) = finishing {
+            let _ = written.send(());
+        }
     }
 }
 
--- a/sniperund/src/main.rs
+++ b/sniperund/src/main.rs
@@ -79,6 +79,7 @@
     };
     wait_for_signal().await;
     app.drain().await;
+    logs::finish();
     ExitCode::SUCCESS
 }
 
--- a/sniperund/src/targets/connection.rs
+++ b/sniperund/src/targets/connection.rs
@@ -17,6 +17,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -28,6 +29,9 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 /// Time after which bytes that were not acknowledged end a connection.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(3);
+/// Time after which a connection without bytes is probed, and between probes: the
+/// system's shortest. A link that was cut shows by the limit above.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
 
 /// Why no head of an answer came.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
@@ -41,6 +45,9 @@
     /// The connection ended early.
     #[display("cut")]
     Cut,
+    /// The connection went silent, which may be the link's fault.
+    #[display("silent")]
+    Silent,
     /// The answer was malformed.
     #[display("malformed")]
     Malformed,
@@ -63,7 +70,12 @@
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = tokio::time::timeout(CONNECT_LIMIT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
-        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+        let keep_alive = TcpKeepalive::new()
+            .with_time(KEEP_ALIVE)
+            .with_interval(KEEP_ALIVE);
+        socket.set_tcp_keepalive(&keep_alive)?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -107,6 +119,8 @@
                     SendFailure::NotSent
                 } else if error.error().is_parse() {
                     SendFailure::Malformed
+                } else if is_silence(error.error()) {
+                    SendFailure::Silent
                 } else {
                     SendFailure::Cut
                 }
@@ -114,6 +128,13 @@
     }
 }
 
+/// Whether a connection ended since the other side acknowledged nothing.
+fn is_silence(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<io::Error>());
+    source.is_some_and(|source| source.kind() == io::ErrorKind::TimedOut)
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
--- a/sniperund/tests/users/deployment.rs
+++ b/sniperund/tests/users/deployment.rs
@@ -185,8 +185,16 @@
         deployment
     }
 
-    /// Starts one more instance.
+    /// Starts one more instance, whose log can be read.
     pub(crate) fn start_instance(&self) -> Process {
+        self.start_instance_with(|log| {
+            let output = std::fs::File::create(log).expect("a log can be created");
+            Stdio::from(output)
+        })
+    }
+
+    /// Starts one more instance; `output` gives its standard output.
+    pub(crate) fn start_instance_with(&self, output: impl FnOnce(&PathBuf) -> Stdio) -> Process {
         static NUMBER: AtomicU32 = AtomicU32::new(1);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let [_, _, high, low] = std::process::id().to_be_bytes();
@@ -196,12 +204,11 @@
         let log = std::env::temp_dir().join(format!("{name}.log"));
         let boot = boot(&name, ip, &self.store);
         std::fs::write(&settings, boot.to_string()).expect("settings can be written");
-        let output = std::fs::File::create(&log).expect("a log can be created");
         let child = Command::new(env!("CARGO_BIN_EXE_sniperund"))
             .arg("--users-platform")
             .env("SNIPERUN_BOOT", &settings)
             .stdin(Stdio::null())
-            .stdout(output)
+            .stdout(output(&log))
             .spawn()
             .expect("the instance starts");
         Process {
--- a/sniperund/tests/users/outages.rs
+++ b/sniperund/tests/users/outages.rs
@@ -5,6 +5,7 @@
 use standin::StoreFault;
 
 use crate::deployment::Deployment;
+use crate::deployment::PATIENCE;
 use crate::deployment::configuration;
 use crate::deployment::wait_for;
 
@@ -93,6 +94,30 @@
     wait_for("readiness", async || instance.ready().await == Some(200)).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_that_nobody_reads_delays_nothing() {
+    let mut deployment = Deployment::start(0).await;
+    let process = deployment.start_instance_with(|_| std::process::Stdio::piped());
+    deployment.instances.push(process);
+    let instance = &deployment.instances[0];
+    wait_for("readiness", async || instance.ready().await == Some(200)).await;
+    for number in 0..2_500 {
+        let answer = instance
+            .ask("GET", "/read/a", &format!("7c{number:04}"))
+            .await;
+        assert_eq!(answer.map(|answer| answer.status), Some(200));
+    }
+    assert!(
+        instance
+            .metrics()
+            .await
+            .contains("sniperun_log_lines_dropped_total")
+    );
+    instance.signal("TERM");
+    let ended = tokio::time::timeout(PATIENCE, deployment.instances[0].ended()).await;
+    assert!(ended.expect("the instance ends").success());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_reload_stops_nothing() {
     let deployment = Deployment::start(1).await;
