Split the runner by job, keep callers' connections for the configured idle time

Change: call, sending and request_log are files of their own; the idle time of a release reaches the listener. Ruled out: nothing; behaviour on the users' sheets (15 s) is as before.

--- a/policy/src/feed/release.rs
+++ b/policy/src/feed/release.rs
@@ -17,7 +17,7 @@
     pub services: Vec<Service>,
     /// All routes.
     pub routes: Vec<Route>,
-    /// Time after which callers' idle connections are closed, in milliseconds.
+    /// Time for which callers keep connections without a request, in milliseconds.
     pub idle_limit_ms: Option<u64>,
 }
 
--- a/policy/src/feed/world_feed.rs
+++ b/policy/src/feed/world_feed.rs
@@ -79,6 +79,11 @@
         self.release.is_some() && self.listed
     }
 
+    /// Time for which callers keep connections without a request, in milliseconds.
+    pub fn idle_limit_ms(&self) -> Option<u64> {
+        self.release.as_ref()?.idle_limit_ms
+    }
+
     /// Whether the targets were listed.
     pub fn is_listed(&self) -> bool {
         self.listed
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -193,6 +193,8 @@
             return;
         };
         self.prepare_tables();
+        self.shared
+            .set_idle_limit_ms(self.feed.idle_limit_ms().unwrap_or(0));
         let renumbered = number > self.log.number();
         if let Err(error) = self.log.adjust(number, &change) {
             let reason = error.to_string();
--- a/policy/src/instance/shared.rs
+++ b/policy/src/instance/shared.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
@@ -18,6 +19,7 @@
     directory: ArcSwap<BTreeMap<Arc<str>, Member>>,
     currency: Arc<Currency>,
     watching: Watching,
+    idle_limit_ms: AtomicU64,
 }
 
 /// Which part an instance takes in following a registry.
@@ -48,6 +50,17 @@
         &self.currency
     }
 
+    /// Time for which callers keep connections without a request, in milliseconds;
+    /// 0 where the configuration does not say.
+    pub fn idle_limit_ms(&self) -> u64 {
+        self.idle_limit_ms.load(Ordering::Relaxed)
+    }
+
+    /// Notes how long callers keep connections.
+    pub(super) fn set_idle_limit_ms(&self, idle_limit_ms: u64) {
+        self.idle_limit_ms.store(idle_limit_ms, Ordering::Relaxed);
+    }
+
     /// Which part the instance takes in following a registry.
     pub fn watching(&self) -> &Watching {
         &self.watching
--- a/sniperund/src/callers/listener.rs
+++ b/sniperund/src/callers/listener.rs
@@ -20,9 +20,11 @@
 use super::check::CheckLayer;
 use super::service::CallerService;
 
-/// Time in which a caller sends the head of its next request. Connections stay
-/// idle for this long too, so it is beyond the idle time of all callers' sheets.
+/// Time in which a caller sends the head of its next request, idle time included,
+/// where the configuration does not say how long callers keep connections.
 const HEADER_READ_LIMIT: Duration = Duration::from_secs(20);
+/// Time beyond the configured idle time, so that a request sent at its very end is read.
+const IDLE_MARGIN: Duration = Duration::from_secs(5);
 /// Buffer beyond the limit of headers, so that an excess is answered with a code.
 const BUFFER_FACTOR: usize = 4;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -72,6 +74,11 @@
     }
 }
 
+fn header_limit(entry: &Entry) -> Duration {
+    let idle_ms = entry.control.shared().idle_limit_ms();
+    HEADER_READ_LIMIT.max(Duration::from_millis(idle_ms) + IDLE_MARGIN)
+}
+
 async fn accept(listener: TcpListener, entry: Arc<Entry>, mut stopped: oneshot::Receiver<()>) {
     let graceful = GracefulShutdown::new();
     let places = Arc::new(Semaphore::new(entry.limits.connections));
@@ -99,7 +106,7 @@
             });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_READ_LIMIT)
+            .header_read_timeout(header_limit(&entry))
             .max_buf_size(entry.limits.header_bytes * BUFFER_FACTOR)
             .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
         let connection = graceful.watch(connection);
--- a/sniperund/src/callers/mod.rs
+++ b/sniperund/src/callers/mod.rs
@@ -2,6 +2,7 @@
 
 mod background;
 mod body;
+mod call;
 mod check;
 mod command;
 mod entry;
@@ -11,7 +12,9 @@
 mod owner;
 mod pass_body;
 mod reply;
+mod request_log;
 mod runner;
+mod sending;
 mod service;
 mod waiting_room;
 
--- a/sniperund/src/callers/pass_body.rs
+++ b/sniperund/src/callers/pass_body.rs
@@ -28,8 +28,8 @@
 
 use super::Entry;
 use super::body::BoxError;
+use super::call::Places;
 use super::command::CommandRecord;
-use super::runner::Places;
 use crate::metrics::RequestLabels;
 use crate::targets::Connection;
 
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -1,86 +1,44 @@
 //! Running an exchange: its steps carried out, its events brought in.
 
-use std::io::ErrorKind;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
-use border::Asked;
 use border::Judgement;
 use futures::FutureExt;
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use http_body_util::BodyExt;
-use hyper::Request;
 use hyper::Response;
-use hyper::Uri;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
-use hyper::http::request::Parts;
 use model::Outcome;
 use model::ResultCode;
-use model::world::Class;
-use model::world::Route;
 use model::world::Target;
 use policy::Input;
 use policy::exchange::AttemptEnd;
 use policy::exchange::Event;
-use policy::exchange::Exchange;
 use policy::exchange::Failure;
 use policy::exchange::Observation;
 use policy::exchange::Reply;
 use policy::exchange::Step;
-use policy::limits::Admitted;
-use policy::limits::CustomerPlace;
 
 use super::Entry;
 use super::body::AnswerBody;
-use super::body::CallerBody;
-use super::command::CommandRecord;
+use super::call::Call;
 use super::headers::remove_hop_by_hop;
 use super::pass_body::PassBody;
 use super::pass_body::PassedAnswer;
 use super::reply::answer;
+use super::request_log;
+use super::sending::Head;
+use super::sending::attempt_once;
+use super::sending::outgoing;
 use crate::metrics::RequestLabels;
-use crate::targets::Connection;
 use crate::targets::SendFailure;
 
 const MICROS_PER_MILLI: u64 = 1_000;
-/// Part of an objective after which another target is asked: the rest is the time of
-/// most answers on the users' sheets.
-const HEDGE_PERCENT: u64 = 60;
-
-/// A request's places, given back when it ends.
-#[derive(Debug)]
-pub(super) struct Places {
-    pub(super) _admitted: Admitted,
-    pub(super) _customer: Option<CustomerPlace>,
-}
-
-/// A request that is ready to run.
-pub(super) struct Call {
-    pub(super) parts: Parts,
-    pub(super) body: CallerBody,
-    pub(super) asked: Asked,
-    pub(super) route: Arc<Route>,
-    pub(super) class: Class,
-    /// Number of the note that the request was routed by.
-    pub(super) note: u64,
-    pub(super) repeatable: bool,
-    pub(super) exchange: Exchange,
-    pub(super) record: CommandRecord,
-    pub(super) places: Places,
-    pub(super) customer: Arc<str>,
-    pub(super) deadline_us: u64,
-    pub(super) began_us: u64,
-}
-
-struct Head {
-    response: Response<Incoming>,
-    connection: Connection,
-}
 
 struct Ended {
     attempt: usize,
@@ -190,9 +148,9 @@
         let table = self.call.exchange.table();
         let target = table.candidates[candidate].target.clone();
         let now_us = self.entry.clock.now_us();
-        let usual_us = self.usual_us();
+        let usual_us = self.call.usual_us();
         self.slow_us = usual_us.map(|usual_us| now_us + usual_us);
-        self.hedge_us = usual_us.map(|usual_us| now_us + self.hedge_after_us(usual_us));
+        self.hedge_us = usual_us.map(|usual_us| now_us + self.call.hedge_after_us(usual_us));
         self.sent.push(SentAttempt {
             target: target.clone(),
             sent_us: now_us,
@@ -201,7 +159,7 @@
         let fresh = !self.call.repeatable;
         let left_ms = self.call.deadline_us.saturating_sub(now_us) / MICROS_PER_MILLI;
         if self.is_logged || attempt > 0 {
-            self.log_sent(attempt, candidate, left_ms);
+            request_log::sent(&self.call, now_us, attempt, candidate, left_ms);
         }
         let mut parts = outgoing(&self.call.parts);
         let headers = parts.headers_mut();
@@ -280,34 +238,18 @@
 
     fn fail(&mut self, attempt: usize, end: AttemptEnd, failure: Failure) -> Step {
         let sent = &self.sent[attempt];
-        log::warn!(
-            "event=attempt-failed id={} attempt={attempt} target={} end={end:?} failure={failure:?} after_ms={}",
-            self.call.asked.id(),
-            sent.target.name,
-            self.entry.clock.now_us().saturating_sub(sent.sent_us) / MICROS_PER_MILLI
+        let after_us = self.entry.clock.now_us().saturating_sub(sent.sent_us);
+        request_log::attempt_failed(
+            &self.call,
+            attempt,
+            &sent.target.name,
+            (end, failure),
+            after_us,
         );
         self.observe(attempt, end);
         self.on(Event::Failed { attempt, failure })
     }
 
-    /// Logs where an attempt goes and what decided that.
-    fn log_sent(&self, attempt: usize, candidate: usize, left_ms: u64) {
-        let now_us = self.entry.clock.now_us();
-        let table = self.call.exchange.table();
-        let chosen = &table.candidates[candidate];
-        log::info!(
-            "event=request-sent id={} route={} note={} service={} attempt={attempt} target={} doubt_milli={} in_flight={} needed_slots={} left_ms={left_ms}",
-            self.call.asked.id(),
-            self.call.route.name,
-            self.call.note,
-            table.service.name,
-            chosen.target.name,
-            (chosen.load.doubt(now_us) * 1e3) as u32,
-            chosen.load.in_flight(),
-            table.load.needed_slots.load(Ordering::Relaxed),
-        );
-    }
-
     fn end_of(&self, attempt: usize, response: &Response<Incoming>) -> AttemptEnd {
         let status = response.status().as_u16();
         let sent = &self.sent[attempt];
@@ -350,7 +292,7 @@
             if sent.counted {
                 continue;
             }
-            let usual_us = self.usual_us().unwrap_or(u64::MAX);
+            let usual_us = self.call.usual_us().unwrap_or(u64::MAX);
             let waited_us = now_us.saturating_sub(sent.sent_us);
             let end = match waited_us >= usual_us {
                 true => AttemptEnd::Overdue,
@@ -360,22 +302,6 @@
         }
     }
 
-    /// The time after which another target is asked, so that its answer can still
-    /// come within the objective.
-    fn hedge_after_us(&self, usual_us: u64) -> u64 {
-        let objective_us = self.call.route.terms.objective_ms;
-        let objective_us = objective_us.map(|time_ms| time_ms * MICROS_PER_MILLI);
-        let early_us = objective_us.map(|time_us| time_us * HEDGE_PERCENT / 100);
-        early_us.map_or(usual_us, |early_us| early_us.min(usual_us))
-    }
-
-    /// The time beyond which an answer is slow, if it can be told.
-    fn usual_us(&self) -> Option<u64> {
-        let objective_us = self.call.route.terms.objective_ms;
-        let assumed_us = objective_us.map(|time_ms| time_ms * MICROS_PER_MILLI);
-        self.call.exchange.table().slow_us().or(assumed_us)
-    }
-
     fn pass(mut self, attempt: usize) -> Response<AnswerBody> {
         let Some(head) = self.head.take() else {
             return self.reply(gone(Outcome::Unknown));
@@ -434,19 +360,7 @@
             outcome: reply.outcome.to_string(),
         });
         let now_us = self.entry.clock.now_us();
-        log::warn!(
-            "event=request-failed id={} route={} note={} service={} code={} outcome={} reason=\"{}\" attempts={} after_ms={} retry_after_ms={:?}",
-            self.call.asked.id(),
-            self.call.route.name,
-            self.call.note,
-            service.name,
-            reply.code.number(),
-            reply.outcome,
-            reply.code.phrase(),
-            self.sent.len(),
-            now_us.saturating_sub(self.call.began_us) / MICROS_PER_MILLI,
-            reply.retry_after_ms
-        );
+        request_log::failed(&self.call, now_us, self.sent.len(), &reply);
         answer(&*self.entry.dialect, &reply)
     }
 }
@@ -458,48 +372,3 @@
         retry_after_ms: None,
     }
 }
-
-/// The head of the request to the target.
-fn outgoing(parts: &Parts) -> Request<()> {
-    let mut request = Request::new(());
-    *request.method_mut() = parts.method.clone();
-    *request.uri_mut() = origin_form(&parts.uri);
-    *request.headers_mut() = parts.headers.clone();
-    let headers = request.headers_mut();
-    if let Some(authority) = parts.uri.authority()
-        && let Ok(host) = HeaderValue::from_str(authority.as_str())
-    {
-        headers.insert("host", host);
-    }
-    remove_hop_by_hop(headers);
-    request
-}
-
-fn origin_form(uri: &Uri) -> Uri {
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    path.parse().unwrap_or_default()
-}
-
-async fn attempt_once(
-    entry: &Entry,
-    target: &Target,
-    fresh: bool,
-    head: Request<()>,
-    body: &CallerBody,
-) -> Result<Head, SendFailure> {
-    let opened = if fresh {
-        Connection::open(target.address).await
-    } else {
-        entry.pool.take(target.address).await
-    };
-    let mut connection = opened.map_err(|error| match error.kind() {
-        ErrorKind::TimedOut => SendFailure::Unreachable,
-        _ => SendFailure::NotSent,
-    })?;
-    let body = body.take().ok_or(SendFailure::NotSent)?;
-    let response = connection.send(head.map(|()| body)).await?;
-    Ok(Head {
-        response,
-        connection,
-    })
-}
--- /dev/null
+++ b/sniperund/src/callers/sending.rs
@@ -0,0 +1,69 @@
+//! Sending a request to one target.
+
+use std::io::ErrorKind;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::Uri;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use model::world::Target;
+
+use super::Entry;
+use super::body::CallerBody;
+use super::headers::remove_hop_by_hop;
+use crate::targets::Connection;
+use crate::targets::SendFailure;
+
+/// The head of an answer, and the connection that its body comes on.
+pub(super) struct Head {
+    pub(super) response: Response<Incoming>,
+    pub(super) connection: Connection,
+}
+
+/// The head of the request to the target.
+pub(super) fn outgoing(parts: &Parts) -> Request<()> {
+    let mut request = Request::new(());
+    *request.method_mut() = parts.method.clone();
+    *request.uri_mut() = origin_form(&parts.uri);
+    *request.headers_mut() = parts.headers.clone();
+    let headers = request.headers_mut();
+    if let Some(authority) = parts.uri.authority()
+        && let Ok(host) = HeaderValue::from_str(authority.as_str())
+    {
+        headers.insert("host", host);
+    }
+    remove_hop_by_hop(headers);
+    request
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_default()
+}
+
+/// Sends a request on one connection and waits for the head of its answer.
+pub(super) async fn attempt_once(
+    entry: &Entry,
+    target: &Target,
+    fresh: bool,
+    head: Request<()>,
+    body: &CallerBody,
+) -> Result<Head, SendFailure> {
+    let opened = if fresh {
+        Connection::open(target.address).await
+    } else {
+        entry.pool.take(target.address).await
+    };
+    let mut connection = opened.map_err(|error| match error.kind() {
+        ErrorKind::TimedOut => SendFailure::Unreachable,
+        _ => SendFailure::NotSent,
+    })?;
+    let body = body.take().ok_or(SendFailure::NotSent)?;
+    let response = connection.send(head.map(|()| body)).await?;
+    Ok(Head {
+        response,
+        connection,
+    })
+}
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -35,13 +35,13 @@
 use super::body::AnswerBody;
 use super::body::CallerBody;
 use super::body::whole;
+use super::call::Call;
+use super::call::Places;
 use super::command::CommandName;
 use super::command::CommandRecord;
 use super::headers::names;
 use super::owner::relay_to_owner;
 use super::reply::refuse;
-use super::runner::Call;
-use super::runner::Places;
 use super::runner::Runner;
 use crate::metrics::RequestLabels;
 
