--- /dev/null
+++ b/peers/tests/sizes.rs
@@ -0,0 +1,55 @@
+//! Sizes of the messages that the capacity page counts.
+
+use peers::encode;
+use policy::evidence::Signal;
+use policy::instance::Alert;
+use policy::instance::Envelope;
+use policy::instance::Message;
+use policy::instance::ToldLoad;
+use policy::notes::Span;
+
+fn bytes(message: Message) -> usize {
+    let envelope = Envelope {
+        from: "edge-smolyan-12".into(),
+        incarnation: 1_700_000_000_123,
+        note: 4_200_000,
+        targets_changed: 4_200_000,
+        news: Vec::new(),
+        message,
+    };
+    encode(&envelope).expect("it fits").len()
+}
+
+#[test]
+fn an_alert_takes_few_bytes() {
+    let alert = Alert {
+        target: "i-7f3a91c2d0".into(),
+        incarnation: 1_700_000_000_123,
+        signal: Signal::Reset,
+    };
+    let span = Span {
+        after: "edge-devin-1".into(),
+        to: "edge-devin-9".into(),
+    };
+    let size = bytes(Message::Alerts {
+        alerts: vec![alert],
+        span: Some(span),
+    });
+    // A node may send 3,000 bytes a second; 30 alerts a second are to fit.
+    assert!(size <= 100, "{size} bytes");
+}
+
+#[test]
+fn the_load_of_a_service_takes_few_bytes() {
+    let loads = |count: usize| {
+        let load = ToldLoad {
+            service: "huvo11a".into(),
+            slots_milli: 1_250,
+            rate_milli: 2_700,
+        };
+        bytes(Message::Loads(vec![load; count]))
+    };
+    let each = (loads(13) - loads(3)) / 10;
+    assert!(each <= 16, "{each} bytes a service");
+    assert!(loads(3) <= 100, "{} bytes", loads(3));
+}
