Notice a store that has swallowed the watches, hand watches over at once

The process test that waits for a store away covers the silent case too; it failed before (the silence was not noticed).

--- a/border/src/registry.rs
+++ b/border/src/registry.rs
@@ -61,6 +61,9 @@
     /// Renews a lease; false if it has ended.
     fn renew(&self, lease: Lease) -> BoxFuture<'_, Result<bool>>;
 
+    /// Asks whether the registry answers, at the price of the cheapest read.
+    fn ping(&self) -> BoxFuture<'_, Result<()>>;
+
     /// Reads the instances announced.
     fn members(&self) -> BoxFuture<'_, Result<Vec<Member>>>;
 }
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -182,9 +182,13 @@
     /// Shows the follower of the registry what it is to do. Instances that start
     /// together know each other at their second look; until then none of them
     /// can tell that it falls to it to watch.
-    fn show_watching(&self, now_us: u64) {
+    fn show_watching(&mut self, now_us: u64) {
         let known = self.member_lists >= LOOKS_TO_KNOW || now_us >= ALONE_US;
-        self.shared.watching().show(self.is_watcher && known);
+        let watches = self.is_watcher && known;
+        if self.shared.watching().show(watches) != watches && watches {
+            self.actions.push(Action::Reread(RegistryPart::Release));
+            self.actions.push(Action::Reread(RegistryPart::Targets));
+        }
     }
 
     /// Puts in force what differs between the registry and the world.
--- a/policy/src/instance/shared.rs
+++ b/policy/src/instance/shared.rs
@@ -34,8 +34,9 @@
         self.is_watcher.load(Ordering::Relaxed)
     }
 
-    pub(super) fn show(&self, is_watcher: bool) {
-        self.is_watcher.store(is_watcher, Ordering::Relaxed);
+    /// Shows the part; gives the one that it had before.
+    pub(super) fn show(&self, is_watcher: bool) -> bool {
+        self.is_watcher.swap(is_watcher, Ordering::Relaxed)
     }
 }
 
--- a/sniperund/src/control/registry_follower.rs
+++ b/sniperund/src/control/registry_follower.rs
@@ -38,6 +38,10 @@
 const LOOK_PERIOD: Duration = Duration::from_secs(1);
 /// Looks after which such an instance reads by itself, whatever others tell.
 const LOOKS_PER_FALLBACK: u32 = 60;
+/// Time between two probes of the registry: with the time limit of a call and the way
+/// to all others, a registry that is back is read well within the three seconds after
+/// which the users hold instances to their bounds again.
+const PROBE_PERIOD: Duration = Duration::from_millis(1_000);
 /// Pause after a failed announcement or renewal.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(700);
 /// When the instances are read again after a start, so that those that started
@@ -171,10 +175,38 @@
         tokio::join!(
             self.follow("release", release, &reach, &self.rereads.release),
             self.follow("targets", targets, &reach, &self.rereads.targets),
+            self.keep_probing(&reach),
             self.stay_announced(),
         );
     }
 
+    /// Asks the registry now and then, where this instance holds watches: one that
+    /// was swallowed looks like one without news. Once the registry answers again,
+    /// both parts are read at once.
+    async fn keep_probing(&self, reach: &Reach) {
+        let mut is_silent = false;
+        loop {
+            tokio::time::sleep(PROBE_PERIOD).await;
+            if !self.handle.shared().watching().is_watcher() && !is_silent {
+                continue;
+            }
+            self.metrics.platform_calls.inc();
+            match self.registry.ping().await {
+                Ok(()) if is_silent => {
+                    is_silent = false;
+                    self.reached(reach);
+                    self.rereads.ask(RegistryPart::Release);
+                    self.rereads.ask(RegistryPart::Targets);
+                }
+                Ok(()) => {}
+                Err(error) => {
+                    is_silent = true;
+                    self.failed("probe", reach, &error);
+                }
+            }
+        }
+    }
+
     async fn follow<P: Part>(&self, name: &str, part: P, reach: &Reach, reread: &Notify) {
         let mut pace = Pace::default();
         let mut next = Next::Read {
--- a/sniperund/tests/users/outages.rs
+++ b/sniperund/tests/users/outages.rs
@@ -14,13 +14,16 @@
     for fault in [StoreFault::Busy, StoreFault::Reset, StoreFault::Silent] {
         let deployment = Deployment::start(1).await;
         let instance = &deployment.instances[0];
+        // A change that is heard shows that the instance watches.
+        deployment
+            .store
+            .put("op/config", &configuration(7, "gates"));
+        instance.wait_for_log("event=note-in-force note=7").await;
         deployment.store.set_fault(fault);
-        if fault != StoreFault::Silent {
-            instance.wait_for_log("event=registry-lost").await;
-            // What may be outdated is not called unknown.
-            let unknown = instance.ask("GET", "/none/a", "3d01").await;
-            assert_eq!(unknown.map(|answer| answer.status), Some(503), "{fault:?}");
-        }
+        instance.wait_for_log("event=registry-lost").await;
+        // What may be outdated is not called unknown.
+        let unknown = instance.ask("GET", "/none/a", "3d01").await;
+        assert_eq!(unknown.map(|answer| answer.status), Some(503), "{fault:?}");
         for number in 0..10 {
             let id = format!("3e{number:02}");
             let answer = instance.ask("GET", "/read/a", &id).await;
@@ -30,9 +33,7 @@
             .store
             .put("op/config", &configuration(9, "gates"));
         deployment.store.set_fault(StoreFault::None);
-        if fault != StoreFault::Silent {
-            instance.wait_for_log("event=registry-regained").await;
-        }
+        instance.wait_for_log("event=registry-regained").await;
         instance.wait_for_log("event=note-in-force note=9").await;
     }
 }
--- a/standin/src/users/store.rs
+++ b/standin/src/users/store.rs
@@ -199,6 +199,7 @@
     let body = body.map_err(io::Error::other)?.to_bytes();
     match (method, path.as_str()) {
         (Method::GET, "/sniperun/kv-range") => range(&state, &query),
+        (Method::GET, "/sniperun/kv-key") => item(&state, &query),
         (Method::GET, "/sniperun/kv-watch") => watch(&state, &query).await,
         (Method::POST, "/sniperun/kv-lease") => lease(&state, &body),
         (Method::POST, "/sniperun/kv-txn") => transaction(&state, &body),
@@ -230,6 +231,19 @@
     reply(&json!({"items": page, "hasMore": more, "asOf": data.revision}))
 }
 
+fn item(state: &State, query: &HashMap<String, String>) -> io::Result<Response<Body>> {
+    let data = state.data.lock();
+    let key = query.get("key").cloned().unwrap_or_default();
+    match data.items.get(&key) {
+        Some(item) => {
+            let mut answer = shown(&key, item);
+            answer["asOf"] = json!(data.revision);
+            reply(&answer)
+        }
+        None => status(StatusCode::NOT_FOUND),
+    }
+}
+
 async fn watch(state: &State, query: &HashMap<String, String>) -> io::Result<Response<Body>> {
     let number = |name: &str| -> u64 {
         let text = query.get(name);
