--- a/policy/src/feed/pace.rs
+++ b/policy/src/feed/pace.rs
@@ -76,11 +76,6 @@
         }
     }
 
-    /// Asks for a whole reading, as what was told so far may be incomplete.
-    pub fn forget(&mut self) {
-        self.revision = None;
-    }
-
     fn at(&mut self, revision: u64) {
         self.revision = Some(revision);
         self.pause_us = 0;
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -73,7 +73,7 @@
         {
             return at;
         }
-        let pool = if self.fill(undoubted) > SHORT_FILL {
+        let pool = if self.fill_of(undoubted) > SHORT_FILL {
             undoubted.iter().map(|(_, at)| *at).collect()
         } else {
             self.near(undoubted, rng)
@@ -108,21 +108,24 @@
             .candidates
             .iter()
             .filter(|candidate| candidate.load.doubt(now_us) <= UNDOUBTED);
-        let slots: u32 = undoubted.map(|candidate| candidate.target.slots).sum();
-        let needed = self.load.needed_slots.load(Ordering::Relaxed);
-        f64::from(needed) > SHORT_FILL * f64::from(slots)
+        self.fill(undoubted.map(|candidate| candidate.target.slots).sum()) > SHORT_FILL
     }
 
     /// The share of a set's slots that the load takes up.
-    fn fill(&self, set: &[(f64, usize)]) -> f64 {
+    fn fill_of(&self, set: &[(f64, usize)]) -> f64 {
         let slots = set.iter().map(|(_, at)| self.candidates[*at].target.slots);
+        self.fill(slots.sum())
+    }
+
+    /// The share of some slots that the load takes up.
+    fn fill(&self, slots: u32) -> f64 {
         let needed = self.load.needed_slots.load(Ordering::Relaxed);
-        f64::from(needed) / f64::from(slots.sum::<u32>().max(1))
+        f64::from(needed) / f64::from(slots.max(1))
     }
 
     /// How soon and how often doubted targets are tried out; none if not at all.
     fn pace(&self, repeatable: bool, set: &[(f64, usize)]) -> Option<TrialPace> {
-        let fill = self.fill(set);
+        let fill = self.fill_of(set);
         let is_short = fill > SHORT_FILL;
         if fill > OVERLOAD_FILL || (repeatable && is_short) {
             return Some(EAGER_PACE);
