Tell a storm's first outcomes from a target's own failures

And a busy service never ejected: at 1% usual failures each of seven targets had one in the last two seconds, which counted as a storm. Change: a target counts as bad if its count is improbable at the background's rate; three in ten bad ones, or less than half a second of counts, ask for half as much evidence again before a target is ejected.

--- a/policy/src/evidence/service_test.rs
+++ b/policy/src/evidence/service_test.rs
@@ -31,10 +31,27 @@
 /// Share of the worst other targets that the background leaves out.
 const TRIMMED_SHARE: f64 = 1.0 / 3.0;
 
-/// Other targets with a recent abnormal outcome from which, and the share of those
-/// asked from which, no target is ejected; beyond the worst third that is left out.
+/// Other targets with more recent abnormal outcomes than usual from which, and the
+/// share of those asked from which, no target is ejected; beyond the worst third
+/// that is left out.
 const STORM_TARGETS: usize = 2;
 const STORM_SHARE: f64 = 0.4;
+/// The same for a storm that may have begun: three of ten in the first two seconds of
+/// the simulated storms, when others still answer what came before.
+const RISING_TARGETS: usize = 3;
+const RISING_SHARE: f64 = 0.2;
+/// Time that the first late outcomes of a storm take to come from all targets, in
+/// microseconds: five times the tenth of a second of a fast service.
+const SETTLING_US: u64 = 500_000;
+
+/// What the other targets' recent outcomes say of all targets together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Weather {
+    Calm,
+    /// Several do badly, or too little time has passed to tell: perhaps all soon will.
+    Rising,
+    Storm,
+}
 
 /// What the counts of a target say.
 #[derive(Clone, Debug, PartialEq)]
@@ -200,17 +217,18 @@
         if ratio < bound {
             return Finding::Running(ratio / bound);
         }
-        if self.is_storm(now_us, target) {
-            return Finding::Running(1.0);
+        let started_us = test.pooled.started_us();
+        let certain = ratio >= bound * CERTAIN_FACTOR;
+        let weather = self.weather(now_us, started_us, target, alternatives);
+        match weather {
+            Weather::Storm => return Finding::Running(1.0),
+            Weather::Rising if !certain => return Finding::Running(1.0),
+            Weather::Rising | Weather::Calm => {}
         }
         let Some(test) = self.targets.get_mut(target) else {
             return Finding::Running(0.0);
         };
-        let finding = locate(
-            alternatives.partly,
-            &test.sides,
-            ratio >= bound * CERTAIN_FACTOR,
-        );
+        let finding = locate(alternatives.partly, &test.sides, certain);
         if !matches!(finding, Finding::Running(_)) {
             test.reset(now_us);
         }
@@ -242,16 +260,34 @@
         self.targets.entry(target.clone()).or_insert_with(fresh)
     }
 
-    /// Whether many of the other targets that were asked lately did badly too.
+    /// Whether many of the other targets that were asked since `since_us` did badly too.
     ///
-    /// Where requests are rare the background is known late: one target reaches
-    /// its bound while each other has had an outcome or two.
-    fn is_storm(&self, now_us: u64, target: &str) -> bool {
+    /// The background is known late: where requests are rare, one target reaches its
+    /// bound while each other has had an outcome or two; where they are not, it does
+    /// so while a storm's first late outcomes are few for each.
+    fn weather(
+        &self,
+        now_us: u64,
+        since_us: u64,
+        target: &str,
+        alternatives: Alternatives,
+    ) -> Weather {
         let others = self.targets.iter().filter(|(name, _)| &***name != target);
-        let recent = others.map(|(_, test)| test.recent.since(now_us, 0));
+        let recent = others.map(|(_, test)| test.recent.since(now_us, since_us));
         let asked: Vec<_> = recent.filter(|tally| tally.total() > 0).collect();
-        let bad = asked.iter().filter(|tally| tally.abnormal > 0).count();
-        bad >= STORM_TARGETS && bad as f64 >= STORM_SHARE * asked.len() as f64
+        let background = alternatives.partly.background;
+        let bad = asked.iter().filter(|tally| tally.is_unusual(background));
+        let bad = bad.count();
+        let share = bad as f64 / asked.len().max(1) as f64;
+        if bad >= STORM_TARGETS && share >= STORM_SHARE {
+            Weather::Storm
+        } else if now_us.saturating_sub(since_us) < SETTLING_US
+            || (bad >= RISING_TARGETS && share >= RISING_SHARE)
+        {
+            Weather::Rising
+        } else {
+            Weather::Calm
+        }
     }
 
     /// What a target is held against, from the outcomes of the others.
--- a/policy/src/evidence/tally.rs
+++ b/policy/src/evidence/tally.rs
@@ -3,6 +3,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Probability of a count below which it is unusual: one abnormal outcome of five
+/// at the lowest rate that is assumed.
+const UNUSUAL: f64 = 0.1;
+
 /// Outcomes counted by kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
@@ -18,6 +22,19 @@
         self.normal + self.abnormal
     }
 
+    /// Whether so many are abnormal with a probability under `UNUSUAL`, if each is
+    /// with probability `rate`.
+    pub fn is_unusual(self, rate: f64) -> bool {
+        let mean = f64::from(self.total()) * rate;
+        let mut term = (-mean).exp();
+        let mut at_least = 1.0;
+        for count in 0..self.abnormal {
+            at_least -= term;
+            term *= mean / f64::from(count + 1);
+        }
+        at_least < UNUSUAL
+    }
+
     /// Adds another tally.
     pub fn add(&mut self, other: Self) {
         self.normal = self.normal.saturating_add(other.normal);
