--- a/proof/examples/measure/main.rs
+++ b/proof/examples/measure/main.rs
@@ -26,6 +26,9 @@
     write: bool,
 }
 
+const PAGE: &str = "docs/MEASUREMENTS.md";
+/// Where the part of the page that no program writes begins.
+const BY_HAND: &str = "## On the users' platform";
 const HEAD: &str = "# Measurements
 
 Written by `cargo run --release -p proof --example measure -- --write`, which
@@ -63,7 +66,12 @@
         text += &control::measure();
     }
     if args.write {
-        std::fs::write("docs/MEASUREMENTS.md", text).expect("docs can be written");
+        let written = std::fs::read_to_string(PAGE).expect("the page can be read");
+        if let Some(at) = written.find(BY_HAND) {
+            text.push_str("\n");
+            text.push_str(&written[at..]);
+        }
+        std::fs::write(PAGE, text).expect("docs can be written");
     } else {
         print!("{text}");
     }
