--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -109,13 +109,16 @@
         }
     }
 
-    /// Whether many requests of the fleet fail.
-    fn is_strained(&self, fleet_rate_per_s: f64) -> bool {
+    /// Whether many requests of the fleet fail; those that go to the silent share of
+    /// the instances do, and nobody tells of them.
+    fn is_strained(&self, fleet_rate_per_s: f64, silent_share: f64) -> bool {
         let own = self.recent_unserved >= STRAINED_REQUESTS
             && self.recent_unserved >= STRAINED_SHARE * self.recent;
         let span_s = PERIOD_US as f64 / 1e6 / (1.0 - RECENT_KEPT);
         let all = fleet_rate_per_s * span_s;
-        own || self.recent_told > (STRAINED_FLEET_SHARE * all).max(FEW_FAILURES)
+        let lost = self.recent_told + silent_share * all;
+        own || silent_share > STRAINED_FLEET_SHARE
+            || lost > (STRAINED_FLEET_SHARE * all).max(FEW_FAILURES)
     }
 
     /// Requests a second; 0 while unknown.
@@ -156,6 +159,7 @@
                 instances: members as u32,
             }));
         }
+        let silent_share = self.membership.silent_share(now_us);
         let mut loads = Vec::new();
         for (name, table) in &self.table.services {
             if let Some(all) = reserve {
@@ -172,7 +176,7 @@
             let mean = self.fleet_load.mean(now_us, name, own);
             let fleet_rate_per_s = mean.rate_per_s * members;
             let load = &table.load;
-            let strained = demand.is_strained(fleet_rate_per_s);
+            let strained = demand.is_strained(fleet_rate_per_s, silent_share);
             load.strained.store(strained, Ordering::Relaxed);
             let needed = (mean.slots * members).ceil() as u32;
             load.needed_slots.store(needed, Ordering::Relaxed);
--- a/policy/src/membership/membership.rs
+++ b/policy/src/membership/membership.rs
@@ -23,6 +23,9 @@
 const SUSPICION_US: u64 = 4_000_000;
 const EXPIRY_PERIOD_US: u64 = 500_000;
 const TOMBSTONE_US: u64 = 120_000_000;
+/// Time for which callers may still reach an instance that is dead, in microseconds:
+/// two status checks of a balancer, 2 s apart, and the requests that it then holds.
+const LATELY_US: u64 = 6_000_000;
 const INDIRECT_PROBES: usize = 2;
 
 /// A heartbeat to be sent.
@@ -126,6 +129,21 @@
         std::iter::once(&self.own).chain(others.filter(|member| member.is_present()))
     }
 
+    /// Share of the instances that have lately stopped answering, without having
+    /// announced that they stop.
+    pub fn silent_share(&self, now_us: u64) -> f64 {
+        let is_silent = |entry: &Entry| match entry.member.status {
+            Status::Suspect => true,
+            Status::Dead => now_us.saturating_sub(entry.since_us) < LATELY_US,
+            Status::Alive | Status::Left => false,
+        };
+        let silent = self.entries.values().filter(|entry| is_silent(entry));
+        let silent = silent.count();
+        let alive = self.entries.values();
+        let alive = alive.filter(|entry| entry.member.status == Status::Alive);
+        silent as f64 / (1 + silent + alive.count()) as f64
+    }
+
     /// Ids of the members present, in order; the same on equal views.
     pub fn present_ids(&self) -> Vec<Arc<str>> {
         let mut ids: Vec<_> = self.present().map(|member| member.id.clone()).collect();
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -148,7 +148,9 @@
         let ripe: Vec<usize> = ripe.map(|(_, at)| *at).filter(idle).collect();
         let rate_milli = self.load.fleet_rate_milli.load(Ordering::Relaxed).max(1);
         let share = pace.trials_per_s * 1e3 * ripe.len() as f64 / rate_milli as f64;
-        (!ripe.is_empty() && rng.random_bool(share.min(1.0))).then(|| ripe[0])
+        // Any of them, since all instances rank them alike and would try out the same one.
+        (!ripe.is_empty() && rng.random_bool(share.min(1.0)))
+            .then(|| ripe[rng.random_range(0..ripe.len())])
     }
 
     /// Those of a working set that a request goes to: the nearby ones for as
--- a/policy/tests/placing.rs
+++ b/policy/tests/placing.rs
@@ -98,6 +98,26 @@
     assert!((1..=9).contains(&later), "{later} in three seconds");
 }
 
+/// A hundred instances that share their beliefs, 60 requests a second in all, a third
+/// of the targets doubted for five seconds: most of these get one within two seconds.
+#[test]
+fn strained_instances_try_most_doubted_targets_out_within_two_seconds() {
+    let table = table(30, 0);
+    table.load.strained.store(true, Ordering::Relaxed);
+    let mut rng = ChaCha8Rng::seed_from_u64(9);
+    for (number, candidate) in table.candidates[..10].iter().enumerate() {
+        candidate.load.signal(number as u64 * 10_000, Signal::Reset);
+    }
+    let mut tried = std::collections::BTreeSet::new();
+    for request in 0..120 {
+        let at = choose(&table, 5 * SECOND_US + request * 16_000, false, &mut rng);
+        if at < 10 {
+            tried.insert(at);
+        }
+    }
+    assert!(tried.len() >= 7, "{tried:?}");
+}
+
 #[test]
 fn where_all_targets_are_doubted_a_fifth_of_the_slots_stays_in_use() {
     let table = table(15, 0);
--- /dev/null
+++ b/policy/tests/strain.rs
@@ -0,0 +1,141 @@
+//! When a service counts as strained, and where its requests go then.
+//!
+//! Plays the load of a hundred instances: each sees a few requests a second, and
+//! nobody hears of those that a frozen instance holds.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use model::world::Class;
+use model::world::Repeat;
+use model::world::Service;
+use model::world::Target;
+use policy::Input;
+use policy::Instance;
+use policy::feed::Release;
+use policy::instance::Envelope;
+use policy::instance::EvidenceSharing;
+use policy::instance::Message;
+use policy::instance::PlatformAnswer;
+use policy::instance::RegistryNews;
+use policy::instance::WorldSource;
+use policy::membership::Member;
+use policy::membership::Status;
+
+const SECOND_US: u64 = 1_000_000;
+const OTHERS: usize = 20;
+
+fn member(number: usize, status: Status) -> Member {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Member {
+        id: format!("other-{number:02}").into(),
+        data_centre: "north".into(),
+        caller_address: address,
+        peer_address: address,
+        incarnation: 1,
+        status,
+    }
+}
+
+fn release() -> Release {
+    let service = Service {
+        name: "gates".into(),
+        class: Class::Command,
+        repeat: Repeat::Never,
+        time_limit_ms: 8_000,
+        floor_share: 0.7,
+        false_ejection_rate: 1e-6,
+        missed_detection_rate: 1e-6,
+        retry_share: 0.2,
+        queue: 32,
+        probe_path: "/health".into(),
+    };
+    Release {
+        number: 1,
+        services: vec![service],
+        routes: Vec::new(),
+        idle_limit_ms: None,
+    }
+}
+
+fn target() -> Target {
+    Target {
+        name: "gates-1".into(),
+        service: "gates".into(),
+        data_centre: "north".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        slots: 6,
+        connections: 330,
+        refusal_is_not_run: false,
+        leaving: false,
+        incarnation: 1,
+    }
+}
+
+/// An instance that serves one service and knows twenty others.
+fn instance() -> Instance {
+    let own = Member {
+        id: "own".into(),
+        ..member(0, Status::Alive)
+    };
+    let mut settings = policy::Settings::new(own, 1);
+    settings.evidence = EvidenceSharing::Alerts;
+    settings.source = WorldSource::Registry;
+    let mut instance = Instance::new(settings);
+    instance.handle(0, Input::Registry(RegistryNews::Release(release())));
+    let targets = RegistryNews::Targets {
+        revision: 1,
+        targets: vec![target()],
+    };
+    instance.handle(0, Input::Registry(targets));
+    let members = (0..OTHERS).map(|number| member(number, Status::Alive));
+    let members = PlatformAnswer::Instances(members.collect());
+    instance.handle(0, Input::Platform(members));
+    instance
+}
+
+fn hear_of(instance: &mut Instance, now_us: u64, news: Vec<Member>) {
+    let envelope = Envelope {
+        from: "other-19".into(),
+        incarnation: 1,
+        note: 0,
+        targets_changed: 0,
+        news,
+        message: Message::Ack { sequence: 0 },
+    };
+    instance.handle(now_us, Input::Received(envelope));
+}
+
+fn is_strained(instance: &mut Instance, now_us: u64) -> bool {
+    instance.handle(now_us, Input::Tick);
+    let routing = instance.shared().table();
+    let table = &routing.services[&Arc::from("gates")];
+    table.load.strained.load(Ordering::Relaxed)
+}
+
+#[test]
+fn silent_instances_strain_the_services() {
+    let mut instance = instance();
+    assert!(!is_strained(&mut instance, SECOND_US));
+    let silent = (0..3).map(|number| member(number, Status::Suspect));
+    hear_of(&mut instance, SECOND_US, silent.collect());
+    assert!(is_strained(&mut instance, 2 * SECOND_US));
+}
+
+#[test]
+fn instances_that_stop_by_plan_strain_nothing() {
+    let mut instance = instance();
+    let stopped = (0..3).map(|number| member(number, Status::Left));
+    hear_of(&mut instance, SECOND_US, stopped.collect());
+    assert!(!is_strained(&mut instance, 2 * SECOND_US));
+}
+
+#[test]
+fn instances_gone_for_long_strain_nothing() {
+    let mut instance = instance();
+    let dead = (0..3).map(|number| member(number, Status::Dead));
+    hear_of(&mut instance, SECOND_US, dead.collect());
+    assert!(is_strained(&mut instance, 2 * SECOND_US));
+    assert!(!is_strained(&mut instance, 30 * SECOND_US));
+}
