--- a/proof/examples/measure/main.rs
+++ b/proof/examples/measure/main.rs
@@ -68,7 +68,7 @@
     if args.write {
         let written = std::fs::read_to_string(PAGE).expect("the page can be read");
         if let Some(at) = written.find(BY_HAND) {
-            text.push_str("\n");
+            text.push('\n');
             text.push_str(&written[at..]);
         }
         std::fs::write(PAGE, text).expect("docs can be written");
