--- a/sniperund/src/app/app.rs
+++ b/sniperund/src/app/app.rs
@@ -91,7 +91,7 @@
             id: settings.id.clone(),
             data_centre: settings.data_centre.clone(),
             caller_address: reserved,
-            peer_address: peers.address(),
+            peer_address: settings.advertised_peers.unwrap_or(peers.address()),
             incarnation: started_ms,
             status: Status::Alive,
         };
--- a/sniperund/src/app/surroundings.rs
+++ b/sniperund/src/app/surroundings.rs
@@ -108,6 +108,7 @@
         data_centre: boot.data_centre.clone(),
         callers: boot.callers,
         peers: SocketAddr::new(boot.ip, boot.peer_port),
+        advertised_peers: None,
         admin: SocketAddr::new(boot.ip, USERS_ADMIN_PORT),
         platform: boot.store.clone(),
         seeds: Vec::new(),
--- a/sniperund/src/cli.rs
+++ b/sniperund/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use argh::FromArgs;
@@ -15,4 +16,8 @@
     /// run on the users' platform, which names its own settings file
     #[argh(switch)]
     pub users_platform: bool,
+    /// address by which other instances reach this one, if not the one that it
+    /// listens at
+    #[argh(option)]
+    pub advertise_peers: Option<SocketAddr>,
 }
--- a/sniperund/src/main.rs
+++ b/sniperund/src/main.rs
@@ -18,10 +18,13 @@
 
 fn main() -> ExitCode {
     let args: cli::Args = argh::from_env();
-    let start = match Start::of(&args) {
+    let mut start = match Start::of(&args) {
         Ok(start) => start,
         Err(reason) => return fail(&reason, EXIT_SETTINGS),
     };
+    if args.advertise_peers.is_some() {
+        start.settings.advertised_peers = args.advertise_peers;
+    }
     if let Err(error) = logs::start(start.settings.log_level) {
         return fail(&error.to_string(), EXIT_START);
     }
--- a/sniperund/src/settings/settings.rs
+++ b/sniperund/src/settings/settings.rs
@@ -23,6 +23,9 @@
     pub callers: SocketAddr,
     /// Address for other instances.
     pub peers: SocketAddr,
+    /// Address by which they reach it, if that is another one.
+    #[serde(default)]
+    pub advertised_peers: Option<SocketAddr>,
     /// Address for administration.
     pub admin: SocketAddr,
     /// Address of the platform, such as `10.0.0.1:7000`.
--- a/sniperund/tests/users/deployment.rs
+++ b/sniperund/tests/users/deployment.rs
@@ -12,10 +12,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use serde_json::Value;
-use serde_json::json;
 use standin::UsersStore;
 use standin::UsersTarget;
+use standin::users::CALLERS_PORT;
+use standin::users::READY_PORT;
+use standin::users::boot;
+use standin::users::configuration;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -23,8 +25,6 @@
 /// Time after which a test that waits gives up; no promise is measured by it.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
-const CALLERS_PORT: u16 = 8_080;
-const READY_PORT: u16 = 8_081;
 const METRICS_PORT: u16 = 9_464;
 
 /// An answer as its caller gets it.
@@ -202,7 +202,7 @@
         let name = format!("edge-north-{}-{number}", std::process::id());
         let settings = std::env::temp_dir().join(format!("{name}.json"));
         let log = std::env::temp_dir().join(format!("{name}.log"));
-        let boot = boot(&name, ip, &self.store);
+        let boot = boot(&name, ip, self.store.address());
         std::fs::write(&settings, boot.to_string()).expect("settings can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_sniperund"))
             .arg("--users-platform")
@@ -231,50 +231,6 @@
     }
 }
 
-/// A configuration whose route `/moved/` goes to a service.
-pub(crate) fn configuration(version: u32, moved_to: &str) -> Value {
-    let route = |path: &str, kind: &str, service: &str| {
-        json!({
-            "host": "a.example", "pathPrefix": path, "kind": kind, "service": service,
-            "timeout": "3000ms", "latencySlo": "2000ms", "priority": 1, "maxAttempts": 2,
-        })
-    };
-    json!({
-        "version": format!("{version:08x}"),
-        "routes": {
-            "r-read": route("/read/", "idempotent", "reads"),
-            "r-command": route("/command/", "non_idempotent", "gates"),
-            "r-moved": route("/moved/", "idempotent", moved_to),
-        },
-        "services": {
-            "reads": {"healthCheckPath": "/health", "maxConnections": 330, "protocol": "h1", "tls": false},
-            "gates": {"healthCheckPath": "/health", "maxConnections": 330, "protocol": "h1", "tls": false},
-        },
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
-        "baseVersion": "00000001",
-    })
-}
-
-fn boot(name: &str, ip: IpAddr, store: &UsersStore) -> Value {
-    json!({
-        "self": {
-            "nodeName": name, "role": "entry", "machineClass": "edge", "serves": ["edge"],
-            "ip": ip, "zone": "north", "region": "here", "bootstrap": true, "dataDir": null,
-            "limits": {"cpuShare": 0.2, "cores": 1, "memoryMb": 260, "maxFds": 4100},
-        },
-        "network": {
-            "listen": {
-                "front": SocketAddr::new(ip, CALLERS_PORT), "ready": SocketAddr::new(ip, READY_PORT),
-            },
-            "internalPortRange": [7540, 7555], "seeds": [], "zones": {"north": "here"},
-        },
-        "platform": {"platform": {"address": store.address().to_string(), "form": "kv"}},
-        "terms": {"bounds": {
-            "grace": "6s", "retryBudgetRatio": 0.2, "retrySlack": 56, "floorShare": 0.7,
-        }},
-    })
-}
-
 fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
--- a/sniperund/tests/users/outages.rs
+++ b/sniperund/tests/users/outages.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use standin::StoreFault;
+use standin::users::configuration;
 
 use crate::deployment::Deployment;
 use crate::deployment::PATIENCE;
-use crate::deployment::configuration;
+
 use crate::deployment::wait_for;
 
 #[tokio::test(flavor = "multi_thread")]
--- a/sniperund/tests/users/requests.rs
+++ b/sniperund/tests/users/requests.rs
@@ -1,9 +1,10 @@
 //! Requests that may be repeated, and the configuration that routes them.
 
 use standin::TargetScript;
+use standin::users::configuration;
 
 use crate::deployment::Deployment;
-use crate::deployment::configuration;
+
 use crate::deployment::wait_for;
 
 #[tokio::test(flavor = "multi_thread")]
--- /dev/null
+++ b/soak/tests/plan.rs
@@ -0,0 +1,28 @@
+//! The plan of a seed.
+
+use soak::Plan;
+use soak::Size;
+
+const SIZE: Size = Size {
+    instances: 4,
+    targets_each: 5,
+    callers: 16,
+};
+
+#[test]
+fn the_same_seed_gives_the_same_plan() {
+    assert_eq!(Plan::of(7, SIZE), Plan::of(7, SIZE));
+    assert_ne!(Plan::of(7, SIZE).steps, Plan::of(8, SIZE).steps);
+}
+
+#[test]
+fn all_kinds_of_faults_come() {
+    let mut names = std::collections::BTreeSet::new();
+    for seed in 0..50 {
+        for step in Plan::of(seed, SIZE).steps {
+            let text = format!("{:?}", step.fault);
+            names.insert(text.split('(').next().unwrap_or_default().to_owned());
+        }
+    }
+    assert_eq!(names.len(), 13, "{names:?}");
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,7 +7,7 @@
 mod memory_platform;
 mod platform_server;
 mod script;
-mod users;
+pub mod users;
 
 pub use backend::Backend;
 pub use backend::BackendCounts;
--- a/standin/src/users/mod.rs
+++ b/standin/src/users/mod.rs
@@ -1,10 +1,19 @@
 //! Fakes of the users' platform, by its published pages: the store, and targets
 //! that register in it.
 
+mod documents;
 mod store;
 mod target;
+pub mod wire;
 
+pub use documents::CALLERS_PORT;
+pub use documents::PEERS_PORT;
+pub use documents::READY_PORT;
+pub use documents::boot;
+pub use documents::configuration;
 pub use store::StoreFault;
 pub use store::UsersStore;
+pub use target::Arrival;
+pub use target::Got;
 pub use target::TargetScript;
 pub use target::UsersTarget;
--- a/standin/src/users/target.rs
+++ b/standin/src/users/target.rs
@@ -4,16 +4,20 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use parking_lot::Mutex;
 use serde_json::Value;
 use serde_json::json;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use super::wire::Frame;
+use super::wire::header;
+use super::wire::read_frame;
+
 /// How a target behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum TargetScript {
@@ -42,11 +46,22 @@
     AnswersTwice,
 }
 
+/// A request that reached a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// When its last byte came.
+    pub at: Instant,
+    /// Its id.
+    pub id: String,
+}
+
 /// What a target got.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Got {
     /// The heads of the requests that it got.
     pub heads: Vec<String>,
+    /// The requests that it got, in order.
+    pub arrivals: Vec<Arrival>,
     /// The ids of the requests that it ran.
     pub ran: Vec<String>,
 }
@@ -101,11 +116,21 @@
         &self.state.id
     }
 
+    /// The address that it serves at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// The entry that it keeps in the store.
     pub fn entry(&self, service: &str, state: &str) -> Value {
+        self.entry_at(self.address, service, state)
+    }
+
+    /// Its entry if it is reached by another address.
+    pub fn entry_at(&self, address: SocketAddr, service: &str, state: &str) -> Value {
         json!({
             "service": service,
-            "address": self.address.to_string(),
+            "address": address.to_string(),
             "zone": "north",
             "version": "v1",
             "slots": 6,
@@ -141,12 +166,20 @@
 async fn serve(mut stream: TcpStream, state: &State) -> io::Result<()> {
     let mut bytes = Vec::new();
     loop {
-        let Some(head) = read_request(&mut stream, &mut bytes).await? else {
+        let Some(Frame { head, .. }) = read_frame(&mut stream, &mut bytes).await? else {
             return Ok(());
         };
         let id = header(&head, "x-attempt-id").unwrap_or_default();
         let expected = header(&head, "x-expect-instance");
-        state.got.lock().heads.push(head);
+        let arrival = Arrival {
+            at: Instant::now(),
+            id: id.clone(),
+        };
+        {
+            let mut got = state.got.lock();
+            got.heads.push(head);
+            got.arrivals.push(arrival);
+        }
         let script = *state.script.lock();
         if expected.is_some_and(|expected| expected != state.id)
             || script == TargetScript::Misdirects
@@ -215,32 +248,3 @@
         _ => text.into_bytes(),
     }
 }
-
-/// Reads one request; its head, or none at the end of the connection.
-async fn read_request(stream: &mut TcpStream, bytes: &mut Vec<u8>) -> io::Result<Option<String>> {
-    loop {
-        if let Some(end) = find(bytes, b"\r\n\r\n") {
-            let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-            let length = header(&head, "content-length");
-            let length: usize = length.and_then(|text| text.parse().ok()).unwrap_or(0);
-            if bytes.len() >= end + 4 + length {
-                bytes.drain(..end + 4 + length);
-                return Ok(Some(head));
-            }
-        }
-        if stream.read_buf(bytes).await? == 0 {
-            return Ok(None);
-        }
-    }
-}
-
-fn find(bytes: &[u8], part: &[u8]) -> Option<usize> {
-    bytes.windows(part.len()).position(|window| window == part)
-}
-
-/// The value of a header of a request's head.
-fn header(head: &str, name: &str) -> Option<String> {
-    let lines = head.lines().filter_map(|line| line.split_once(':'));
-    let mut found = lines.filter(|(known, _)| known.eq_ignore_ascii_case(name));
-    found.next().map(|(_, value)| value.trim().to_owned())
-}
