Follow the settings file while running, with and without SIGHUP

The store's address, the bounds on retries and the stop limit take effect; other fields are named in the log as taking a restart. Before: the signal was only logged (the new tests of the changed store and the named restart failed on it).

--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -162,6 +162,9 @@
         let silent_share = self.membership.silent_share(now_us);
         let mut loads = Vec::new();
         for (name, table) in &self.table.services {
+            if let Some(share) = self.changed_retry_share {
+                table.load.retries.set_share(share);
+            }
             if let Some(all) = reserve {
                 table.load.retries.set_reserve(all / members, PERIOD_US);
             }
--- a/policy/src/instance/input.rs
+++ b/policy/src/instance/input.rs
@@ -36,10 +36,21 @@
     Platform(PlatformAnswer),
     /// The registry told something.
     Registry(RegistryNews),
+    /// The bounds on retries have changed.
+    Retries(RetryTerms),
     /// The instance is to stop.
     Drain,
 }
 
+/// Bounds on the retries to a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryTerms {
+    /// Retries as a share of fresh requests.
+    pub share: f64,
+    /// Retries that all instances may make in ten seconds beside that share.
+    pub reserve: f64,
+}
+
 /// What a registry told.
 #[derive(Clone, Debug)]
 pub enum RegistryNews {
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -14,6 +14,7 @@
 use super::Input;
 use super::Message;
 use super::PlatformAnswer;
+use super::RetryTerms;
 use super::Settings;
 use super::Shared;
 use super::WorldSource;
@@ -76,6 +77,8 @@
     pub(super) member_lists: u32,
     pub(super) reserve_members: f64,
     pub(super) shared_retry_reserve: Option<f64>,
+    /// Share of retries that the settings now say, if they have changed.
+    pub(super) changed_retry_share: Option<f64>,
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) own_ids: Vec<Arc<str>>,
     pub(super) next_flush_us: u64,
@@ -120,6 +123,7 @@
             member_lists: 0,
             reserve_members: 0.0,
             shared_retry_reserve: settings.shared_retry_reserve,
+            changed_retry_share: None,
             seeds: settings.seeds,
             own_ids: Vec::new(),
             next_flush_us: 0,
@@ -170,6 +174,7 @@
             } => self.probed(now_us, &service, &target, good),
             Input::Platform(answer) => self.platform_answered(now_us, answer),
             Input::Registry(news) => self.registry_told(now_us, news),
+            Input::Retries(terms) => self.bound_retries(terms),
             Input::Drain => self.drain(now_us),
         }
         self.publish();
@@ -196,6 +201,11 @@
         self.decide_readiness();
     }
 
+    fn bound_retries(&mut self, terms: RetryTerms) {
+        self.shared_retry_reserve = Some(terms.reserve);
+        self.changed_retry_share = Some(terms.share);
+    }
+
     fn tick_notes(&mut self, now_us: u64) {
         let watches = self.is_watcher || self.hears_nobody(now_us);
         let calls = self.calls.due(now_us, self.log.number(), watches);
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -30,6 +30,7 @@
 pub use input::Input;
 pub use input::PlatformAnswer;
 pub use input::RegistryNews;
+pub use input::RetryTerms;
 pub use instance::Instance;
 pub use instance::TICK_US;
 pub use message::Alert;
--- a/policy/src/limits/retry_budget.rs
+++ b/policy/src/limits/retry_budget.rs
@@ -15,7 +15,7 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     tokens_milli: AtomicI64,
-    share_milli: i64,
+    share_milli: AtomicI64,
     saved_milli: AtomicI64,
 }
 
@@ -30,7 +30,7 @@
         };
         Self {
             tokens_milli: AtomicI64::new(tokens_milli),
-            share_milli,
+            share_milli: AtomicI64::new(share_milli),
             saved_milli: AtomicI64::new(MAX_SAVED * MILLI),
         }
     }
@@ -41,7 +41,7 @@
         let saved_milli = (reserve * MILLI as f64) as i64;
         Self {
             tokens_milli: AtomicI64::new(saved_milli),
-            share_milli: (share * MILLI as f64) as i64,
+            share_milli: AtomicI64::new((share * MILLI as f64) as i64),
             saved_milli: AtomicI64::new(saved_milli),
         }
     }
@@ -64,10 +64,17 @@
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, more);
     }
 
+    /// Sets the part of a retry that each fresh request earns.
+    pub fn set_share(&self, share: f64) {
+        let share_milli = (share * MILLI as f64) as i64;
+        self.share_milli.store(share_milli, Ordering::Relaxed);
+    }
+
     /// Counts a fresh request.
     pub fn earn(&self) {
         let saved_milli = self.saved_milli.load(Ordering::Relaxed);
-        let more = |tokens: i64| Some((tokens + self.share_milli).min(saved_milli));
+        let share_milli = self.share_milli.load(Ordering::Relaxed);
+        let more = |tokens: i64| Some((tokens + share_milli).min(saved_milli));
         let _ = self
             .tokens_milli
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, more);
--- a/sniperund/src/app/app.rs
+++ b/sniperund/src/app/app.rs
@@ -204,6 +204,11 @@
         &self.control
     }
 
+    /// Changes the time from the stop signal in which the instance ends.
+    pub fn set_stop_limit_ms(&mut self, stop_limit_ms: u64) {
+        self.stop_limit = Some(Duration::from_millis(stop_limit_ms));
+    }
+
     /// Stops by plan: not ready first, then no new connections, then the end of
     /// all requests, however long they take.
     pub async fn drain(self) {
--- a/sniperund/src/app/surroundings.rs
+++ b/sniperund/src/app/surroundings.rs
@@ -14,6 +14,7 @@
 use platform::Store;
 use platform::UsersDialect;
 use platform::UsersRegistry;
+use policy::instance::RetryTerms;
 
 use crate::Settings;
 use crate::callers::OwnDialect;
@@ -81,12 +82,13 @@
     }
 
     /// The users' interfaces.
-    pub fn users(boot: &Boot) -> Self {
+    pub fn users(boot: &Boot, store: Store) -> Self {
+        let retries = users_retries(boot);
         let terms = ServiceTerms {
             floor_share: boot.floor_share,
-            retry_share: boot.retry_share * RETRY_PART,
+            retry_share: retries.share,
         };
-        let registry = UsersRegistry::new(Store::new(&boot.store), terms);
+        let registry = UsersRegistry::new(store, terms);
         Self {
             dialect: Arc::new(UsersDialect),
             platform: None,
@@ -95,12 +97,25 @@
                 address: boot.ready,
                 path: platform::READY_PATH,
             }),
-            shared_retry_reserve: Some(boot.retry_reserve * RETRY_PART),
-            stop_limit_ms: Some(boot.stop_limit_ms.saturating_sub(STOP_MARGIN_MS)),
+            shared_retry_reserve: Some(retries.reserve),
+            stop_limit_ms: Some(users_stop_limit_ms(boot)),
         }
     }
 }
 
+/// The bounds on retries on the users' machines.
+pub(super) fn users_retries(boot: &Boot) -> RetryTerms {
+    RetryTerms {
+        share: boot.retry_share * RETRY_PART,
+        reserve: boot.retry_reserve * RETRY_PART,
+    }
+}
+
+/// Time from the stop signal in which an instance ends on the users' machines.
+pub(super) fn users_stop_limit_ms(boot: &Boot) -> u64 {
+    boot.stop_limit_ms.saturating_sub(STOP_MARGIN_MS)
+}
+
 /// The settings of an instance on the users' machines.
 pub fn users_settings(boot: &Boot) -> Settings {
     Settings {
--- a/sniperund/src/main.rs
+++ b/sniperund/src/main.rs
@@ -3,10 +3,13 @@
 mod cli;
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use platform::Boot;
+use platform::Store;
 use sniperund::App;
 use sniperund::Settings;
+use sniperund::app::Reload;
 use sniperund::app::Surroundings;
 use sniperund::app::users_settings;
 use sniperund::logs;
@@ -40,13 +43,18 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&error.to_string(), EXIT_START),
     };
-    runtime.block_on(run(&start))
+    runtime.block_on(run(start))
 }
 
+/// Pause between two looks at the settings, which may change without a signal; their
+/// users name no bound.
+const LOOK_PERIOD: Duration = Duration::from_secs(2);
+
 /// What an instance starts with.
 struct Start {
     settings: Settings,
     around: Surroundings,
+    reload: Reload,
     cores: Option<usize>,
 }
 
@@ -56,18 +64,23 @@
             (Some(path), false) => {
                 let settings = Settings::load(path).map_err(|error| error.to_string())?;
                 let around = Surroundings::own(&settings);
+                let reload = Reload::own(path.clone(), settings.clone());
                 Ok(Self {
                     settings,
                     around,
+                    reload,
                     cores: None,
                 })
             }
             (None, true) => {
+                let path = Boot::path().map_err(|error| error.to_string())?;
                 let boot = Boot::load().map_err(|error| error.to_string())?;
+                let store = Store::new(&boot.store);
                 Ok(Self {
                     settings: users_settings(&boot),
-                    around: Surroundings::users(&boot),
+                    around: Surroundings::users(&boot, store.clone()),
                     cores: Some(boot.cores),
+                    reload: Reload::users(path, boot, store),
                 })
             }
             _ => Err("expected either --settings FILE or --users-platform".to_owned()),
@@ -75,19 +88,19 @@
     }
 }
 
-async fn run(start: &Start) -> ExitCode {
-    let app = match App::start_between(&start.settings, &start.around).await {
+async fn run(mut start: Start) -> ExitCode {
+    let mut app = match App::start_between(&start.settings, &start.around).await {
         Ok(app) => app,
         Err(error) => return fail(&error.to_string(), EXIT_START),
     };
-    wait_for_signal().await;
+    run_until_stopped(&mut app, &mut start.reload).await;
     app.drain().await;
     logs::finish();
     ExitCode::SUCCESS
 }
 
-/// Waits for SIGTERM or SIGINT; SIGHUP asks for another look at the settings.
-async fn wait_for_signal() {
+/// Follows the settings until SIGTERM or SIGINT; SIGHUP asks for a look at them.
+async fn run_until_stopped(app: &mut App, reload: &mut Reload) {
     let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hang_up)) = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
@@ -96,11 +109,13 @@
         log::error!("event=signals-unavailable");
         return std::future::pending().await;
     };
+    let mut looks = tokio::time::interval(LOOK_PERIOD);
     loop {
         tokio::select! {
             _ = terminate.recv() => return,
             _ = interrupt.recv() => return,
-            _ = hang_up.recv() => log::info!("event=reload changed=\"\""),
+            _ = hang_up.recv() => reload.look(app, true),
+            _ = looks.tick() => reload.look(app, false),
         }
     }
 }
--- a/sniperund/tests/users/deployment.rs
+++ b/sniperund/tests/users/deployment.rs
@@ -64,6 +64,15 @@
         assert!(status.success());
     }
 
+    /// Changes the settings file, whose document is given to `change`.
+    pub(crate) fn change_settings(&self, change: impl FnOnce(&mut serde_json::Value)) {
+        let text = std::fs::read_to_string(&self.settings).expect("settings can be read");
+        let mut document = serde_json::from_str(&text).expect("settings are JSON");
+        change(&mut document);
+        let text = document.to_string();
+        std::fs::write(&self.settings, text).expect("settings can be written");
+    }
+
     /// Waits for the process's end without blocking the fakes.
     pub(crate) async fn ended(&mut self) -> ExitStatus {
         loop {
@@ -231,6 +240,6 @@
     }
 }
 
-fn any_port() -> SocketAddr {
+pub(crate) fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -3,4 +3,5 @@
 mod commands;
 mod deployment;
 mod outages;
+mod reload;
 mod requests;
--- a/sniperund/tests/users/outages.rs
+++ b/sniperund/tests/users/outages.rs
@@ -119,13 +119,3 @@
     let ended = tokio::time::timeout(PATIENCE, deployment.instances[0].ended()).await;
     assert!(ended.expect("the instance ends").success());
 }
-
-#[tokio::test(flavor = "multi_thread")]
-async fn a_reload_stops_nothing() {
-    let deployment = Deployment::start(1).await;
-    let instance = &deployment.instances[0];
-    instance.signal("HUP");
-    instance.wait_for_log("event=reload").await;
-    let answer = instance.ask("GET", "/read/a", "6b01").await;
-    assert_eq!(answer.map(|answer| answer.status), Some(200));
-}
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -17,6 +17,8 @@
 /// Time of a run in which faults begin, for the usual number of faults.
 const FAULTS_MS: u64 = 14_000;
 const FAULTS: std::ops::Range<u32> = 8..16;
+/// Retries besides the share that settings may say: no more than at the start.
+const RETRY_RESERVES: std::ops::Range<u32> = 20..56;
 /// How long a fault lasts: around the two to three seconds after which bounds hold.
 const LASTS_MS: std::ops::Range<u64> = 300..4_500;
 
@@ -32,9 +34,9 @@
     /// Asked to stop, and started again when it is gone.
     #[display("instance {_0} is stopped by plan")]
     Stop(usize),
-    /// Told that its settings have changed.
-    #[display("instance {_0} gets SIGHUP")]
-    HangUp(usize),
+    /// Its settings change: the retries that all may make besides their share.
+    #[display("settings of instance {_0}: {_1} retries besides")]
+    Settings(usize, u32),
     /// The link from callers to an instance.
     #[display("callers' link of instance {_0}: {_1:?}")]
     Callers(usize, Mode),
@@ -114,7 +116,7 @@
         0 | 1 => Fault::Kill(instance),
         2 | 3 => Fault::Freeze(instance),
         4 | 5 => Fault::Stop(instance),
-        6 => Fault::HangUp(instance),
+        6 => Fault::Settings(instance, rng.random_range(RETRY_RESERVES)),
         7 => Fault::Callers(instance, draw_mode(rng)),
         8 => Fault::Peers(instance, draw_mode(rng)),
         9 => Fault::StoreLink(instance, draw_mode(rng)),
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -14,6 +14,9 @@
 use standin::users::READY_PORT;
 use standin::users::boot;
 
+/// `retrySlack` at the start.
+const RETRY_RESERVE: u32 = 56;
+
 /// Where an instance runs and what it runs between.
 #[derive(Clone, Debug)]
 pub(crate) struct Place {
@@ -41,6 +44,17 @@
         SocketAddr::new(self.ip, PEERS_PORT)
     }
 
+    fn settings(&self) -> PathBuf {
+        self.folder.join(format!("{}.json", self.name))
+    }
+
+    /// Writes the settings file.
+    pub(crate) fn write_settings(&self, retry_reserve: u32) -> io::Result<()> {
+        let mut document = boot(&self.name, self.ip, self.store);
+        document["terms"]["bounds"]["retrySlack"] = retry_reserve.into();
+        std::fs::write(self.settings(), document.to_string())
+    }
+
     /// Its log, that of earlier processes included.
     pub(crate) fn log(&self) -> PathBuf {
         self.folder.join(format!("{}.log", self.name))
@@ -55,9 +69,7 @@
 impl Process {
     /// Starts an instance, which others reach through `advertised`.
     pub(crate) fn start(program: &Path, place: &Place, advertised: SocketAddr) -> io::Result<Self> {
-        let settings = place.folder.join(format!("{}.json", place.name));
-        let document = boot(&place.name, place.ip, place.store);
-        std::fs::write(&settings, document.to_string())?;
+        place.write_settings(RETRY_RESERVE)?;
         let log = std::fs::File::options()
             .create(true)
             .append(true)
@@ -66,7 +78,7 @@
         let child = Command::new(program)
             .args(["--users-platform", "--advertise-peers"])
             .arg(advertised.to_string())
-            .env("SNIPERUN_BOOT", &settings)
+            .env("SNIPERUN_BOOT", place.settings())
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors)
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use standin::StoreFault;
@@ -85,7 +86,7 @@
 async fn guard(scene: Arc<Scene>) -> io::Result<()> {
     while !scene.is_over() {
         for number in 0..scene.slots.len() {
-            if scene.take_ended(number)? {
+            if scene.has_left(number)? {
                 scene.ended_by_itself(number);
                 scene.start_instance(number)?;
             }
@@ -114,7 +115,10 @@
             scene.troubled(begun_ms, Place::Instance(number));
         }
         Fault::Stop(number) => stop(&scene, number).await?,
-        Fault::HangUp(number) => signal(&scene, number, "HUP")?,
+        Fault::Settings(number, retry_reserve) => {
+            scene.slots[number].place.write_settings(retry_reserve)?;
+            signal(&scene, number, "HUP")?;
+        }
         Fault::Callers(number, mode) => {
             harm(&scene.slots[number].callers, mode, lasts).await;
             scene.troubled(begun_ms, Place::Instance(number));
@@ -176,14 +180,15 @@
 
 /// Stops an instance by plan and starts it again.
 async fn stop(scene: &Scene, number: usize) -> io::Result<()> {
-    // The guard must not find it ended.
-    let Some(mut process) = scene.slots[number].process.lock().take() else {
+    let slot = &scene.slots[number];
+    if slot.is_stopping.swap(true, Ordering::Relaxed) {
         return Ok(());
-    };
+    }
+    signal(scene, number, "TERM")?;
     scene.changed(Change::Stopping { instance: number });
-    process.signal("TERM")?;
     let ended = async {
-        while !process.has_ended()? {
+        // A process that another fault has killed is gone, too.
+        while slot.process.lock().is_some() && !scene.take_ended(number)? {
             tokio::time::sleep(LOOK).await;
         }
         io::Result::Ok(())
@@ -192,7 +197,8 @@
         ended?;
     }
     let gone_ms = scene.now_ms();
-    drop(process);
+    *slot.process.lock() = None;
+    slot.is_stopping.store(false, Ordering::Relaxed);
     scene.start_instance(number)?;
     scene.troubled(gone_ms, Place::Instance(number));
     Ok(())
--- a/soak/src/scene.rs
+++ b/soak/src/scene.rs
@@ -48,6 +48,9 @@
     pub(crate) peers: Link,
     pub(crate) store: Link,
     pub(crate) process: Mutex<Option<Process>>,
+    /// Whether it has been asked to stop and still runs; no other process is started
+    /// at its addresses then.
+    pub(crate) is_stopping: AtomicBool,
     is_ready: AtomicBool,
 }
 
@@ -172,11 +175,11 @@
         }
     }
 
-    /// Starts an instance's process, if none runs.
+    /// Starts an instance's process, if none runs or is stopping.
     pub(crate) fn start_instance(&self, number: usize) -> io::Result<()> {
         let slot = &self.slots[number];
         let mut process = slot.process.lock();
-        if process.is_none() {
+        if process.is_none() && !slot.is_stopping.load(Ordering::Relaxed) {
             *process = Some(Process::start(
                 &self.program,
                 &slot.place,
@@ -187,6 +190,12 @@
         Ok(())
     }
 
+    /// Whether a process has ended that nobody asked to stop; it is then forgotten.
+    pub(crate) fn has_left(&self, number: usize) -> io::Result<bool> {
+        let is_stopping = self.slots[number].is_stopping.load(Ordering::Relaxed);
+        Ok(!is_stopping && self.take_ended(number)?)
+    }
+
     /// Whether a process has ended; it is then forgotten.
     pub(crate) fn take_ended(&self, number: usize) -> io::Result<bool> {
         let mut process = self.slots[number].process.lock();
@@ -344,6 +353,7 @@
         store,
         place,
         process: Mutex::default(),
+        is_stopping: AtomicBool::new(false),
         is_ready: AtomicBool::new(false),
     })
 }
