--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
@@ -17,6 +19,10 @@
 /// Bytes that a slow link carries in one step, and the pause after it.
 const SLOW_BYTES: usize = 512;
 const SLOW_PAUSE: Duration = Duration::from_millis(50);
+/// `EMFILE`: the process has too many open files.
+const NO_FILES: i32 = 24;
+/// Connections that links did not take for want of the soak's own means.
+static NOT_TAKEN: AtomicU64 = AtomicU64::new(0);
 const BUFFER_BYTES: usize = 16 * 1024;
 
 /// What a link does to its connections.
@@ -58,11 +64,23 @@
         let mode = Arc::new(watch::Sender::new(Mode::Calm));
         let modes = mode.clone();
         let task = tokio::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
+            loop {
+                let near = match listener.accept().await {
+                    Ok((near, _)) => near,
+                    Err(error) => {
+                        eprintln!("soak: a link takes no connection: {error}");
+                        NOT_TAKEN.fetch_add(1, Ordering::Relaxed);
+                        tokio::time::sleep(SLOW_PAUSE).await;
+                        continue;
+                    }
+                };
                 let modes = modes.subscribe();
                 tokio::spawn(async move {
                     match TcpStream::connect(to).await {
                         Ok(far) => carry(near, far, modes).await,
+                        Err(error) if error.raw_os_error() == Some(NO_FILES) => {
+                            NOT_TAKEN.fetch_add(1, Ordering::Relaxed);
+                        }
                         // A connection that cannot be made is refused by a reset.
                         Err(_) => drop(near.set_zero_linger()),
                     }
@@ -76,6 +94,12 @@
         })
     }
 
+    /// Connections that no link took as this process lacked the means; a run that met
+    /// one says nothing of the instances.
+    pub fn not_taken() -> u64 {
+        NOT_TAKEN.load(Ordering::Relaxed)
+    }
+
     /// Where it accepts connections.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -49,6 +49,7 @@
 /// Returns an error if the scene cannot be set up or a process be started.
 pub async fn run(seed: u64, size: Size, program: &Path, folder: &Path) -> io::Result<Outcome> {
     let plan = Plan::of(seed, size);
+    let not_taken = Link::not_taken();
     let scene = Scene::start(program.to_owned(), folder.to_owned(), size).await?;
     let from_ms = scene.now_ms();
     let balancer = tokio::spawn(scene.clone().balance());
@@ -71,6 +72,9 @@
     }
     balancer.await.map_err(io::Error::other)?;
     guard.await.map_err(io::Error::other)??;
+    if Link::not_taken() > not_taken {
+        return Err(io::Error::other("a link lacked the means for a connection"));
+    }
     let record = scene.take_record();
     let logs: Vec<PathBuf> = scene.slots.iter().map(|slot| slot.place.log()).collect();
     Ok(Outcome {
@@ -124,8 +128,10 @@
             scene.troubled(begun_ms, Place::Instance(number));
         }
         Fault::Peers(number, mode) => {
-            harm(&scene.slots[number].peers, mode, lasts).await;
-            scene.troubled(begun_ms, Place::Instance(number));
+            if let Some(link) = &scene.slots[number].peers {
+                harm(link, mode, lasts).await;
+                scene.troubled(begun_ms, Place::Instance(number));
+            }
         }
         Fault::StoreLink(number, mode) => {
             harm(&scene.slots[number].store, mode, lasts).await;
--- a/soak/src/scene.rs
+++ b/soak/src/scene.rs
@@ -38,6 +38,9 @@
 /// Pause between two looks of the balancer, and its time limit.
 const READY_PERIOD: Duration = Duration::from_millis(250);
 const READY_LIMIT: Duration = Duration::from_millis(500);
+/// Instances whose connections to each other, two files each for a proxy, stay far
+/// below the files that a process may open here (20,000).
+const MAX_PROXIED_PEERS: usize = 50;
 /// Time for all instances to be ready.
 const START_LIMIT: Duration = Duration::from_secs(20);
 
@@ -45,7 +48,8 @@
 pub(crate) struct Slot {
     pub(crate) place: Place,
     pub(crate) callers: Link,
-    pub(crate) peers: Link,
+    /// None in large scenes, where each instance has a connection to each other.
+    pub(crate) peers: Option<Link>,
     pub(crate) store: Link,
     pub(crate) process: Mutex<Option<Process>>,
     /// Whether it has been asked to stop and still runs; no other process is started
@@ -94,7 +98,11 @@
         let block = next_block();
         let mut slots = Vec::new();
         for number in 0..size.instances {
-            slots.push(slot(&store, &folder, block, number).await?);
+            let mut slot = slot(&store, &folder, block, number).await?;
+            if size.instances <= MAX_PROXIED_PEERS {
+                slot.peers = Some(Link::bind(any_port(), slot.place.peers()).await?);
+            }
+            slots.push(slot);
         }
         let scene = Arc::new(Self {
             program,
@@ -180,11 +188,9 @@
         let slot = &self.slots[number];
         let mut process = slot.process.lock();
         if process.is_none() && !slot.is_stopping.load(Ordering::Relaxed) {
-            *process = Some(Process::start(
-                &self.program,
-                &slot.place,
-                slot.peers.address(),
-            )?);
+            let peers = slot.peers.as_ref().map(Link::address);
+            let peers = peers.unwrap_or(slot.place.peers());
+            *process = Some(Process::start(&self.program, &slot.place, peers)?);
             self.changed(Change::Started { instance: number });
         }
         Ok(())
@@ -349,7 +355,7 @@
     };
     Ok(Slot {
         callers: Link::bind(any_port(), place.callers()).await?,
-        peers: Link::bind(any_port(), place.peers()).await?,
+        peers: None,
         store,
         place,
         process: Mutex::default(),
