Ask peers before the registry, find instances again that started without it

Change: a lag that ends when it is met, a peer asked first (release, the missed changes, or all targets), the registry only then. Dead members are pinged now and then with the sender's own entry, so that one that starts while the store is away finds the fleet and serves what peers know (the new process test failed before).

--- a/policy/src/feed/mod.rs
+++ b/policy/src/feed/mod.rs
@@ -3,10 +3,15 @@
 //! The registry tells whole releases and the targets' own entries; what follows
 //! from them is the same kind of change that a release note makes.
 
+mod history;
+mod lag;
 mod pace;
 mod release;
 mod world_feed;
 
+pub use lag::Extent;
+pub use lag::Lag;
+pub use lag::Remedy;
 pub use pace::Next;
 pub use pace::Outcome;
 pub use pace::Pace;
--- a/policy/src/feed/world_feed.rs
+++ b/policy/src/feed/world_feed.rs
@@ -16,6 +16,7 @@
 
 use super::Release;
 use super::TargetEntry;
+use super::history::History;
 
 /// Time after the registry's return in which lapsed entries come back, in
 /// microseconds: the two seconds that the users' letter gives, and a heartbeat's
@@ -41,6 +42,7 @@
 pub struct WorldFeed {
     release: Option<Release>,
     targets: BTreeMap<Arc<str>, Known>,
+    history: History,
     listed: bool,
     away: bool,
     lapses_until_us: u64,
@@ -89,6 +91,26 @@
         self.listed
     }
 
+    /// The release, if one above `number` is known.
+    pub fn release_after(&self, number: u64) -> Option<&Release> {
+        self.release
+            .as_ref()
+            .filter(|release| release.number > number)
+    }
+
+    /// All changes of targets after a revision; none if they are not known any more.
+    pub fn changes_after(&self, revision: u64) -> Option<Vec<TargetEntry>> {
+        self.history.after(revision).filter(|_| self.listed)
+    }
+
+    /// The targets whose entries stand, if they were listed.
+    pub fn list(&self) -> Option<Vec<Target>> {
+        let standing = self.targets.values();
+        let standing = standing.filter(|known| known.out_at_us.is_none());
+        self.listed
+            .then(|| standing.map(|known| known.target.clone()).collect())
+    }
+
     /// Takes in a release; false if it is not newer than the one known.
     pub fn released(&mut self, release: Release) -> bool {
         let known = self.release.as_ref().map_or(0, |known| known.number);
@@ -129,11 +151,16 @@
         let news = targets.iter().filter(is_news).cloned();
         let mut changes: Vec<TargetEntry> = news.map(TargetEntry::Stands).collect();
         changes.extend(missing.iter().cloned().map(TargetEntry::Removed));
-        self.listed = true;
-        self.known_to = revision;
         if !changes.is_empty() {
             self.changed_at = revision;
         }
+        if !self.listed {
+            self.history.add(revision, revision, Vec::new());
+        } else if !changes.is_empty() {
+            self.history.add(self.known_to, revision, changes.clone());
+        }
+        self.listed = true;
+        self.known_to = revision;
         for target in targets {
             self.stands(target);
         }
@@ -162,6 +189,7 @@
             return Offered::Old;
         }
         self.changed_at = revision;
+        self.history.add(after, revision, entries.clone());
         let mut removed = Vec::new();
         for entry in entries {
             match entry {
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -29,6 +29,8 @@
 use crate::evidence::Home;
 use crate::evidence::Observer;
 use crate::evidence::VerdictBook;
+use crate::feed::Extent;
+use crate::feed::Lag;
 use crate::feed::WorldFeed;
 use crate::membership::Homes;
 use crate::membership::Membership;
@@ -71,8 +73,7 @@
     pub(super) feed: WorldFeed,
     pub(super) demand: Demand,
     pub(super) fleet_load: FleetLoad,
-    pub(super) next_reread_us: u64,
-    pub(super) behind_since_us: Option<u64>,
+    pub(super) lag: Lag,
     pub(super) has_asked_doubts: bool,
     pub(super) member_lists: u32,
     pub(super) reserve_members: f64,
@@ -83,6 +84,7 @@
     pub(super) own_ids: Vec<Arc<str>>,
     pub(super) next_flush_us: u64,
     pub(super) next_join_us: u64,
+    pub(super) next_dead_ping_us: u64,
     pub(super) heard_us: u64,
     pub(super) tables_stale: bool,
 }
@@ -117,8 +119,7 @@
             feed: WorldFeed::default(),
             demand: Demand::default(),
             fleet_load: FleetLoad::default(),
-            next_reread_us: 0,
-            behind_since_us: None,
+            lag: Lag::default(),
             has_asked_doubts: false,
             member_lists: 0,
             reserve_members: 0.0,
@@ -128,6 +129,7 @@
             own_ids: Vec::new(),
             next_flush_us: 0,
             next_join_us: 0,
+            next_dead_ping_us: 0,
             heard_us: 0,
             tables_stale: false,
         }
@@ -188,6 +190,7 @@
         }
         self.members_changed();
         self.ask_to_join(now_us);
+        self.ping_dead(now_us);
         match self.source {
             WorldSource::Notes => self.tick_notes(now_us),
             WorldSource::Registry => self.tick_registry(now_us),
@@ -283,6 +286,8 @@
             Message::Entries { changes, span } => {
                 self.entries_spread(now_us, changes, span.as_ref())
             }
+            Message::CatchUp { release, targets } => self.catch_up(now_us, &from, release, targets),
+            Message::Targets { revision, targets } => self.targets_told(now_us, revision, targets),
             Message::Loads(loads) => self.fleet_load.told(now_us, loads),
             Message::AskDoubts => self.tell_doubts(now_us, &from),
             Message::Doubts(told) => self.learn_doubts(now_us, &told),
@@ -291,7 +296,11 @@
         match self.source {
             WorldSource::Notes => self.pull_if_behind(now_us, &from, envelope.note),
             WorldSource::Registry => {
-                self.reread_if_behind(now_us, envelope.note, envelope.targets_changed);
+                let peer = Extent {
+                    release: envelope.note,
+                    targets: envelope.targets_changed,
+                };
+                self.follow_peer(now_us, &from, peer);
             }
         }
         if !self.freshness.is_fresh() {
--- a/policy/src/instance/members.rs
+++ b/policy/src/instance/members.rs
@@ -11,6 +11,9 @@
 use crate::membership::Member;
 
 const JOIN_PERIOD_US: u64 = 1_000_000;
+const DEAD_PING_PERIOD_US: u64 = 1_000_000;
+/// Number of a ping whose answer says all by its news; others begin with 1.
+const DEAD_PING: u64 = 0;
 const MEMBERS_PER_MESSAGE: usize = 200;
 
 impl Instance {
@@ -36,6 +39,31 @@
         }
     }
 
+    /// Pings an instance that was taken for dead: one that has started again knows
+    /// nobody while the platform is away.
+    pub(super) fn ping_dead(&mut self, now_us: u64) {
+        if now_us < self.next_dead_ping_us {
+            return;
+        }
+        self.next_dead_ping_us = now_us + DEAD_PING_PERIOD_US;
+        let Some(id) = self.membership.draw_dead(&mut self.rng) else {
+            return;
+        };
+        let Some(address) = self.membership.get(&id).map(|member| member.peer_address) else {
+            return;
+        };
+        let ping = Message::Ping {
+            sequence: DEAD_PING,
+        };
+        let mut envelope = self.envelope(ping);
+        envelope.news.push(self.membership.own().clone());
+        self.actions.push(Action::Send {
+            to: id,
+            address,
+            envelope,
+        });
+    }
+
     /// Asks peers of whom only the addresses are known.
     pub(super) fn ask_seeds(&mut self) {
         for address in self.seeds.clone() {
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use model::world::Target;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -142,6 +143,21 @@
         /// Whom the receiver passes them on to.
         span: Option<Span>,
     },
+    /// Asks for what the sender lacks; answered by [`Message::Release`], and by
+    /// [`Message::Entries`] or [`Message::Targets`].
+    CatchUp {
+        /// Number of the release that it has; 0 if none.
+        release: u64,
+        /// Revision up to which it knows the targets; none if it knows none.
+        targets: Option<u64>,
+    },
+    /// All targets as of a revision.
+    Targets {
+        /// The revision.
+        revision: u64,
+        /// The targets.
+        targets: Vec<Target>,
+    },
     /// The load of services as the sender sees it.
     Loads(Vec<ToldLoad>),
     /// Asks for what is doubted; answered by [`Message::Doubts`].
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use model::world::Target;
+
 use super::Action;
 use super::EntryChanges;
 use super::Happening;
@@ -10,18 +12,15 @@
 use super::RegistryNews;
 use super::RegistryPart;
 use super::settings::EvidenceSharing;
+use crate::feed::Extent;
 use crate::feed::Offered;
 use crate::feed::Release;
+use crate::feed::Remedy;
 use crate::feed::TargetEntry;
 use crate::feed::Teller;
 use crate::notes::Span;
 use crate::routing::Placement;
 
-/// Time between two readings that peers' newer numbers cause, in microseconds.
-const REREAD_PERIOD_US: u64 = 700_000;
-/// Time in which what a watcher spreads arrives, in microseconds; after it an
-/// instance that is behind reads by itself.
-const SPREAD_US: u64 = 150_000;
 /// Routes of a release that is spread as a whole; of a larger one each instance
 /// reads its own copy, as a message of a megabyte would hold up alerts.
 const SPREAD_ROUTES: usize = 100;
@@ -75,28 +74,81 @@
         self.follow_registry();
     }
 
-    /// Reads again what a peer knows better, unless watchers tell it first.
-    pub(super) fn reread_if_behind(&mut self, now_us: u64, number: u64, targets_changed: u64) {
-        let release = number > self.log.number();
-        let targets = targets_changed > self.feed.targets_known_to();
-        if !release && !targets {
-            return;
-        }
-        let since_us = *self.behind_since_us.get_or_insert(now_us);
-        let waited_us = now_us.saturating_sub(since_us);
-        if waited_us < SPREAD_US || now_us < self.next_reread_us {
-            return;
+    /// Catches up with a peer that knows better, unless watchers tell it first.
+    pub(super) fn follow_peer(&mut self, now_us: u64, from: &Arc<str>, peer: Extent) {
+        let own = Extent {
+            release: self.log.number(),
+            targets: self.feed.targets_known_to(),
+        };
+        match self.lag.heard(now_us, own, peer) {
+            Remedy::Wait => {}
+            Remedy::AskPeer => self.ask_to_catch_up(now_us, from),
+            Remedy::Read { release, targets } => {
+                if release {
+                    self.actions.push(Action::Reread(RegistryPart::Release));
+                }
+                if targets {
+                    self.actions.push(Action::Reread(RegistryPart::Targets));
+                }
+            }
         }
-        self.next_reread_us = now_us + REREAD_PERIOD_US;
-        self.behind_since_us = None;
-        if release {
-            self.actions.push(Action::Reread(RegistryPart::Release));
+    }
+
+    fn ask_to_catch_up(&mut self, now_us: u64, peer: &Arc<str>) {
+        let targets = self.feed.is_listed();
+        let message = Message::CatchUp {
+            release: self.log.number(),
+            targets: targets.then(|| self.feed.targets_known_to()),
+        };
+        self.send(now_us, peer, message);
+    }
+
+    /// Tells a peer what it lacks, as far as it is known here.
+    pub(super) fn catch_up(
+        &mut self,
+        now_us: u64,
+        to: &Arc<str>,
+        release: u64,
+        targets: Option<u64>,
+    ) {
+        if let Some(release) = self.feed.release_after(release).cloned() {
+            self.send(
+                now_us,
+                to,
+                Message::Release {
+                    release,
+                    span: None,
+                },
+            );
         }
-        if targets {
-            self.actions.push(Action::Reread(RegistryPart::Targets));
+        let revision = self.feed.targets_known_to();
+        let missed = targets.and_then(|after| Some((after, self.feed.changes_after(after)?)));
+        if let Some((after, entries)) = missed {
+            let changes = EntryChanges {
+                after,
+                revision,
+                entries,
+                lapsing: self.feed.is_lapsing(now_us),
+            };
+            self.send(
+                now_us,
+                to,
+                Message::Entries {
+                    changes,
+                    span: None,
+                },
+            );
+        } else if let Some(targets) = self.feed.list() {
+            self.send(now_us, to, Message::Targets { revision, targets });
         }
     }
 
+    /// Takes in all targets as a peer tells them.
+    pub(super) fn targets_told(&mut self, now_us: u64, revision: u64, targets: Vec<Target>) {
+        self.feed.listed(now_us, revision, targets);
+        self.follow_registry();
+    }
+
     /// Takes in a release that a watcher spreads.
     pub(super) fn release_spread(&mut self, now_us: u64, release: Release, span: Option<&Span>) {
         if let Some(span) = span {
@@ -155,10 +207,12 @@
         match offered {
             Offered::Taken => true,
             Offered::Old => false,
-            Offered::Gap => {
+            Offered::Gap if teller == Teller::Registry => {
                 self.actions.push(Action::Reread(RegistryPart::Targets));
                 false
             }
+            // What is missing is asked for as soon as the lag is noticed.
+            Offered::Gap => false,
         }
     }
 
--- a/policy/src/membership/membership.rs
+++ b/policy/src/membership/membership.rs
@@ -26,6 +26,8 @@
 /// Time for which callers may still reach an instance that is dead, in microseconds:
 /// two status checks of a balancer, 2 s apart, and the requests that it then holds.
 const LATELY_US: u64 = 6_000_000;
+/// Pings that a dead member gets from all others together in a second.
+const DEAD_PINGS: f64 = 2.0;
 const INDIRECT_PROBES: usize = 2;
 
 /// A heartbeat to be sent.
@@ -72,6 +74,12 @@
     since_us: u64,
 }
 
+impl Entry {
+    fn is_dead(&self) -> bool {
+        self.member.status == Status::Dead
+    }
+}
+
 /// An instance's view of all instances.
 #[derive(Debug)]
 pub struct Membership {
@@ -144,6 +152,22 @@
         silent as f64 / (1 + silent + alive.count()) as f64
     }
 
+    /// A dead member that may have started again, to be pinged; seldom none of the
+    /// instances draws it within a second.
+    pub fn draw_dead(&self, rng: &mut ChaCha8Rng) -> Option<Arc<str>> {
+        let dead: Vec<&Entry> = self
+            .entries
+            .values()
+            .filter(|entry| entry.is_dead())
+            .collect();
+        let present = self.present().count();
+        let chance = DEAD_PINGS * dead.len() as f64 / present as f64;
+        if dead.is_empty() || !rng.random_bool(chance.min(1.0)) {
+            return None;
+        }
+        Some(dead[rng.random_range(0..dead.len())].member.id.clone())
+    }
+
     /// Ids of the members present, in order; the same on equal views.
     pub fn present_ids(&self) -> Vec<Arc<str>> {
         let mut ids: Vec<_> = self.present().map(|member| member.id.clone()).collect();
--- /dev/null
+++ b/policy/tests/lag.rs
@@ -0,0 +1,258 @@
+//! What an instance does that hears of news before it hears the news.
+//!
+//! Plays the load of a large fleet: changes follow each other, numbers travel with
+//! every message, and most changes arrive by themselves a moment later.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use model::world::Target;
+use policy::Action;
+use policy::Input;
+use policy::Instance;
+use policy::Message;
+use policy::feed::Extent;
+use policy::feed::Lag;
+use policy::feed::Release;
+use policy::feed::Remedy;
+use policy::feed::TargetEntry;
+use policy::instance::EntryChanges;
+use policy::instance::Envelope;
+use policy::instance::EvidenceSharing;
+use policy::instance::PlatformAnswer;
+use policy::instance::RegistryNews;
+use policy::instance::WorldSource;
+use policy::membership::Member;
+use policy::membership::Status;
+
+const MS_US: u64 = 1_000;
+
+fn extent(targets: u64) -> Extent {
+    Extent {
+        release: 1,
+        targets,
+    }
+}
+
+#[test]
+fn changes_that_arrive_soon_cause_no_reading() {
+    let mut lag = Lag::default();
+    for change in 1..100 {
+        let at_us = change * 1_000 * MS_US;
+        let early = lag.heard(at_us, extent(change - 1), extent(change));
+        assert_eq!(early, Remedy::Wait);
+        let late = lag.heard(at_us + 200 * MS_US, extent(change), extent(change));
+        assert_eq!(late, Remedy::Wait);
+    }
+}
+
+#[test]
+fn a_peer_is_asked_first_and_the_registry_only_then() {
+    let mut lag = Lag::default();
+    let read = Remedy::Read {
+        release: false,
+        targets: true,
+    };
+    let mut heard = |at_ms: u64| lag.heard(at_ms * MS_US, extent(1), extent(2));
+    assert_eq!(heard(0), Remedy::Wait);
+    assert_eq!(heard(160), Remedy::AskPeer);
+    assert_eq!(heard(200), Remedy::Wait);
+    assert_eq!(heard(450), read);
+    let again: Vec<Remedy> = (0..7).map(|step| heard(460 + step * 100)).collect();
+    assert!(!again.contains(&read), "{again:?}");
+}
+
+#[test]
+fn peers_that_are_behind_too_change_nothing() {
+    let mut lag = Lag::default();
+    assert_eq!(lag.heard(0, extent(1), extent(2)), Remedy::Wait);
+    assert_eq!(lag.heard(100 * MS_US, extent(1), extent(1)), Remedy::Wait);
+    let ahead = lag.heard(160 * MS_US, extent(1), extent(2));
+    assert_eq!(ahead, Remedy::AskPeer);
+}
+
+fn member(id: &str) -> Member {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Member {
+        id: id.into(),
+        data_centre: "north".into(),
+        caller_address: address,
+        peer_address: address,
+        incarnation: 1,
+        status: Status::Alive,
+    }
+}
+
+fn target(name: &str) -> Target {
+    Target {
+        name: name.into(),
+        service: "gates".into(),
+        data_centre: "north".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        slots: 6,
+        connections: 330,
+        refusal_is_not_run: false,
+        leaving: false,
+        incarnation: 1,
+    }
+}
+
+/// An instance that knows one other.
+fn instance(id: &str, other: &str) -> Instance {
+    let mut settings = policy::Settings::new(member(id), 1);
+    settings.evidence = EvidenceSharing::Alerts;
+    settings.source = WorldSource::Registry;
+    let mut instance = Instance::new(settings);
+    let members = PlatformAnswer::Instances(vec![member(other)]);
+    instance.handle(0, Input::Platform(members));
+    instance
+}
+
+fn release() -> Release {
+    Release {
+        number: 3,
+        services: Vec::new(),
+        routes: Vec::new(),
+        idle_limit_ms: None,
+    }
+}
+
+/// An instance that the registry has told of a release and targets, and then of
+/// others.
+fn informed(changes: u64) -> Instance {
+    let mut instance = instance("informed", "late");
+    instance.handle(0, Input::Registry(RegistryNews::Release(release())));
+    let targets = RegistryNews::Targets {
+        revision: 10,
+        targets: vec![target("t10")],
+    };
+    instance.handle(0, Input::Registry(targets));
+    for revision in 11..11 + changes {
+        let entry = TargetEntry::Stands(target(&format!("t{revision}")));
+        let changes = EntryChanges {
+            after: revision - 1,
+            revision,
+            entries: vec![entry],
+            lapsing: false,
+        };
+        instance.handle(0, Input::Registry(RegistryNews::Entries(changes)));
+    }
+    instance
+}
+
+/// The messages among some actions to an instance.
+fn messages(actions: Vec<Action>, receiver: &str) -> Vec<Envelope> {
+    let sent = actions.into_iter().filter_map(|action| match action {
+        Action::Send { to, envelope, .. } if &*to == receiver => Some(envelope),
+        _ => None,
+    });
+    sent.collect()
+}
+
+fn ask(instance: &mut Instance, release: u64, targets: Option<u64>) -> Vec<Message> {
+    let envelope = Envelope {
+        from: "late".into(),
+        incarnation: 1,
+        note: 0,
+        targets_changed: 0,
+        news: Vec::new(),
+        message: Message::CatchUp { release, targets },
+    };
+    let answers = messages(instance.handle(1, Input::Received(envelope)), "late");
+    answers
+        .into_iter()
+        .map(|envelope| envelope.message)
+        .collect()
+}
+
+#[test]
+fn a_peer_tells_the_changes_that_were_missed() {
+    let mut informed = informed(4);
+    let answers = ask(&mut informed, 3, Some(12));
+    let [Message::Entries { changes, .. }] = &answers[..] else {
+        panic!("{answers:?}");
+    };
+    assert_eq!((changes.after, changes.revision), (12, 14));
+    assert_eq!(changes.entries.len(), 2);
+}
+
+#[test]
+fn a_peer_tells_all_to_one_that_knows_nothing() {
+    let mut informed = informed(4);
+    let answers = ask(&mut informed, 0, None);
+    let [
+        Message::Release { .. },
+        Message::Targets { revision, targets },
+    ] = &answers[..]
+    else {
+        panic!("{answers:?}");
+    };
+    assert_eq!((*revision, targets.len()), (14, 5));
+}
+
+/// Carries messages between two instances until none is left.
+fn exchange(now_us: u64, a: &mut Instance, b: &mut Instance, first: Vec<Action>) {
+    let (a_id, b_id): (Arc<str>, Arc<str>) = ("late".into(), "informed".into());
+    let mut to_b = messages(first, &b_id);
+    while !to_b.is_empty() {
+        let answers = to_b
+            .into_iter()
+            .flat_map(|envelope| b.handle(now_us, Input::Received(envelope)));
+        let to_a = messages(answers.collect(), &a_id);
+        let answers = to_a
+            .into_iter()
+            .flat_map(|envelope| a.handle(now_us, Input::Received(envelope)));
+        to_b = messages(answers.collect(), &b_id);
+    }
+}
+
+#[test]
+fn an_instance_that_starts_without_the_registry_learns_all_from_a_peer() {
+    let mut informed = informed(4);
+    let mut late = instance("late", "informed");
+    for tick in 0..40 {
+        let now_us = tick * 100 * MS_US;
+        let actions = late.handle(now_us, Input::Tick);
+        exchange(now_us, &mut late, &mut informed, actions);
+    }
+    assert!(late.is_ready());
+    assert_eq!(late.world().number, 3);
+}
+
+/// A dead instance that starts again while the registry is away knows nobody; those
+/// that knew it reach it.
+#[test]
+fn an_instance_that_was_dead_and_knows_nobody_is_found_again() {
+    let mut informed = informed(4);
+    let mut settings = policy::Settings::new(member("late"), 1);
+    settings.own.incarnation = 2;
+    settings.evidence = EvidenceSharing::Alerts;
+    settings.source = WorldSource::Registry;
+    let mut late = Instance::new(settings);
+    let dead = Member {
+        status: Status::Dead,
+        ..member("late")
+    };
+    let envelope = Envelope {
+        from: "other".into(),
+        incarnation: 1,
+        note: 0,
+        targets_changed: 0,
+        news: vec![dead],
+        message: Message::Ack { sequence: 0 },
+    };
+    informed.handle(0, Input::Received(envelope));
+    for tick in 1..60 {
+        let now_us = tick * 100 * MS_US;
+        let found = messages(informed.handle(now_us, Input::Tick), "late");
+        let answers = found
+            .into_iter()
+            .flat_map(|envelope| late.handle(now_us, Input::Received(envelope)));
+        let answers: Vec<Action> = answers.collect();
+        exchange(now_us, &mut late, &mut informed, answers);
+        let asked = late.handle(now_us, Input::Tick);
+        exchange(now_us, &mut late, &mut informed, asked);
+    }
+    assert!(late.is_ready());
+    assert_eq!(informed.membership().present().count(), 2);
+}
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -651,6 +651,8 @@
         | Message::Notes(_)
         | Message::SnapshotPart { .. }
         | Message::Release { .. }
-        | Message::Entries { .. } => "notes",
+        | Message::Entries { .. }
+        | Message::CatchUp { .. }
+        | Message::Targets { .. } => "notes",
     }
 }
--- a/sniperund/src/app/reload.rs
+++ b/sniperund/src/app/reload.rs
@@ -142,6 +142,7 @@
     applied.restart("callers", fresh.callers == running.callers);
     applied.restart("ready", fresh.ready == running.ready);
     applied.restart("peer_port", fresh.peer_port == running.peer_port);
+    applied.restart("seeds", fresh.seeds == running.seeds);
     applied.restart("cores", fresh.cores == running.cores);
     applied.restart("floor_share", fresh.floor_share == running.floor_share);
     applied
--- a/sniperund/src/app/surroundings.rs
+++ b/sniperund/src/app/surroundings.rs
@@ -126,7 +126,7 @@
         advertised_peers: None,
         admin: SocketAddr::new(boot.ip, USERS_ADMIN_PORT),
         platform: boot.store.clone(),
-        seeds: Vec::new(),
+        seeds: boot.seeds.clone(),
         platform_limit_ms: 0,
         drain_grace_ms: USERS_DRAIN_GRACE_MS,
         log_level: LevelFilter::Info,
--- a/sniperund/tests/users/deployment.rs
+++ b/sniperund/tests/users/deployment.rs
@@ -73,6 +73,15 @@
         std::fs::write(&self.settings, text).expect("settings can be written");
     }
 
+    /// Kills the process and starts it again at the same addresses.
+    pub(crate) fn restart(&mut self) {
+        self.child.kill().expect("it can be killed");
+        self.child.wait().expect("it can be waited for");
+        let log = std::fs::File::options().append(true).open(&self.log);
+        let log = Stdio::from(log.expect("the log can be appended to"));
+        self.child = spawn(&self.settings, log);
+    }
+
     /// Waits for the process's end without blocking the fakes.
     pub(crate) async fn ended(&mut self) -> ExitStatus {
         loop {
@@ -125,6 +134,16 @@
     }
 }
 
+fn spawn(settings: &PathBuf, output: Stdio) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_sniperund"))
+        .arg("--users-platform")
+        .env("SNIPERUN_BOOT", settings)
+        .stdin(Stdio::null())
+        .stdout(output)
+        .spawn()
+        .expect("the instance starts")
+}
+
 /// Waits until a condition holds.
 pub(crate) async fn wait_for(what: &str, mut holds: impl AsyncFnMut() -> bool) {
     let wait = async {
@@ -213,13 +232,7 @@
         let log = std::env::temp_dir().join(format!("{name}.log"));
         let boot = boot(&name, ip, self.store.address());
         std::fs::write(&settings, boot.to_string()).expect("settings can be written");
-        let child = Command::new(env!("CARGO_BIN_EXE_sniperund"))
-            .arg("--users-platform")
-            .env("SNIPERUN_BOOT", &settings)
-            .stdin(Stdio::null())
-            .stdout(output(&log))
-            .spawn()
-            .expect("the instance starts");
+        let child = spawn(&settings, output(&log));
         Process {
             ip,
             child,
--- a/sniperund/tests/users/outages.rs
+++ b/sniperund/tests/users/outages.rs
@@ -119,3 +119,18 @@
     let ended = tokio::time::timeout(PATIENCE, deployment.instances[0].ended()).await;
     assert!(ended.expect("the instance ends").success());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_restarts_while_the_store_is_away_serves_what_peers_know() {
+    let mut deployment = Deployment::start(2).await;
+    deployment.wait_for_members().await;
+    deployment.store.set_fault(StoreFault::Silent);
+    deployment.instances[0].restart();
+    let restarted = &deployment.instances[0];
+    wait_for("readiness without the store", async || {
+        restarted.ready().await == Some(200)
+    })
+    .await;
+    let answer = restarted.ask("GET", "/read/a", "7a01").await;
+    assert_eq!(answer.map(|answer| answer.status), Some(200));
+}
