--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -19,6 +19,7 @@
 use crate::limits::Refusal;
 use crate::limits::Refused;
 use crate::routing::Choice;
+use crate::routing::Need;
 use crate::routing::ServiceTable;
 use crate::routing::Slot;
 
@@ -247,7 +248,7 @@
         if !self.table.load.currency.is_current(now_us) {
             return self.give_up(now_us, ResultCode::NotReady, rng);
         }
-        match self.table.choose(now_us, repeatable, &self.tried, rng) {
+        match self.table.choose(now_us, self.need(now_us), rng) {
             Choice::Target(candidate, slot) => self.start_attempt(candidate, slot),
             Choice::Busy => {
                 self.state = State::Waiting;
@@ -257,6 +258,14 @@
         }
     }
 
+    fn need(&self, now_us: u64) -> Need<'_> {
+        Need {
+            repeatable: self.request.repeatable,
+            left_us: self.request.deadline_us.saturating_sub(now_us),
+            tried: &self.tried,
+        }
+    }
+
     fn start_attempt(&mut self, candidate: usize, slot: Slot) -> Step {
         self.state = State::Sent;
         self.tried.push(candidate);
@@ -333,7 +342,7 @@
         if !may {
             return Step::Continue;
         }
-        match self.table.choose(now_us, true, &self.tried, rng) {
+        match self.table.choose(now_us, self.need(now_us), rng) {
             Choice::Target(candidate, slot) => self.start_attempt(candidate, slot),
             Choice::Busy | Choice::Nothing => Step::Continue,
         }
--- a/policy/src/routing/choice.rs
+++ b/policy/src/routing/choice.rs
@@ -16,6 +16,17 @@
 /// Share of idempotent requests that look at a target on trial.
 const TRIAL_SHARE: f64 = 0.05;
 
+/// What a request needs of its target.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// Whether it may be sent more than once.
+    pub repeatable: bool,
+    /// Time in which an answer is of use, in microseconds.
+    pub left_us: u64,
+    /// The candidates that it was sent to.
+    pub tried: &'a [usize],
+}
+
 /// What the choice came to.
 #[derive(Debug)]
 pub enum Choice {
@@ -28,15 +39,10 @@
 }
 
 impl ServiceTable {
-    /// Chooses a target other than those in `tried`.
-    pub fn choose(
-        &self,
-        now_us: u64,
-        repeatable: bool,
-        tried: &[usize],
-        rng: &mut impl Rng,
-    ) -> Choice {
-        let fresh = |at: &usize| !tried.contains(at);
+    /// Chooses a target other than those that were tried.
+    pub fn choose(&self, now_us: u64, need: Need<'_>, rng: &mut impl Rng) -> Choice {
+        let repeatable = need.repeatable;
+        let fresh = |at: &usize| !need.tried.contains(at);
         let open: Vec<usize> = (0..self.candidates.len())
             .filter(fresh)
             .filter(|at| !self.candidates[*at].load.is_closed())
@@ -51,7 +57,7 @@
             .collect();
         while !free.is_empty() {
             let at = match (self.placement, repeatable) {
-                (Placement::Doubt, _) => self.choose_by_doubt(now_us, repeatable, &free, rng),
+                (Placement::Doubt, _) => self.choose_by_doubt(now_us, need, &free, rng),
                 (Placement::Standing, true) => self.choose_repeatable(now_us, &free, rng),
                 (Placement::Standing, false) => self.choose_once(now_us, &free, rng),
             };
--- a/policy/src/routing/mod.rs
+++ b/policy/src/routing/mod.rs
@@ -11,6 +11,7 @@
 
 pub use candidate::Candidate;
 pub use choice::Choice;
+pub use choice::Need;
 pub use currency::Currency;
 pub use currency::FREEZE_US;
 pub use floor::RoutingSet;
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 use rand::RngExt;
 
+use super::Need;
 use super::ServiceTable;
 
 /// Doubt below which a target takes part: reached 11 s after a reset, and not
@@ -42,6 +43,10 @@
 /// The same, from which requests wait at the targets until they are late: a target
 /// found sound then serves more requests than its trials lose.
 const OVERLOAD_FILL: f64 = 0.95;
+/// Part of the time left that the mean answer takes, from which a repeatable request
+/// tries a doubted target first: a reset costs it some milliseconds, waiting behind
+/// others nearly all its time.
+const HOPELESS_PART: f64 = 0.6;
 /// Share of the nearby targets' slots that is filled before others are used.
 const LOCAL_FILL: f64 = 0.6;
 
@@ -57,7 +62,7 @@
     pub(super) fn choose_by_doubt(
         &self,
         now_us: u64,
-        repeatable: bool,
+        need: Need<'_>,
         free: &[usize],
         rng: &mut impl Rng,
     ) -> usize {
@@ -67,7 +72,14 @@
             .collect();
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (undoubted, doubted) = ranked.split_at(self.working_set_len(&ranked));
-        let pace = self.pace(repeatable, undoubted);
+        if need.repeatable
+            && need.tried.is_empty()
+            && self.is_hopeless(need.left_us)
+            && let Some(at) = self.least_doubted_idle(doubted)
+        {
+            return at;
+        }
+        let pace = self.pace(need.repeatable, undoubted);
         if let Some(pace) = pace
             && let Some(at) = self.trial(doubted, pace, rng)
         {
@@ -87,6 +99,23 @@
         }
     }
 
+    /// Whether the targets in use answer too late for a request with so much time left.
+    fn is_hopeless(&self, left_us: u64) -> bool {
+        let slots = f64::from(self.load.needed_slots.load(Ordering::Relaxed));
+        let rate_milli = self.load.fleet_rate_milli.load(Ordering::Relaxed).max(1);
+        let latency_us = slots * 1e9 / rate_milli as f64;
+        latency_us > HOPELESS_PART * left_us as f64
+    }
+
+    /// The least doubted of the targets that may be sound again, if it is idle here.
+    fn least_doubted_idle(&self, doubted: &[(f64, usize)]) -> Option<usize> {
+        let idle = |at: &usize| self.candidates[*at].load.in_flight() == 0;
+        let ripe = doubted
+            .iter()
+            .filter(|(doubt, _)| *doubt <= EAGER_PACE.doubt);
+        ripe.map(|(_, at)| *at).find(idle)
+    }
+
     /// How many of the targets, the least doubted first, take part.
     fn working_set_len(&self, ranked: &[(f64, usize)]) -> usize {
         let least = (f64::from(self.slots()) * LEAST_SHARE) as u32;
--- a/policy/tests/placing.rs
+++ b/policy/tests/placing.rs
@@ -11,6 +11,7 @@
 use policy::evidence::Standing;
 use policy::routing::Candidate;
 use policy::routing::Choice;
+use policy::routing::Need;
 use policy::routing::Placement;
 use policy::routing::ServiceLoad;
 use policy::routing::ServiceTable;
@@ -64,7 +65,16 @@
 }
 
 fn choose(table: &ServiceTable, now_us: u64, repeatable: bool, rng: &mut ChaCha8Rng) -> usize {
-    match table.choose(now_us, repeatable, &[], rng) {
+    let need = Need {
+        repeatable,
+        left_us: 8 * SECOND_US,
+        tried: &[],
+    };
+    choose_for(table, now_us, need, rng)
+}
+
+fn choose_for(table: &ServiceTable, now_us: u64, need: Need<'_>, rng: &mut ChaCha8Rng) -> usize {
+    match table.choose(now_us, need, rng) {
         Choice::Target(at, _slot) => at,
         other => panic!("expected a target, got {other:?}"),
     }
@@ -175,3 +185,27 @@
     let share = f64::from(lost) / f64::from(sent);
     assert!(share < 0.03, "{lost} of {sent} lost");
 }
+
+/// Sixty requests a second that take a second each, as their targets have queues: one
+/// that has less time left tries a doubted target first, and the others only then.
+#[test]
+fn a_request_with_less_time_than_others_take_tries_a_doubted_target_first() {
+    let table = table(15, 0);
+    table.load.needed_slots.store(60, Ordering::Relaxed);
+    let mut rng = ChaCha8Rng::seed_from_u64(10);
+    table.candidates[3].load.signal(0, Signal::Reset);
+    let mut need = Need {
+        repeatable: true,
+        left_us: 850_000,
+        tried: &[],
+    };
+    assert_ne!(choose_for(&table, SECOND_US, need, &mut rng), 3);
+    assert_eq!(choose_for(&table, 3 * SECOND_US, need, &mut rng), 3);
+    need.tried = &[3];
+    assert_ne!(choose_for(&table, 3 * SECOND_US, need, &mut rng), 3);
+    need.tried = &[];
+    need.repeatable = false;
+    for _ in 0..100 {
+        assert_ne!(choose_for(&table, SECOND_US, need, &mut rng), 3);
+    }
+}
