--- a/policy/src/limits/retry_budget.rs
+++ b/policy/src/limits/retry_budget.rs
@@ -70,6 +70,11 @@
         self.share_milli.store(share_milli, Ordering::Relaxed);
     }
 
+    /// Retries that may be made at once.
+    pub fn left(&self) -> f64 {
+        self.tokens_milli.load(Ordering::Relaxed) as f64 / MILLI as f64
+    }
+
     /// Counts a fresh request.
     pub fn earn(&self) {
         let saved_milli = self.saved_milli.load(Ordering::Relaxed);
--- a/sniperund/src/admin/admin.rs
+++ b/sniperund/src/admin/admin.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -20,10 +21,14 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 
+use crate::Clock;
 use crate::control::ControlHandle;
+use crate::metrics::Gauges;
 use crate::metrics::Metrics;
 
 const MAX_CONNECTIONS: usize = 64;
+/// Pause after a connection that could not be taken: a tenth of a balancer's period.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Serves the administrative address until it is dropped.
 pub struct Admin {
@@ -36,6 +41,7 @@
     ready_path: &'static str,
     control: ControlHandle,
     metrics: Arc<Metrics>,
+    clock: Clock,
 }
 
 impl Admin {
@@ -49,6 +55,7 @@
         ready_path: &'static str,
         control: &ControlHandle,
         metrics: &Arc<Metrics>,
+        clock: Clock,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
@@ -56,10 +63,20 @@
             ready_path,
             control: control.clone(),
             metrics: metrics.clone(),
+            clock,
         };
         let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let (stream, _) = match listener.accept().await {
+                    Ok(accepted) => accepted,
+                    Err(error) => {
+                        // For want of files, say; the balancer asks here again.
+                        log::warn!("event=admin-accept-failed reason=\"{error}\"");
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                        continue;
+                    }
+                };
                 let Ok(place) = places.clone().try_acquire_owned() else {
                     continue;
                 };
@@ -95,7 +112,7 @@
     let (status, text) = match request.uri().path() {
         "/live" => (StatusCode::OK, "live\n".to_owned()),
         path if path == shown.ready_path => ready(&shown),
-        "/metrics" => (StatusCode::OK, shown.metrics.text()),
+        "/metrics" => (StatusCode::OK, metrics_text(&shown)),
         "/status" => match shown.control.status().await {
             Some(status) => (
                 StatusCode::OK,
@@ -113,6 +130,14 @@
     Ok(response)
 }
 
+fn metrics_text(shown: &Shown) -> String {
+    let table = shown.control.shared().table();
+    let mut gauges = Gauges::default();
+    gauges.add_process();
+    gauges.add_services(shown.clock.now_us(), &table);
+    shown.metrics.text(&gauges.into_text())
+}
+
 fn ready(shown: &Shown) -> (StatusCode, String) {
     let table = shown.control.shared().table();
     if table.ready && !table.draining {
--- a/sniperund/src/app/app.rs
+++ b/sniperund/src/app/app.rs
@@ -140,12 +140,12 @@
         let callers = CallerListener::bind(reserved, entry.clone())
             .await
             .map_err(|source| bind_error("callers", reserved, source))?;
-        let admin = Admin::bind(settings.admin, OWN_READY_PATH, &control, &metrics)
+        let admin = Admin::bind(settings.admin, OWN_READY_PATH, &control, &metrics, clock)
             .await
             .map_err(|source| bind_error("admin", settings.admin, source))?;
         let ready = match around.ready {
             Some(ReadyAddress { address, path }) => Some(
-                Admin::bind(address, path, &control, &metrics)
+                Admin::bind(address, path, &control, &metrics, clock)
                     .await
                     .map_err(|source| bind_error("ready", address, source))?,
             ),
--- a/sniperund/src/metrics/metrics.rs
+++ b/sniperund/src/metrics/metrics.rs
@@ -154,13 +154,14 @@
         self.ejections.get_or_create(&labels).inc();
     }
 
-    /// All metrics as text.
-    pub fn text(&self) -> String {
+    /// All metrics as text, with gauges that were read just now.
+    pub fn text(&self, gauges: &str) -> String {
         let mut text = String::new();
         let _ = encode(&mut text, &self.registry);
         let end = text.trim_end().trim_end_matches("# EOF").len();
         text.truncate(end);
         self.add_counters(&mut text);
+        text.push_str(gauges);
         text.push_str("# EOF\n");
         text
     }
--- a/sniperund/src/metrics/mod.rs
+++ b/sniperund/src/metrics/mod.rs
@@ -1,6 +1,8 @@
 //! Metrics of an instance.
 
+mod gauges;
 mod metrics;
 
+pub use gauges::Gauges;
 pub use metrics::Metrics;
 pub use metrics::RequestLabels;
--- a/sniperund/tests/users/commands.rs
+++ b/sniperund/tests/users/commands.rs
@@ -146,3 +146,20 @@
     let metrics = instance.metrics().await;
     assert!(metrics.contains("code=\"303\""), "{metrics}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_tell_what_is_believed_of_targets_and_what_the_process_holds() {
+    let deployment = Deployment::start(1).await;
+    deployment.targets[2].set_script(TargetScript::Resets);
+    deployment.targets[3].set_script(TargetScript::Resets);
+    let instance = &deployment.instances[0];
+    let _ = instance.ask("POST", "/command/a", "2d01").await;
+    instance.wait_for_log("event=target-doubted").await;
+    let metrics = instance.metrics().await;
+    let has = |line: &str| assert!(metrics.contains(line), "no {line} in {metrics}");
+    has("sniperun_service_targets{service=\"gates\"} 2");
+    has("sniperun_service_targets_doubted{service=\"gates\"} 1");
+    has("sniperun_service_targets_doubted{service=\"reads\"} 0");
+    has("sniperun_process_resident_bytes ");
+    has("sniperun_process_open_files ");
+}
