--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -87,11 +87,12 @@
         return issue_ticket(&entry, request.method());
     }
     let table = entry.control.shared().table();
-    let id: Arc<str> = entry
-        .dialect
-        .asked(request.headers())
-        .map_or_else(|_| "-".into(), |asked| asked.id().into());
-    match route(&entry, &table, request).await {
+    let asked = entry.dialect.asked(request.headers());
+    let id: Arc<str> = match &asked {
+        Ok(asked) => asked.id().into(),
+        Err(_) => "-".into(),
+    };
+    match route(&entry, &table, request, asked).await {
         Ok(Routed::Answer(response)) => response,
         Ok(Routed::Run(found)) => run(entry, &table, caller, *found).await,
         Err(refused) => {
@@ -156,6 +157,7 @@
     entry: &Arc<Entry>,
     table: &RoutingTable,
     request: Request<Incoming>,
+    asked: Result<Asked, ResultCode>,
 ) -> Result<Routed, Refused> {
     let began_us = entry.clock.now_us();
     if !table.ready || !entry.control.shared().currency().is_current(began_us) {
@@ -176,7 +178,7 @@
         true => CommandName::read(request.headers())?,
         false => None,
     };
-    let asked = entry.dialect.asked(request.headers())?;
+    let asked = asked?;
     let asked_ms = asked.time_limit_ms.unwrap_or(service.service.time_limit_ms);
     let useful_ms = asked_ms - RETURN_MS.min(asked_ms / RETURN_PART);
     let limit_ms = useful_ms.min(route.terms.time_limit_ms.unwrap_or(u64::MAX));
