--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -22,7 +22,8 @@
 use crate::routing::Placement;
 
 /// Routes of a release that is spread as a whole; of a larger one each instance
-/// reads its own copy, as a message of a megabyte would hold up alerts.
+/// reads its own copy, as a message of a megabyte would hold up alerts. Only one that
+/// knows none gets it all the same.
 const SPREAD_ROUTES: usize = 100;
 
 /// Readings of the instances after which all that started together are known.
@@ -111,7 +112,9 @@
         release: u64,
         targets: Option<u64>,
     ) {
-        if let Some(release) = self.feed.release_after(release).cloned() {
+        let is_small = |found: &&Release| release == 0 || found.routes.len() <= SPREAD_ROUTES;
+        let found = self.feed.release_after(release).filter(is_small);
+        if let Some(release) = found.cloned() {
             self.send(
                 now_us,
                 to,
--- a/policy/tests/lag.rs
+++ b/policy/tests/lag.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use model::world::Route;
+use model::world::RouteTerms;
 use model::world::Target;
 use policy::Action;
 use policy::Input;
@@ -256,3 +258,26 @@
     assert!(late.is_ready());
     assert_eq!(informed.membership().present().count(), 2);
 }
+
+/// A release of a hundred and one routes is a message too large to send to all.
+#[test]
+fn a_large_release_goes_only_to_one_that_knows_none() {
+    let mut informed = informed(1);
+    let route = |number: u32| Route {
+        name: format!("r{number}").into(),
+        host: Some("a.example".into()),
+        path: format!("/{number}/").into(),
+        service: "gates".into(),
+        shares: Vec::new(),
+        terms: RouteTerms::default(),
+    };
+    let large = Release {
+        number: 4,
+        routes: (0..101).map(route).collect(),
+        ..release()
+    };
+    informed.handle(0, Input::Registry(RegistryNews::Release(large)));
+    let is_release = |message: &Message| matches!(message, Message::Release { .. });
+    assert!(!ask(&mut informed, 3, Some(11)).iter().any(is_release));
+    assert!(ask(&mut informed, 0, None).iter().any(is_release));
+}
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -112,7 +112,7 @@
 fn draw(rng: &mut ChaCha8Rng, size: Size) -> Fault {
     let instance = rng.random_range(0..size.instances);
     let target = rng.random_range(0..2 * size.targets_each);
-    match rng.random_range(0..18) {
+    match rng.random_range(0..20) {
         0 | 1 => Fault::Kill(instance),
         2 | 3 => Fault::Freeze(instance),
         4 | 5 => Fault::Stop(instance),
@@ -122,9 +122,9 @@
         9 => Fault::StoreLink(instance, draw_mode(rng)),
         10 => Fault::TargetLink(target, draw_mode(rng)),
         11..14 => Fault::Target(target, draw_script(rng)),
-        14 => Fault::Replace(target),
-        15 => Fault::Store(draw_store_fault(rng)),
-        16 => Fault::Compact,
+        14 | 15 => Fault::Replace(target),
+        16 => Fault::Store(draw_store_fault(rng)),
+        17 => Fault::Compact,
         _ => Fault::Move,
     }
 }
@@ -141,8 +141,11 @@
 }
 
 fn draw_script(rng: &mut ChaCha8Rng) -> TargetScript {
-    const SCRIPTS: [TargetScript; 10] = [
+    const SCRIPTS: [TargetScript; 12] = [
         TargetScript::Resets,
+        // Twice, as it alone shows what is sent again though it may have run.
+        TargetScript::LosesAnswers,
+        TargetScript::LosesAnswers,
         TargetScript::Sheds,
         TargetScript::Misdirects,
         TargetScript::Errors,
--- a/standin/src/users/target.rs
+++ b/standin/src/users/target.rs
@@ -29,6 +29,8 @@
     Good,
     /// It reads each request and resets the connection.
     Resets,
+    /// It runs each request and resets the connection instead of answering.
+    LosesAnswers,
     /// It refuses each request without running it.
     Sheds,
     /// It says that another target has its address.
@@ -217,6 +219,10 @@
         state.got.lock().ran.push(id.clone());
         let work = *state.work.lock();
         tokio::time::sleep(work).await;
+        if script == TargetScript::LosesAnswers {
+            stream.set_zero_linger()?;
+            return Ok(());
+        }
         stream.write_all(&answer(script, &id, &state.id)).await?;
         if script == TargetScript::Cuts {
             return Ok(());
