--- /dev/null
+++ b/soak/src/checks/routing.rs
@@ -0,0 +1,153 @@
+//! Where requests may go: leaving targets and routes that move.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::Broken;
+use super::broken::broken;
+use crate::Change;
+use crate::Kind;
+use crate::Record;
+use crate::Request;
+
+/// `drain`: time for a target's leaving to be known.
+const DRAIN_MS: u64 = 2_000;
+/// `configApply`: time for a configuration to be in force.
+const APPLY_MS: u64 = 2_000;
+/// `rollbackSlack`: time after which no instance goes back to an older one.
+const ROLLBACK_MS: u64 = 250;
+
+/// A target that drains gets nothing from instances in touch.
+pub(super) fn draining_targets_get_nothing(record: &Record) -> Vec<Broken> {
+    let by_id = by_id(record);
+    let mut found = Vec::new();
+    for (drained_ms, change) in &record.changes {
+        let Change::Draining { target } = change else {
+            continue;
+        };
+        let late = record
+            .arrivals
+            .iter()
+            .filter(|arrival| arrival.target == *target && arrival.at_ms > drained_ms + DRAIN_MS);
+        for arrival in late {
+            let Some(request) = by_id.get(&arrival.id) else {
+                continue;
+            };
+            if record.is_in_touch(request.instance, *drained_ms, arrival.at_ms) {
+                let after_ms = arrival.at_ms - drained_ms;
+                let what = format!(
+                    "{} reached {target} {after_ms} ms after it drained",
+                    arrival.id
+                );
+                found.push(broken(
+                    "draining targets get nothing",
+                    Some(&arrival.id),
+                    what,
+                ));
+            }
+        }
+    }
+    found
+}
+
+/// A configuration is in force in time at instances in touch.
+pub(super) fn configurations_are_in_force(record: &Record) -> Vec<Broken> {
+    let by_id = by_id(record);
+    let moves = moves(record);
+    let mut found = Vec::new();
+    for (at, (moved_ms, service)) in moves.iter().enumerate() {
+        let next_ms = moves.get(at + 1).map_or(u64::MAX, |(next_ms, _)| *next_ms);
+        for arrival in record
+            .arrivals
+            .iter()
+            .filter(|arrival| arrival.service != **service)
+        {
+            let Some(request) = by_id
+                .get(&arrival.id)
+                .filter(|request| request.kind == Kind::Moved)
+            else {
+                continue;
+            };
+            let sent_ms = request.sent_ms;
+            if sent_ms > moved_ms + APPLY_MS
+                && arrival.at_ms < next_ms
+                && record.is_in_touch(request.instance, *moved_ms, sent_ms)
+            {
+                let after_ms = sent_ms - moved_ms;
+                let what = format!("{} went to the old service {after_ms} ms later", request.id);
+                found.push(broken(
+                    "configurations are in force",
+                    Some(&request.id),
+                    what,
+                ));
+            }
+        }
+    }
+    found
+}
+
+/// An instance that has shown a configuration goes back to no older one.
+pub(super) fn configurations_never_revert(record: &Record) -> Vec<Broken> {
+    let by_id = by_id(record);
+    let mut found = Vec::new();
+    for (at, (moved_ms, service)) in moves(record).iter().enumerate() {
+        let next = moves(record)
+            .get(at + 1)
+            .map_or(u64::MAX, |(next_ms, _)| *next_ms);
+        let mut shown: BTreeMap<usize, u64> = BTreeMap::new();
+        for arrival in &record.arrivals {
+            let Some(request) = by_id
+                .get(&arrival.id)
+                .filter(|request| request.kind == Kind::Moved)
+            else {
+                continue;
+            };
+            if arrival.at_ms < *moved_ms || arrival.at_ms >= next {
+                continue;
+            }
+            let instance = request.instance;
+            if arrival.service == **service {
+                shown.entry(instance).or_insert(arrival.at_ms);
+                continue;
+            }
+            let Some(shown_ms) = shown.get(&instance) else {
+                continue;
+            };
+            let restarted = record.changes.iter().any(|(at_ms, change)| {
+                *change == Change::Started { instance }
+                    && at_ms >= shown_ms
+                    && *at_ms <= request.sent_ms
+            });
+            if !restarted
+                && request.sent_ms > shown_ms + ROLLBACK_MS
+                && record.is_in_touch(instance, *shown_ms, request.sent_ms)
+            {
+                let what = format!("{} went back to the older service", request.id);
+                found.push(broken(
+                    "configurations never revert",
+                    Some(&request.id),
+                    what,
+                ));
+            }
+        }
+    }
+    found
+}
+
+fn by_id(record: &Record) -> BTreeMap<&Arc<str>, &Request> {
+    record
+        .requests
+        .iter()
+        .map(|request| (&request.id, request))
+        .collect()
+}
+
+fn moves(record: &Record) -> Vec<(u64, &Arc<str>)> {
+    let moves = record.changes.iter();
+    moves
+        .filter_map(|(at_ms, change)| match change {
+            Change::Moved { service } => Some((*at_ms, service)),
+            _ => None,
+        })
+        .collect()
+}
