--- a/peers/tests/sizes.rs
+++ b/peers/tests/sizes.rs
@@ -1,5 +1,7 @@
 //! Sizes of the messages that the capacity page counts.
 
+use model::world::Target;
+use peers::MAX_MESSAGE_BYTES;
 use peers::encode;
 use policy::evidence::Signal;
 use policy::instance::Alert;
@@ -53,3 +55,28 @@
     assert!(each <= 16, "{each} bytes a service");
     assert!(loads(3) <= 100, "{} bytes", loads(3));
 }
+
+#[test]
+fn a_grown_deployments_targets_fit_one_message_many_times() {
+    let target = |number: u32| Target {
+        name: format!("i-7f3a9{number:05}").into(),
+        service: "huvo11a".into(),
+        data_centre: "chepelare".into(),
+        address: ([10, 1, 64, 57], 8060).into(),
+        slots: 6,
+        connections: 330,
+        refusal_is_not_run: true,
+        leaving: false,
+        incarnation: 1_700_000_000_123,
+    };
+    let list = |count: u32| {
+        bytes(Message::Targets {
+            revision: 4_200_000,
+            targets: (0..count).map(target).collect(),
+        })
+    };
+    let each = (list(1_000) - list(0)) / 1_000;
+    println!("{each} bytes a target");
+    // The grown deployments have under 500 targets; ten times as many are to fit.
+    assert!(each * 5_000 <= MAX_MESSAGE_BYTES, "{each} bytes a target");
+}
