--- a/policy/src/evidence/service_test.rs
+++ b/policy/src/evidence/service_test.rs
@@ -38,19 +38,21 @@
 const STORM_SHARE: f64 = 0.4;
 /// The same for a storm that may have begun: three of ten in the first two seconds of
 /// the simulated storms, when others still answer what came before.
-const RISING_TARGETS: usize = 3;
-const RISING_SHARE: f64 = 0.2;
+const POSSIBLE_TARGETS: usize = 3;
+const POSSIBLE_SHARE: f64 = 0.2;
 /// Time that the first late outcomes of a storm take to come from all targets, in
 /// microseconds: five times the tenth of a second of a fast service.
 const SETTLING_US: u64 = 500_000;
 
 /// What the other targets' recent outcomes say of all targets together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Weather {
-    Calm,
+enum CommonFault {
+    /// Nothing common.
+    None,
     /// Several do badly, or too little time has passed to tell: perhaps all soon will.
-    Rising,
-    Storm,
+    Possible,
+    /// Many do badly.
+    Present,
 }
 
 /// What the counts of a target say.
@@ -219,11 +221,11 @@
         }
         let started_us = test.pooled.started_us();
         let certain = ratio >= bound * CERTAIN_FACTOR;
-        let weather = self.weather(now_us, started_us, target, alternatives);
-        match weather {
-            Weather::Storm => return Finding::Running(1.0),
-            Weather::Rising if !certain => return Finding::Running(1.0),
-            Weather::Rising | Weather::Calm => {}
+        let common = self.common_fault(now_us, started_us, target, alternatives);
+        match common {
+            CommonFault::Present => return Finding::Running(1.0),
+            CommonFault::Possible if !certain => return Finding::Running(1.0),
+            CommonFault::Possible | CommonFault::None => {}
         }
         let Some(test) = self.targets.get_mut(target) else {
             return Finding::Running(0.0);
@@ -265,13 +267,13 @@
     /// The background is known late: where requests are rare, one target reaches its
     /// bound while each other has had an outcome or two; where they are not, it does
     /// so while a storm's first late outcomes are few for each.
-    fn weather(
+    fn common_fault(
         &self,
         now_us: u64,
         since_us: u64,
         target: &str,
         alternatives: Alternatives,
-    ) -> Weather {
+    ) -> CommonFault {
         let others = self.targets.iter().filter(|(name, _)| &***name != target);
         let recent = others.map(|(_, test)| test.recent.since(now_us, since_us));
         let asked: Vec<_> = recent.filter(|tally| tally.total() > 0).collect();
@@ -280,13 +282,13 @@
         let bad = bad.count();
         let share = bad as f64 / asked.len().max(1) as f64;
         if bad >= STORM_TARGETS && share >= STORM_SHARE {
-            Weather::Storm
+            CommonFault::Present
         } else if now_us.saturating_sub(since_us) < SETTLING_US
-            || (bad >= RISING_TARGETS && share >= RISING_SHARE)
+            || (bad >= POSSIBLE_TARGETS && share >= POSSIBLE_SHARE)
         {
-            Weather::Rising
+            CommonFault::Possible
         } else {
-            Weather::Calm
+            CommonFault::None
         }
     }
 
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -46,7 +46,7 @@
 /// Part of the time left that the mean answer takes, from which a repeatable request
 /// tries a doubted target first: a reset costs it some milliseconds, waiting behind
 /// others nearly all its time.
-const HOPELESS_PART: f64 = 0.6;
+const LATE_PART: f64 = 0.6;
 /// Share of the nearby targets' slots that is filled before others are used.
 const LOCAL_FILL: f64 = 0.6;
 
@@ -74,7 +74,7 @@
         let (undoubted, doubted) = ranked.split_at(self.working_set_len(&ranked));
         if need.repeatable
             && need.tried.is_empty()
-            && self.is_hopeless(need.left_us)
+            && self.would_be_late(need.left_us)
             && let Some(at) = self.least_doubted_idle(doubted)
         {
             return at;
@@ -100,11 +100,11 @@
     }
 
     /// Whether the targets in use answer too late for a request with so much time left.
-    fn is_hopeless(&self, left_us: u64) -> bool {
+    fn would_be_late(&self, left_us: u64) -> bool {
         let slots = f64::from(self.load.needed_slots.load(Ordering::Relaxed));
         let rate_milli = self.load.fleet_rate_milli.load(Ordering::Relaxed).max(1);
         let latency_us = slots * 1e9 / rate_milli as f64;
-        latency_us > HOPELESS_PART * left_us as f64
+        latency_us > LATE_PART * left_us as f64
     }
 
     /// The least doubted of the targets that may be sound again, if it is idle here.
