--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -8,7 +8,6 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use standin::users::wire::Frame;
-use standin::users::wire::header;
 use standin::users::wire::read_frame;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -115,11 +114,7 @@
         Kind::Command => ("POST", "/command/x"),
         Kind::Moved => ("GET", "/moved/x"),
     };
-    let length = body.len();
-    format!(
-        "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: {}\r\nx-deadline-ms: {TIME_LIMIT_MS}\r\ncontent-length: {length}\r\n\r\n{body}",
-        request.id
-    )
+    Frame::request(method, path, &request.id, TIME_LIMIT_MS, body)
 }
 
 async fn read_answer(open: &mut Connection) -> io::Result<Option<Frame>> {
@@ -132,11 +127,9 @@
     let status = status.and_then(|text| text.parse().ok()).unwrap_or(0);
     let body = String::from_utf8_lossy(&frame.body);
     let target = body.strip_prefix(&format!("ran {} at ", request.id));
-    let echoed = header(&frame.head, "x-attempt-id");
-    let signed = header(&frame.head, "x-response-signature").is_some();
     End::Answered {
         status,
         target: target.map(Arc::from),
-        proven: signed && target.is_some() && echoed.as_deref() == Some(&*request.id),
+        proven: target.is_some() && frame.is_marked_for(&request.id),
     }
 }
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -12,6 +12,7 @@
 use standin::users::CALLERS_PORT;
 use standin::users::PEERS_PORT;
 use standin::users::READY_PORT;
+use standin::users::SETTINGS_VARIABLE;
 use standin::users::boot;
 
 /// `retrySlack` at the start.
@@ -78,7 +79,7 @@
         let child = Command::new(program)
             .args(["--users-platform", "--advertise-peers"])
             .arg(advertised.to_string())
-            .env("SNIPERUN_BOOT", place.settings())
+            .env(SETTINGS_VARIABLE, place.settings())
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors)
--- a/soak/src/scene.rs
+++ b/soak/src/scene.rs
@@ -17,6 +17,7 @@
 use rand_chacha::ChaCha8Rng;
 use standin::UsersStore;
 use standin::UsersTarget;
+use standin::users::CONFIGURATION;
 use standin::users::configuration;
 use standin::users::wire::read_frame;
 use tokio::io::AsyncWriteExt;
@@ -246,7 +247,7 @@
         let version = self.version.fetch_add(1, Ordering::Relaxed);
         let service = SERVICES[service % SERVICES.len()];
         self.store
-            .put("op/config", &configuration(version, service));
+            .put(CONFIGURATION, &configuration(version, service));
         self.changed(Change::Moved {
             service: service.into(),
         });
--- a/standin/src/users/documents.rs
+++ b/standin/src/users/documents.rs
@@ -6,6 +6,10 @@
 use serde_json::Value;
 use serde_json::json;
 
+/// Variable that names the settings file.
+pub const SETTINGS_VARIABLE: &str = "SNIPERUN_BOOT";
+/// Key of the configuration in the store.
+pub const CONFIGURATION: &str = "op/config";
 /// Port for callers.
 pub const CALLERS_PORT: u16 = 8_080;
 /// Port that the balancer asks for readiness.
--- a/standin/src/users/mod.rs
+++ b/standin/src/users/mod.rs
@@ -7,8 +7,10 @@
 pub mod wire;
 
 pub use documents::CALLERS_PORT;
+pub use documents::CONFIGURATION;
 pub use documents::PEERS_PORT;
 pub use documents::READY_PORT;
+pub use documents::SETTINGS_VARIABLE;
 pub use documents::boot;
 pub use documents::configuration;
 pub use store::StoreFault;
--- a/standin/src/users/wire.rs
+++ b/standin/src/users/wire.rs
@@ -14,6 +14,23 @@
     pub body: Vec<u8>,
 }
 
+impl Frame {
+    /// A request of a caller that gives it `limit_ms`.
+    pub fn request(method: &str, path: &str, id: &str, limit_ms: u64, body: &str) -> String {
+        let length = body.len();
+        format!(
+            "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: {limit_ms}\r\ncontent-length: {length}\r\n\r\n{body}"
+        )
+    }
+
+    /// Whether this answer is marked as a target's answer to a request.
+    pub fn is_marked_for(&self, id: &str) -> bool {
+        let echoed = header(&self.head, "x-attempt-id");
+        let is_signed = header(&self.head, "x-response-signature").is_some();
+        is_signed && echoed.as_deref() == Some(id)
+    }
+}
+
 /// Reads one message; none if the connection ends before it does.
 ///
 /// `bytes` holds what has come and is not read yet.
