--- a/policy/tests/storm.rs
+++ b/policy/tests/storm.rs
@@ -43,6 +43,20 @@
     test.decide(now_us, &service(), target)
 }
 
+/// One late answer of the first target, and what the others have answered by then.
+fn first_seconds() -> Vec<(u64, &'static str, Tally)> {
+    let mut outcomes: Vec<_> = vec![
+        (8 * SECOND_US + 200_000, "first", tally(0, 1)),
+        (9 * SECOND_US, "b", tally(2, 1)),
+        (9 * SECOND_US, "c", tally(0, 1)),
+        (9 * SECOND_US, "d", tally(3, 1)),
+    ];
+    for name in ["e", "f", "g", "h", "i", "j", "k", "l"] {
+        outcomes.push((9 * SECOND_US, name, tally(1, 0)));
+    }
+    outcomes
+}
+
 #[test]
 fn a_dead_target_of_a_busy_service_stands_out_from_usual_failures() {
     let names = ["a", "b", "c", "d", "e", "f", "g"];
@@ -59,15 +73,7 @@
 /// others have had one and eight have answered what came before it.
 #[test]
 fn the_first_targets_of_a_rare_storm_are_not_failing() {
-    let mut outcomes: Vec<(u64, &str, Tally)> = vec![
-        (8 * SECOND_US + 200_000, "first", tally(0, 1)),
-        (9 * SECOND_US, "b", tally(2, 1)),
-        (9 * SECOND_US, "c", tally(0, 1)),
-        (9 * SECOND_US, "d", tally(3, 1)),
-    ];
-    for name in ["e", "f", "g", "h", "i", "j", "k", "l"] {
-        outcomes.push((9 * SECOND_US, name, tally(1, 0)));
-    }
+    let mut outcomes = first_seconds();
     outcomes.push((10 * SECOND_US, "first", tally(0, 4)));
     let found = find(&outcomes, 10 * SECOND_US, "first");
     assert_eq!(found, Finding::Running(1.0));
@@ -76,15 +82,7 @@
 /// The same, with a target that has failed so often that no other can have been late to show it.
 #[test]
 fn a_target_that_fails_for_long_beside_some_others_is_failing() {
-    let mut outcomes: Vec<(u64, &str, Tally)> = vec![
-        (8 * SECOND_US + 200_000, "first", tally(0, 1)),
-        (9 * SECOND_US, "b", tally(2, 1)),
-        (9 * SECOND_US, "c", tally(0, 1)),
-        (9 * SECOND_US, "d", tally(3, 1)),
-    ];
-    for name in ["e", "f", "g", "h", "i", "j", "k", "l"] {
-        outcomes.push((9 * SECOND_US, name, tally(1, 0)));
-    }
+    let mut outcomes = first_seconds();
     outcomes.push((10 * SECOND_US, "first", tally(0, 8)));
     let found = find(&outcomes, 10 * SECOND_US, "first");
     assert_eq!(found, Finding::Failing);
--- a/soak/src/checks/routing.rs
+++ b/soak/src/checks/routing.rs
@@ -5,6 +5,7 @@
 
 use super::Broken;
 use super::broken::broken;
+use crate::Arrival;
 use crate::Change;
 use crate::Kind;
 use crate::Record;
@@ -52,34 +53,20 @@
 
 /// A configuration is in force in time at instances in touch.
 pub(super) fn configurations_are_in_force(record: &Record) -> Vec<Broken> {
-    let by_id = by_id(record);
-    let moves = moves(record);
     let mut found = Vec::new();
-    for (at, (moved_ms, service)) in moves.iter().enumerate() {
-        let next_ms = moves.get(at + 1).map_or(u64::MAX, |(next_ms, _)| *next_ms);
-        for arrival in record
-            .arrivals
-            .iter()
-            .filter(|arrival| arrival.service != **service)
-        {
-            let Some(request) = by_id
-                .get(&arrival.id)
-                .filter(|request| request.kind == Kind::Moved)
-            else {
-                continue;
-            };
+    let moved = moved_arrivals(record);
+    for span in spans(record) {
+        for (request, arrival) in &moved {
             let sent_ms = request.sent_ms;
-            if sent_ms > moved_ms + APPLY_MS
-                && arrival.at_ms < next_ms
-                && record.is_in_touch(request.instance, *moved_ms, sent_ms)
+            if arrival.service != *span.service
+                && sent_ms > span.from_ms + APPLY_MS
+                && arrival.at_ms < span.to_ms
+                && record.is_in_touch(request.instance, span.from_ms, sent_ms)
             {
-                let after_ms = sent_ms - moved_ms;
+                let after_ms = sent_ms - span.from_ms;
                 let what = format!("{} went to the old service {after_ms} ms later", request.id);
-                found.push(broken(
-                    "configurations are in force",
-                    Some(&request.id),
-                    what,
-                ));
+                let id = Some(&request.id);
+                found.push(broken("configurations are in force", id, what));
             }
         }
     }
@@ -88,25 +75,16 @@
 
 /// An instance that has shown a configuration goes back to no older one.
 pub(super) fn configurations_never_revert(record: &Record) -> Vec<Broken> {
-    let by_id = by_id(record);
     let mut found = Vec::new();
-    for (at, (moved_ms, service)) in moves(record).iter().enumerate() {
-        let next = moves(record)
-            .get(at + 1)
-            .map_or(u64::MAX, |(next_ms, _)| *next_ms);
+    let moved = moved_arrivals(record);
+    for span in spans(record) {
         let mut shown: BTreeMap<usize, u64> = BTreeMap::new();
-        for arrival in &record.arrivals {
-            let Some(request) = by_id
-                .get(&arrival.id)
-                .filter(|request| request.kind == Kind::Moved)
-            else {
-                continue;
-            };
-            if arrival.at_ms < *moved_ms || arrival.at_ms >= next {
+        for (request, arrival) in &moved {
+            if arrival.at_ms < span.from_ms || arrival.at_ms >= span.to_ms {
                 continue;
             }
             let instance = request.instance;
-            if arrival.service == **service {
+            if arrival.service == *span.service {
                 shown.entry(instance).or_insert(arrival.at_ms);
                 continue;
             }
@@ -123,17 +101,44 @@
                 && record.is_in_touch(instance, *shown_ms, request.sent_ms)
             {
                 let what = format!("{} went back to the older service", request.id);
-                found.push(broken(
-                    "configurations never revert",
-                    Some(&request.id),
-                    what,
-                ));
+                let id = Some(&request.id);
+                found.push(broken("configurations never revert", id, what));
             }
         }
     }
     found
 }
 
+/// The time in which the route that moves goes to a service.
+struct Span<'a> {
+    from_ms: u64,
+    to_ms: u64,
+    service: &'a Arc<str>,
+}
+
+fn spans(record: &Record) -> Vec<Span<'_>> {
+    let moves = moves(record);
+    let ends = moves.iter().skip(1).map(|(at_ms, _)| *at_ms);
+    let ends = ends.chain(std::iter::once(u64::MAX));
+    let spans = moves.iter().zip(ends);
+    let spans = spans.map(|((from_ms, service), to_ms)| Span {
+        from_ms: *from_ms,
+        to_ms,
+        service,
+    });
+    spans.collect()
+}
+
+/// The requests on the route that moves, with their arrivals, by time.
+fn moved_arrivals(record: &Record) -> Vec<(&Request, &Arrival)> {
+    let by_id = by_id(record);
+    let arrivals = record.arrivals.iter();
+    let moved = arrivals.filter_map(|arrival| Some((*by_id.get(&arrival.id)?, arrival)));
+    moved
+        .filter(|(request, _)| request.kind == Kind::Moved)
+        .collect()
+}
+
 fn by_id(record: &Record) -> BTreeMap<&Arc<str>, &Request> {
     record
         .requests
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -71,6 +71,15 @@
     record.ran.push((id.into(), target.into()));
 }
 
+/// A request on the route that moves, as a service got it.
+fn show(record: &mut Record, id: &str, sent_ms: u64, service: &str) {
+    let end = answered(200, Some("t0"));
+    record.requests.push(request(id, Kind::Moved, sent_ms, end));
+    record
+        .arrivals
+        .push(arrival(id, sent_ms + 1, "t0", service));
+}
+
 /// The names of the promises that a record breaks.
 fn promises(record: &Record) -> Vec<&'static str> {
     let mut names: Vec<_> = check(record).iter().map(|broken| broken.promise).collect();
@@ -182,15 +191,8 @@
             service: "gates".into(),
         },
     ));
-    let mut show = |id: &str, sent_ms: u64, service: &str| {
-        let end = answered(200, Some("t0"));
-        record.requests.push(request(id, Kind::Moved, sent_ms, end));
-        record
-            .arrivals
-            .push(arrival(id, sent_ms + 1, "t0", service));
-    };
-    show("new", 5_500, "gates");
-    show("old", 6_000, "reads");
+    show(&mut record, "new", 5_500, "gates");
+    show(&mut record, "old", 6_000, "reads");
     assert_eq!(promises(&record), ["configurations never revert"]);
 }
 
@@ -206,15 +208,8 @@
     record
         .changes
         .push((5_700, Change::Started { instance: 0 }));
-    let mut show = |id: &str, sent_ms: u64, service: &str| {
-        let end = answered(200, Some("t0"));
-        record.requests.push(request(id, Kind::Moved, sent_ms, end));
-        record
-            .arrivals
-            .push(arrival(id, sent_ms + 1, "t0", service));
-    };
-    show("new", 5_500, "gates");
-    show("old", 6_000, "reads");
+    show(&mut record, "new", 5_500, "gates");
+    show(&mut record, "old", 6_000, "reads");
     assert_eq!(promises(&record), Vec::<&str>::new());
 }
 
