--- a/policy/src/feed/mod.rs
+++ b/policy/src/feed/mod.rs
@@ -18,6 +18,8 @@
 pub use pace::WATCH_MS;
 pub use release::Release;
 pub use release::TargetEntry;
+pub use world_feed::Kept;
 pub use world_feed::Offered;
+pub use world_feed::Stay;
 pub use world_feed::Teller;
 pub use world_feed::WorldFeed;
--- a/policy/src/feed/world_feed.rs
+++ b/policy/src/feed/world_feed.rs
@@ -30,6 +30,29 @@
 /// Entries lost at once below which a loss is never the registry's.
 const MASS_ENTRIES: usize = 3;
 
+/// Why a target is kept though its entry went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stay {
+    /// The entry may have lapsed with an outage of the registry.
+    Outage,
+    /// A peer says so.
+    Told,
+    /// Most entries of the service went at once.
+    Together,
+}
+
+/// Targets that are kept though their entries went.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Kept {
+    /// Names of the targets.
+    pub targets: Vec<Arc<str>>,
+    /// When they are taken out unless their entries come back, in microseconds;
+    /// none before the registry is back.
+    pub until_us: Option<u64>,
+    /// Why they are kept.
+    pub stay: Stay,
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     target: Target,
@@ -43,6 +66,7 @@
     release: Option<Release>,
     targets: BTreeMap<Arc<str>, Known>,
     history: History,
+    kept: Vec<Kept>,
     listed: bool,
     away: bool,
     lapses_until_us: u64,
@@ -164,8 +188,9 @@
         for target in targets {
             self.stands(target);
         }
-        let stay_until_us = self.stay_until_us(now_us);
-        self.lost(now_us, &missing, stay_until_us);
+        let stay = self.stay_until_us(now_us);
+        let stay = stay.map(|until_us| (until_us, Stay::Outage));
+        self.lost(now_us, &missing, stay);
         changes
     }
 
@@ -200,11 +225,13 @@
                 TargetEntry::Removed(name) => removed.push(name),
             }
         }
-        let stay_until_us = match teller {
-            Teller::Registry => self.stay_until_us(now_us),
-            Teller::Peer { lapsing } => lapsing.then_some(now_us + RETURN_US),
+        let stay = match teller {
+            Teller::Registry => self
+                .stay_until_us(now_us)
+                .map(|at_us| (at_us, Stay::Outage)),
+            Teller::Peer { lapsing } => lapsing.then_some((now_us + RETURN_US, Stay::Told)),
         };
-        self.lost(now_us, &removed, stay_until_us);
+        self.lost(now_us, &removed, stay);
         Offered::Taken
     }
 
@@ -272,24 +299,41 @@
         self.targets.insert(known.target.name.clone(), known);
     }
 
-    /// Takes targets out whose entries went; `stay_until_us` is set where these may
-    /// come back by themselves.
-    fn lost(&mut self, now_us: u64, names: &[Arc<str>], stay_until_us: Option<u64>) {
+    /// The targets that were kept since the last call though their entries went.
+    pub fn take_kept(&mut self) -> Vec<Kept> {
+        std::mem::take(&mut self.kept)
+    }
+
+    /// Takes targets out whose entries went; `stay` is set where these may come back
+    /// by themselves.
+    fn lost(&mut self, now_us: u64, names: &[Arc<str>], stay: Option<(u64, Stay)>) {
         let together = self.lost_together(names);
+        let together = together.then_some((now_us + MASS_STAY_US, Stay::Together));
+        let stay = stay.or(together);
+        let mut kept = Vec::new();
         for name in names {
             let Some(known) = self.targets.get_mut(name) else {
                 continue;
             };
-            if known.target.leaving {
-                self.targets.remove(name);
-            } else if let Some(until_us) = stay_until_us {
-                known.out_at_us.get_or_insert(until_us);
-            } else if together {
-                known.out_at_us.get_or_insert(now_us + MASS_STAY_US);
-            } else {
-                self.targets.remove(name);
+            match stay.filter(|_| !known.target.leaving) {
+                Some((until_us, _)) => {
+                    known.out_at_us.get_or_insert(until_us);
+                    kept.push(name.clone());
+                }
+                None => {
+                    self.targets.remove(name);
+                }
             }
         }
+        if let Some((until_us, stay)) = stay
+            && !kept.is_empty()
+        {
+            self.kept.push(Kept {
+                targets: kept,
+                until_us: (until_us < u64::MAX).then_some(until_us),
+                stay,
+            });
+        }
     }
 
     /// Whether the loss of these entries looks like an outage of the registry.
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -8,6 +8,7 @@
 use super::Envelope;
 use crate::evidence::Signal;
 use crate::evidence::Standing;
+use crate::feed::Stay;
 
 /// One thing to do.
 #[derive(Clone, Debug)]
@@ -123,6 +124,17 @@
         /// Targets that went.
         withdrawn: Vec<Arc<str>>,
     },
+    /// Targets stay in use though their entries went.
+    TargetsKept {
+        /// Their names.
+        targets: Vec<Arc<str>>,
+        /// How long, in milliseconds; none before the registry is back.
+        for_ms: Option<u64>,
+        /// Why.
+        stay: Stay,
+        /// Id of the instance that told of the change; its own where the registry did.
+        by: Arc<str>,
+    },
     /// The reserve of retries is shared with as many instances, this one included.
     RetryReserve {
         /// The number of instances.
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -284,10 +284,12 @@
                 self.release_spread(now_us, release, span.as_ref())
             }
             Message::Entries { changes, span } => {
-                self.entries_spread(now_us, changes, span.as_ref())
+                self.entries_spread(now_us, &from, changes, span.as_ref())
             }
             Message::CatchUp { release, targets } => self.catch_up(now_us, &from, release, targets),
-            Message::Targets { revision, targets } => self.targets_told(now_us, revision, targets),
+            Message::Targets { revision, targets } => {
+                self.targets_told(now_us, &from, revision, targets)
+            }
             Message::Loads(loads) => self.fleet_load.told(now_us, loads),
             Message::AskDoubts => self.tell_doubts(now_us, &from),
             Message::Doubts(told) => self.learn_doubts(now_us, &told),
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -26,6 +26,7 @@
 /// knows none gets it all the same.
 const SPREAD_ROUTES: usize = 100;
 
+const MICROS_PER_MILLI: u64 = 1_000;
 /// Readings of the instances after which all that started together are known.
 const LOOKS_TO_KNOW: u32 = 2;
 /// Time after a start from which an instance that could not read them watches all
@@ -48,6 +49,7 @@
                 let is_first = !self.feed.is_listed();
                 let after = self.feed.targets_changed();
                 let entries = self.feed.listed(now_us, revision, targets);
+                self.log_kept(now_us, None);
                 if !is_first && !entries.is_empty() {
                     self.tell_entries(now_us, after, revision, entries);
                 }
@@ -55,6 +57,7 @@
             RegistryNews::Entries(changes) => {
                 let after = self.feed.targets_changed();
                 if self.take_entries(now_us, changes.clone(), Teller::Registry) {
+                    self.log_kept(now_us, None);
                     self.tell_entries(now_us, after, changes.revision, changes.entries);
                 }
             }
@@ -147,8 +150,15 @@
     }
 
     /// Takes in all targets as a peer tells them.
-    pub(super) fn targets_told(&mut self, now_us: u64, revision: u64, targets: Vec<Target>) {
+    pub(super) fn targets_told(
+        &mut self,
+        now_us: u64,
+        from: &Arc<str>,
+        revision: u64,
+        targets: Vec<Target>,
+    ) {
         self.feed.listed(now_us, revision, targets);
+        self.log_kept(now_us, Some(from));
         self.follow_registry();
     }
 
@@ -167,6 +177,7 @@
     pub(super) fn entries_spread(
         &mut self,
         now_us: u64,
+        from: &Arc<str>,
         changes: EntryChanges,
         span: Option<&Span>,
     ) {
@@ -178,6 +189,7 @@
             lapsing: changes.lapsing,
         };
         if self.take_entries(now_us, changes, teller) {
+            self.log_kept(now_us, Some(from));
             self.follow_registry();
         }
     }
@@ -219,6 +231,20 @@
         }
     }
 
+    /// Logs which targets stay in use though their entries went, and who told.
+    fn log_kept(&mut self, now_us: u64, from: Option<&Arc<str>>) {
+        let by = from.unwrap_or(&self.membership.own().id).clone();
+        for kept in self.feed.take_kept() {
+            let for_us = kept.until_us.map(|at_us| at_us.saturating_sub(now_us));
+            self.actions.push(Action::Log(Happening::TargetsKept {
+                targets: kept.targets,
+                for_ms: for_us.map(|for_us| for_us / MICROS_PER_MILLI),
+                stay: kept.stay,
+                by: by.clone(),
+            }));
+        }
+    }
+
     fn spread_release(&mut self, now_us: u64, release: &Release, ids: &[Arc<str>]) {
         if release.routes.len() > SPREAD_ROUTES {
             return;
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -117,6 +117,17 @@
                 let (put, withdrawn) = (put.join(","), withdrawn.join(","));
                 log::info!("event=targets-in-force put=\"{put}\" withdrawn=\"{withdrawn}\"");
             }
+            Happening::TargetsKept {
+                targets,
+                for_ms,
+                stay,
+                by,
+            } => {
+                let targets = targets.join(",");
+                log::info!(
+                    "event=targets-kept targets=\"{targets}\" stay={stay:?} for_ms={for_ms:?} by={by}"
+                );
+            }
             Happening::RetryReserve { instances } => {
                 log::info!("event=retry-reserve instances={instances}");
             }
