Count entries as lapsed only if the registry answered nobody, and end their stay everywhere at once

What callers saw: requests reached targets up to 2,398 ms after the store had acknowledged that they leave. Cause: an instance whose own calls had failed twice took every entry that went for one that lapsed with an outage of the store, until 2.3 s after its own calls succeeded again; as a watcher it told so to all, and each receiver counted 2.3 s anew. Whichever watcher's message came first decided, as later ones were old news. The class: one instance's view of a fault, and a time that starts anew at each hop, taken for the fleet's.

Now each message says how long ago the store last answered any instance, watchers tell all of an answer each 0.6 s, and entries lapse only after 2 s without an answer to anyone. Who reads that entries went decides how long their targets stay; the time that is left travels with the news. One that knows better ends a stay (Offered::Shortened). The stay of targets whose entries went together is 0.8 s, as it is followed by the way to all instances.

Entries that lapse with an outage for all still stay in use (test). The tests of the feed tell an answer at the start in place of the lost and regained view of one instance; what they expect is unchanged. Still red: nobody watches when those that do are killed or turned away together.

--- a/policy/src/feed/mod.rs
+++ b/policy/src/feed/mod.rs
@@ -3,6 +3,7 @@
 //! The registry tells whole releases and the targets' own entries; what follows
 //! from them is the same kind of change that a release note makes.
 
+mod contact;
 mod history;
 mod lag;
 mod pace;
--- a/policy/src/feed/world_feed.rs
+++ b/policy/src/feed/world_feed.rs
@@ -1,8 +1,10 @@
 //! From a registry's releases and entries to changes of the configuration.
 //!
-//! An entry that goes while the registry answers means that its target is gone.
-//! Entries that lapse with an outage of the registry come back by themselves,
-//! so their targets stay in use for a while after its return.
+//! An entry that goes while the registry answers anyone means that its target is
+//! gone. Entries that lapse with an outage of the registry come back by themselves,
+//! so their targets stay in use for a while after its return. Whoever reads that
+//! entries went decides how long their targets stay; the time that is left travels
+//! with the news, so that it ends everywhere at once.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -16,15 +18,13 @@
 
 use super::Release;
 use super::TargetEntry;
+use super::contact::Contact;
 use super::history::History;
 
-/// Time after the registry's return in which lapsed entries come back, in
-/// microseconds: the two seconds that the users' letter gives, and a heartbeat's
-/// jitter.
-const RETURN_US: u64 = 2_300_000;
-/// Longest stay of targets whose entries went together without a known outage,
-/// in microseconds: under the two seconds in which a leaving target may get work.
-const MASS_STAY_US: u64 = 1_200_000;
+/// Longest stay of targets whose entries went together without a known outage, in
+/// microseconds: with the gathering of changes, a tick, the way to all instances and
+/// that to the target under the two seconds in which a leaving target may get work.
+const MASS_STAY_US: u64 = 800_000;
 /// Share of a service's targets beyond which a loss counts as the registry's.
 const MASS_SHARE: f64 = 0.5;
 /// Entries lost at once below which a loss is never the registry's.
@@ -46,9 +46,8 @@
 pub struct Kept {
     /// Names of the targets.
     pub targets: Vec<Arc<str>>,
-    /// When they are taken out unless their entries come back, in microseconds;
-    /// none before the registry is back.
-    pub until_us: Option<u64>,
+    /// When they are taken out unless their entries come back, in microseconds.
+    pub until_us: u64,
     /// Why they are kept.
     pub stay: Stay,
 }
@@ -68,8 +67,7 @@
     history: History,
     kept: Vec<Kept>,
     listed: bool,
-    away: bool,
-    lapses_until_us: u64,
+    contact: Contact,
     /// Revision up to which all changes of targets are known.
     known_to: u64,
     /// Revision at which targets changed last.
@@ -83,9 +81,11 @@
     Registry,
     /// A peer that reaches the registry, whatever is reached from here.
     Peer {
-        /// Whether the peer takes lost entries for lapsed ones.
-        lapsing: bool,
+        /// How long targets stay whose entries went, in microseconds.
+        stay_us: u64,
     },
+    /// A peer that lists all targets, which does not say why some are missing.
+    PeersList,
 }
 
 /// What came of offering changes of targets.
@@ -95,6 +95,8 @@
     Taken,
     /// They are known.
     Old,
+    /// They are known, and targets that were kept go sooner.
+    Shortened,
     /// Changes before them are missing.
     Gap,
 }
@@ -156,7 +158,13 @@
     }
 
     /// Takes in the list of all targets as of a revision; gives what it changes.
-    pub fn listed(&mut self, now_us: u64, revision: u64, targets: Vec<Target>) -> Vec<TargetEntry> {
+    pub fn listed(
+        &mut self,
+        now_us: u64,
+        revision: u64,
+        targets: Vec<Target>,
+        teller: Teller,
+    ) -> Vec<TargetEntry> {
         if self.listed && revision < self.known_to {
             return Vec::new();
         }
@@ -188,9 +196,8 @@
         for target in targets {
             self.stands(target);
         }
-        let stay = self.stay_until_us(now_us);
-        let stay = stay.map(|until_us| (until_us, Stay::Outage));
-        self.lost(now_us, &missing, stay);
+        let stay = self.stay(now_us, &missing, teller);
+        self.lost(&missing, stay);
         changes
     }
 
@@ -207,7 +214,7 @@
             return Offered::Gap;
         }
         if revision <= self.known_to {
-            return Offered::Old;
+            return self.shorten_stay(now_us, &entries, teller);
         }
         self.known_to = revision;
         if entries.is_empty() {
@@ -225,41 +232,63 @@
                 TargetEntry::Removed(name) => removed.push(name),
             }
         }
-        let stay = match teller {
-            Teller::Registry => self
-                .stay_until_us(now_us)
-                .map(|at_us| (at_us, Stay::Outage)),
-            Teller::Peer { lapsing } => lapsing.then_some((now_us + RETURN_US, Stay::Told)),
-        };
-        self.lost(now_us, &removed, stay);
+        let stay = self.stay(now_us, &removed, teller);
+        self.lost(&removed, stay);
         Offered::Taken
     }
 
-    /// Whether entries that go now may have lapsed with an outage.
-    pub fn is_lapsing(&self, now_us: u64) -> bool {
-        self.away || now_us < self.lapses_until_us
+    /// Notes that the registry answered this instance or another one.
+    pub fn answered(&mut self, at_us: u64) {
+        self.contact.answered(at_us);
     }
 
-    fn stay_until_us(&self, now_us: u64) -> Option<u64> {
-        let until_us = if self.away {
-            u64::MAX
-        } else {
-            self.lapses_until_us
-        };
-        self.is_lapsing(now_us).then_some(until_us)
+    /// Time since the registry last answered any instance, in microseconds, as far as
+    /// it is known.
+    pub fn answer_age_us(&self, now_us: u64) -> Option<u64> {
+        self.contact.age_us(now_us)
     }
 
-    /// Notes whether the registry answers.
-    pub fn reachable(&mut self, now_us: u64, reachable: bool) {
-        if self.away && reachable {
-            self.lapses_until_us = now_us + RETURN_US;
-            for known in self.targets.values_mut() {
-                if known.out_at_us == Some(u64::MAX) {
-                    known.out_at_us = Some(now_us + RETURN_US);
-                }
+    /// The longest time for which targets stay whose entries are among those that went,
+    /// in microseconds.
+    pub fn longest_stay_us(&self, now_us: u64, entries: &[TargetEntry]) -> u64 {
+        let removed = entries.iter().filter_map(|entry| match entry {
+            TargetEntry::Removed(name) => self.targets.get(name)?.out_at_us,
+            TargetEntry::Stands(_) => None,
+        });
+        removed.max().unwrap_or(0).saturating_sub(now_us)
+    }
+
+    /// Until when targets stay whose entries went, and why; none if they go at once.
+    fn stay(&self, now_us: u64, names: &[Arc<str>], teller: Teller) -> Option<(u64, Stay)> {
+        let lapse = self.contact.lapses_until_us(now_us);
+        let lapse = lapse.map(|until_us| (until_us, Stay::Outage));
+        match teller {
+            Teller::Registry => lapse.or_else(|| {
+                let together = self.lost_together(names);
+                together.then_some((now_us + MASS_STAY_US, Stay::Together))
+            }),
+            Teller::Peer { stay_us } => (stay_us > 0).then_some((now_us + stay_us, Stay::Told)),
+            Teller::PeersList => lapse,
+        }
+    }
+
+    /// Takes targets out sooner that are kept, if another one that knows of their loss
+    /// keeps them for a shorter time.
+    fn shorten_stay(&mut self, now_us: u64, entries: &[TargetEntry], teller: Teller) -> Offered {
+        let until_us = self.stay(now_us, &[], teller);
+        let until_us = until_us.map_or(now_us, |(until_us, _)| until_us);
+        let mut offered = Offered::Old;
+        for entry in entries {
+            if let TargetEntry::Removed(name) = entry
+                && let Some(known) = self.targets.get_mut(name)
+                && known.out_at_us.is_some_and(|at_us| at_us > until_us)
+            {
+                known.out_at_us = Some(until_us);
+                offered = Offered::Shortened;
             }
         }
-        self.away = !reachable;
+        self.tick(now_us);
+        offered
     }
 
     /// Takes out targets whose entries have not come back in time.
@@ -306,10 +335,7 @@
 
     /// Takes targets out whose entries went; `stay` is set where these may come back
     /// by themselves.
-    fn lost(&mut self, now_us: u64, names: &[Arc<str>], stay: Option<(u64, Stay)>) {
-        let together = self.lost_together(names);
-        let together = together.then_some((now_us + MASS_STAY_US, Stay::Together));
-        let stay = stay.or(together);
+    fn lost(&mut self, names: &[Arc<str>], stay: Option<(u64, Stay)>) {
         let mut kept = Vec::new();
         for name in names {
             let Some(known) = self.targets.get_mut(name) else {
@@ -330,7 +356,7 @@
         {
             self.kept.push(Kept {
                 targets: kept,
-                until_us: (until_us < u64::MAX).then_some(until_us),
+                until_us,
                 stay,
             });
         }
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -128,8 +128,8 @@
     TargetsKept {
         /// Their names.
         targets: Vec<Arc<str>>,
-        /// How long, in milliseconds; none before the registry is back.
-        for_ms: Option<u64>,
+        /// How long, in milliseconds.
+        for_ms: u64,
         /// Why.
         stay: Stay,
         /// Id of the instance that told of the change; its own where the registry did.
--- a/policy/src/instance/input.rs
+++ b/policy/src/instance/input.rs
@@ -65,7 +65,7 @@
     },
     /// Changes of targets.
     Entries(EntryChanges),
-    /// Whether it answers.
+    /// Whether it has just answered; told of each answer, and once of an outage.
     Reachable(bool),
 }
 
@@ -78,8 +78,9 @@
     pub revision: u64,
     /// The changes in order.
     pub entries: Vec<TargetEntry>,
-    /// Whether entries that went may have lapsed with an outage of the registry.
-    pub lapsing: bool,
+    /// How long targets stay whose entries went, in milliseconds, as the instance
+    /// that tells sees it; the registry itself does not say.
+    pub stay_ms: u64,
 }
 
 /// What came of a call to the platform.
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -21,6 +21,7 @@
 use super::demand::Demand;
 use super::fleet_load::FleetLoad;
 use super::freshness::Freshness;
+use super::messages::MICROS_PER_MILLI;
 use super::notes::Incoming;
 use super::platform::Calls;
 use super::readiness::Readiness;
@@ -74,6 +75,8 @@
     pub(super) demand: Demand,
     pub(super) fleet_load: FleetLoad,
     pub(super) lag: Lag,
+    pub(super) is_registry_lost: bool,
+    pub(super) next_answers_us: u64,
     pub(super) has_asked_doubts: bool,
     pub(super) member_lists: u32,
     pub(super) reserve_members: f64,
@@ -120,6 +123,8 @@
             demand: Demand::default(),
             fleet_load: FleetLoad::default(),
             lag: Lag::default(),
+            is_registry_lost: false,
+            next_answers_us: 0,
             has_asked_doubts: false,
             member_lists: 0,
             reserve_members: 0.0,
@@ -254,6 +259,10 @@
         }
         self.membership
             .heard_from(now_us, &from, envelope.incarnation);
+        if let Some(age_ms) = envelope.registry_age_ms {
+            let age_us = age_ms.saturating_mul(MICROS_PER_MILLI);
+            self.feed.answered(now_us.saturating_sub(age_us));
+        }
         self.readiness.heard(&from, envelope.note);
         self.members_changed();
         match envelope.message {
@@ -286,6 +295,7 @@
             Message::Entries { changes, span } => {
                 self.entries_spread(now_us, &from, changes, span.as_ref())
             }
+            Message::RegistryAnswers { span } => self.answers_spread(now_us, span.as_ref()),
             Message::CatchUp { release, targets } => self.catch_up(now_us, &from, release, targets),
             Message::Targets { revision, targets } => {
                 self.targets_told(now_us, &from, revision, targets)
--- a/policy/src/instance/members.rs
+++ b/policy/src/instance/members.rs
@@ -32,7 +32,7 @@
             }
         }
         if asked.is_empty() {
-            self.ask_seeds();
+            self.ask_seeds(now_us);
         }
         for (_, id) in asked {
             self.send(now_us, &id, Message::Join);
@@ -55,7 +55,7 @@
         let ping = Message::Ping {
             sequence: DEAD_PING,
         };
-        let mut envelope = self.envelope(ping);
+        let mut envelope = self.envelope(now_us, ping);
         envelope.news.push(self.membership.own().clone());
         self.actions.push(Action::Send {
             to: id,
@@ -65,9 +65,9 @@
     }
 
     /// Asks peers of whom only the addresses are known.
-    pub(super) fn ask_seeds(&mut self) {
+    pub(super) fn ask_seeds(&mut self, now_us: u64) {
         for address in self.seeds.clone() {
-            let mut envelope = self.envelope(Message::Join);
+            let mut envelope = self.envelope(now_us, Message::Join);
             envelope.news.push(self.membership.own().clone());
             self.actions.push(Action::Send {
                 to: "".into(),
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -28,6 +28,9 @@
     /// Revision of the registry at which targets changed last, as the sender
     /// knows; 0 without a registry.
     pub targets_changed: u64,
+    /// Time since the registry last answered any instance, in milliseconds, as the
+    /// sender knows; none without a registry.
+    pub registry_age_ms: Option<u64>,
     /// News of members.
     pub news: Vec<Member>,
     /// The message itself.
@@ -143,6 +146,11 @@
         /// Whom the receiver passes them on to.
         span: Option<Span>,
     },
+    /// The registry has answered a watcher; how long ago, the envelope says.
+    RegistryAnswers {
+        /// Whom the receiver passes it on to.
+        span: Option<Span>,
+    },
     /// Asks for what the sender lacks; answered by [`Message::Release`], and by
     /// [`Message::Entries`] or [`Message::Targets`].
     CatchUp {
--- a/policy/src/instance/messages.rs
+++ b/policy/src/instance/messages.rs
@@ -8,12 +8,14 @@
 use super::Message;
 use crate::membership::Probe;
 
+pub(super) const MICROS_PER_MILLI: u64 = 1_000;
+
 impl Instance {
     pub(super) fn send(&mut self, now_us: u64, to: &Arc<str>, message: Message) {
         let Some(address) = self.membership.get(to).map(|member| member.peer_address) else {
             return;
         };
-        let envelope = self.envelope(message);
+        let envelope = self.envelope(now_us, message);
         if envelope.from == *to {
             self.received(now_us, envelope);
             return;
@@ -25,12 +27,14 @@
         });
     }
 
-    pub(super) fn envelope(&mut self, message: Message) -> Envelope {
+    pub(super) fn envelope(&mut self, now_us: u64, message: Message) -> Envelope {
+        let registry_age_us = self.feed.answer_age_us(now_us);
         Envelope {
             from: self.membership.own().id.clone(),
             incarnation: self.membership.own().incarnation,
             note: self.log.number(),
             targets_changed: self.feed.targets_changed(),
+            registry_age_ms: registry_age_us.map(|age_us| age_us / MICROS_PER_MILLI),
             news: self.membership.take_news(),
             message,
         }
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -11,6 +11,7 @@
 use super::Message;
 use super::RegistryNews;
 use super::RegistryPart;
+use super::messages::MICROS_PER_MILLI;
 use super::settings::EvidenceSharing;
 use crate::feed::Extent;
 use crate::feed::Offered;
@@ -26,7 +27,9 @@
 /// knows none gets it all the same.
 const SPREAD_ROUTES: usize = 100;
 
-const MICROS_PER_MILLI: u64 = 1_000;
+/// Time between two tellings to all that the registry answers, in microseconds: with a
+/// probe each second by each watcher, all instances know of an answer under 1 s old.
+const ANSWERS_PERIOD_US: u64 = 600_000;
 /// Readings of the instances after which all that started together are known.
 const LOOKS_TO_KNOW: u32 = 2;
 /// Time after a start from which an instance that could not read them watches all
@@ -48,7 +51,9 @@
             RegistryNews::Targets { revision, targets } => {
                 let is_first = !self.feed.is_listed();
                 let after = self.feed.targets_changed();
-                let entries = self.feed.listed(now_us, revision, targets);
+                let entries = self
+                    .feed
+                    .listed(now_us, revision, targets, Teller::Registry);
                 self.log_kept(now_us, None);
                 if !is_first && !entries.is_empty() {
                     self.tell_entries(now_us, after, revision, entries);
@@ -62,16 +67,48 @@
                 }
             }
             RegistryNews::Reachable(reachable) => {
-                self.feed.reachable(now_us, reachable);
-                self.shared.currency().source_reachable(reachable);
-                self.actions
-                    .push(Action::Log(Happening::RegistryReachable(reachable)));
+                self.registry_reachable(now_us, reachable);
             }
         }
         self.follow_registry();
         self.decide_readiness();
     }
 
+    /// Takes in whether the registry answers this instance, and tells others that it
+    /// does unless they have just heard so.
+    fn registry_reachable(&mut self, now_us: u64, reachable: bool) {
+        if self.is_registry_lost == reachable {
+            self.is_registry_lost = !reachable;
+            self.shared.currency().source_reachable(reachable);
+            self.actions
+                .push(Action::Log(Happening::RegistryReachable(reachable)));
+        }
+        if !reachable {
+            return;
+        }
+        self.feed.answered(now_us);
+        if self.is_watcher && now_us >= self.next_answers_us {
+            let ids = self.other_ids();
+            self.spread_answers(now_us, &ids);
+        }
+    }
+
+    /// Takes in that the registry has answered another instance.
+    pub(super) fn answers_spread(&mut self, now_us: u64, span: Option<&Span>) {
+        self.next_answers_us = now_us + ANSWERS_PERIOD_US;
+        if let Some(span) = span {
+            let ids = span.cut(&self.other_ids());
+            self.spread_answers(now_us, &ids);
+        }
+    }
+
+    fn spread_answers(&mut self, now_us: u64, ids: &[Arc<str>]) {
+        self.next_answers_us = now_us + ANSWERS_PERIOD_US;
+        for (to, span) in crate::notes::split(ids) {
+            self.send(now_us, &to, Message::RegistryAnswers { span });
+        }
+    }
+
     pub(super) fn tick_registry(&mut self, now_us: u64) {
         self.show_watching(now_us);
         self.feed.tick(now_us);
@@ -133,8 +170,8 @@
             let changes = EntryChanges {
                 after,
                 revision,
+                stay_ms: self.feed.longest_stay_us(now_us, &entries) / MICROS_PER_MILLI,
                 entries,
-                lapsing: self.feed.is_lapsing(now_us),
             };
             self.send(
                 now_us,
@@ -157,7 +194,8 @@
         revision: u64,
         targets: Vec<Target>,
     ) {
-        self.feed.listed(now_us, revision, targets);
+        self.feed
+            .listed(now_us, revision, targets, Teller::PeersList);
         self.log_kept(now_us, Some(from));
         self.follow_registry();
     }
@@ -186,7 +224,7 @@
             self.spread_entries(now_us, &changes, &ids);
         }
         let teller = Teller::Peer {
-            lapsing: changes.lapsing,
+            stay_us: changes.stay_ms.saturating_mul(MICROS_PER_MILLI),
         };
         if self.take_entries(now_us, changes, teller) {
             self.log_kept(now_us, Some(from));
@@ -203,8 +241,8 @@
         let changes = EntryChanges {
             after,
             revision,
+            stay_ms: self.feed.longest_stay_us(now_us, &entries) / MICROS_PER_MILLI,
             entries,
-            lapsing: self.feed.is_lapsing(now_us),
         };
         let ids = self.other_ids();
         self.spread_entries(now_us, &changes, &ids);
@@ -222,6 +260,10 @@
         match offered {
             Offered::Taken => true,
             Offered::Old => false,
+            Offered::Shortened => {
+                self.follow_registry();
+                false
+            }
             Offered::Gap if teller == Teller::Registry => {
                 self.actions.push(Action::Reread(RegistryPart::Targets));
                 false
@@ -235,10 +277,10 @@
     fn log_kept(&mut self, now_us: u64, from: Option<&Arc<str>>) {
         let by = from.unwrap_or(&self.membership.own().id).clone();
         for kept in self.feed.take_kept() {
-            let for_us = kept.until_us.map(|at_us| at_us.saturating_sub(now_us));
+            let for_us = kept.until_us.saturating_sub(now_us);
             self.actions.push(Action::Log(Happening::TargetsKept {
                 targets: kept.targets,
-                for_ms: for_us.map(|for_us| for_us / MICROS_PER_MILLI),
+                for_ms: for_us / MICROS_PER_MILLI,
                 stay: kept.stay,
                 by: by.clone(),
             }));
--- a/policy/tests/feed.rs
+++ b/policy/tests/feed.rs
@@ -89,7 +89,8 @@
             log: NoteLog::default(),
         };
         let targets = targets.iter().map(|name| target(name)).collect();
-        follower.feed.listed(0, 10, targets);
+        follower.feed.answered(0);
+        follower.feed.listed(0, 10, targets, Teller::Registry);
         follower.feed.released(release(3, &[("r", "/a/", "reads")]));
         follower.follow();
         follower
@@ -169,8 +170,7 @@
 #[test]
 fn entries_that_lapse_with_an_outage_stay_until_they_should_be_back() {
     let mut follower = Follower::new(&["t-1", "t-2"]);
-    follower.feed.reachable(SECOND_US, false);
-    follower.feed.reachable(9 * SECOND_US, true);
+    follower.feed.answered(9 * SECOND_US);
     follower.removed(9 * SECOND_US + 100_000, &["t-1", "t-2"]);
     assert_eq!(follower.targets(), 2);
     let after = follower.feed.targets_known_to();
@@ -187,15 +187,14 @@
 #[test]
 fn a_peer_that_reaches_the_registry_is_believed_while_it_is_away_from_here() {
     let mut follower = Follower::new(&["t-1", "t-2", "t-3", "t-4"]);
-    follower.feed.reachable(SECOND_US, false);
     let gone = |name: &str| vec![TargetEntry::Removed(name.into())];
-    let plain = Teller::Peer { lapsing: false };
+    let plain = Teller::Peer { stay_us: 0 };
     follower
         .feed
         .changed(2 * SECOND_US, 10, 11, gone("t-1"), plain);
     follower.tick(2 * SECOND_US);
     assert_eq!(follower.targets(), 3);
-    let lapsing = Teller::Peer { lapsing: true };
+    let lapsing = Teller::Peer { stay_us: 2_300_000 };
     follower
         .feed
         .changed(3 * SECOND_US, 11, 12, gone("t-2"), lapsing);
@@ -239,7 +238,7 @@
     let mut follower = Follower::new(&["t-1", "t-2"]);
     let changes = follower
         .feed
-        .listed(0, 30, vec![target("t-2"), target("t-3")]);
+        .listed(0, 30, vec![target("t-2"), target("t-3")], Teller::Registry);
     let expected = [
         TargetEntry::Stands(target("t-3")),
         TargetEntry::Removed("t-1".into()),
@@ -248,7 +247,7 @@
     assert_eq!(follower.feed.targets_changed(), 30);
     let again = follower
         .feed
-        .listed(0, 40, vec![target("t-2"), target("t-3")]);
+        .listed(0, 40, vec![target("t-2"), target("t-3")], Teller::Registry);
     assert!(again.is_empty());
     assert_eq!(follower.feed.targets_changed(), 30);
 }
--- a/policy/tests/fleet/mod.rs
+++ b/policy/tests/fleet/mod.rs
@@ -406,7 +406,7 @@
                     after,
                     revision,
                     entries: changes.map(|(_, entry)| entry.clone()).collect(),
-                    lapsing: false,
+                    stay_ms: 0,
                 }))
             }
             Some(_) if !asked => None,
--- a/policy/tests/notes.rs
+++ b/policy/tests/notes.rs
@@ -60,6 +60,7 @@
         incarnation: 1,
         note: number,
         targets_changed: 0,
+        registry_age_ms: None,
         news: Vec::new(),
         message: Message::Ack { sequence: 0 },
     })
@@ -121,6 +122,7 @@
         incarnation: 1,
         note: 1,
         targets_changed: 0,
+        registry_age_ms: None,
         news: Vec::new(),
         message: Message::Notes(vec![note(1)]),
     });
@@ -133,6 +135,7 @@
         incarnation: 1,
         note: 2,
         targets_changed: 0,
+        registry_age_ms: None,
         news: Vec::new(),
         message: Message::Notes(vec![note(2)]),
     });
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -652,6 +652,7 @@
         | Message::SnapshotPart { .. }
         | Message::Release { .. }
         | Message::Entries { .. }
+        | Message::RegistryAnswers { .. }
         | Message::CatchUp { .. }
         | Message::Targets { .. } => "notes",
     }
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -125,7 +125,7 @@
             } => {
                 let targets = targets.join(",");
                 log::info!(
-                    "event=targets-kept targets=\"{targets}\" stay={stay:?} for_ms={for_ms:?} by={by}"
+                    "event=targets-kept targets=\"{targets}\" stay={stay:?} for_ms={for_ms} by={by}"
                 );
             }
             Happening::RetryReserve { instances } => {
--- a/sniperund/src/control/registry_follower.rs
+++ b/sniperund/src/control/registry_follower.rs
@@ -156,7 +156,7 @@
             after,
             revision: changes.revision,
             entries: changes.value,
-            lapsing: false,
+            stay_ms: 0,
         };
         (!changes.entries.is_empty()).then_some(RegistryNews::Entries(changes))
     }
@@ -198,7 +198,7 @@
                     self.rereads.ask(RegistryPart::Release);
                     self.rereads.ask(RegistryPart::Targets);
                 }
-                Ok(()) => {}
+                Ok(()) => self.reached(reach),
                 Err(error) => {
                     is_silent = true;
                     self.failed("probe", reach, &error);
@@ -288,10 +288,9 @@
     }
 
     fn reached(&self, reach: &Reach) {
-        if reach.failures.swap(0, Ordering::Relaxed) >= AWAY_FAILURES {
-            self.handle
-                .tell(Input::Registry(RegistryNews::Reachable(true)));
-        }
+        reach.failures.store(0, Ordering::Relaxed);
+        self.handle
+            .tell(Input::Registry(RegistryNews::Reachable(true)));
     }
 
     fn failed(&self, name: &str, reach: &Reach, error: &border::PlatformError) -> Outcome {
