Do not take the differences of a list for all that changed in between

What callers would see: requests at a target that left long ago, up to the next reading a minute later. Cause: an instance that lists the targets tells others what differs from what it knew, as all that changed after the last change that it knew of. One that it tells may know of a later change: a target that came then and left before the list is in no message, and stays in use. The class: what several changes come to, merged in one look, taken for each of them. History kept the same differences and told them to peers that were in between.

Changes now say up to which revision they are complete; whoever knows of a change after that takes them for a gap and asks for the list.

--- a/policy/src/feed/history.rs
+++ b/policy/src/feed/history.rs
@@ -11,9 +11,20 @@
 struct Change {
     after: u64,
     revision: u64,
+    complete_to: u64,
     entries: Vec<TargetEntry>,
 }
 
+/// All that changed after a revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Missed {
+    /// The entries that changed, in order.
+    pub entries: Vec<TargetEntry>,
+    /// Revision up to which each change is among them; of those after it only what
+    /// differs in the end.
+    pub complete_to: u64,
+}
+
 /// Changes in order, each of all that changed between two revisions.
 #[derive(Debug, Default)]
 pub(super) struct History {
@@ -21,11 +32,19 @@
 }
 
 impl History {
-    /// Adds all that changed after one revision up to another.
-    pub(super) fn add(&mut self, after: u64, revision: u64, entries: Vec<TargetEntry>) {
+    /// Adds all that changed after one revision up to another, each change up to
+    /// `complete_to` and of those after it only what differs in the end.
+    pub(super) fn add(
+        &mut self,
+        after: u64,
+        revision: u64,
+        complete_to: u64,
+        entries: Vec<TargetEntry>,
+    ) {
         self.changes.push_back(Change {
             after,
             revision,
+            complete_to,
             entries,
         });
         let kept = |changes: &VecDeque<Change>| -> usize {
@@ -36,14 +55,22 @@
         }
     }
 
-    /// All entries that changed after a revision, in order; none if it is too long ago.
-    pub(super) fn after(&self, revision: u64) -> Option<Vec<TargetEntry>> {
+    /// All that changed after a revision; none if it is too long ago, or lies among
+    /// changes of which only what differs in the end is known.
+    pub(super) fn after(&self, revision: u64) -> Option<Missed> {
         let first = self.changes.front()?;
         if first.after > revision {
             return None;
         }
         let missed = self.changes.iter();
         let missed = missed.filter(|change| change.revision > revision);
-        Some(missed.flat_map(|change| change.entries.clone()).collect())
+        let partial = missed.clone();
+        let partial = partial.filter(|change| change.complete_to < change.revision);
+        let complete_to = partial.map(|change| change.complete_to).min();
+        let complete_to = complete_to.unwrap_or(u64::MAX);
+        (revision <= complete_to).then(|| Missed {
+            entries: missed.flat_map(|change| change.entries.clone()).collect(),
+            complete_to,
+        })
     }
 }
--- a/policy/src/feed/mod.rs
+++ b/policy/src/feed/mod.rs
@@ -10,6 +10,7 @@
 mod release;
 mod world_feed;
 
+pub use history::Missed;
 pub use lag::Extent;
 pub use lag::Lag;
 pub use lag::Remedy;
@@ -17,6 +18,7 @@
 pub use pace::Outcome;
 pub use pace::Pace;
 pub use pace::WATCH_MS;
+pub use release::EntryChanges;
 pub use release::Release;
 pub use release::TargetEntry;
 pub use world_feed::Kept;
--- a/policy/src/feed/world_feed.rs
+++ b/policy/src/feed/world_feed.rs
@@ -16,10 +16,12 @@
 use model::world::Named;
 use model::world::Target;
 
+use super::EntryChanges;
 use super::Release;
 use super::TargetEntry;
 use super::contact::Contact;
 use super::history::History;
+use super::history::Missed;
 
 /// Longest stay of targets whose entries went together without a known outage, in
 /// microseconds: with the gathering of changes, a tick, the way to all instances and
@@ -125,7 +127,7 @@
     }
 
     /// All changes of targets after a revision; none if they are not known any more.
-    pub fn changes_after(&self, revision: u64) -> Option<Vec<TargetEntry>> {
+    pub fn changes_after(&self, revision: u64) -> Option<Missed> {
         self.history.after(revision).filter(|_| self.listed)
     }
 
@@ -187,9 +189,10 @@
             self.changed_at = revision;
         }
         if !self.listed {
-            self.history.add(revision, revision, Vec::new());
+            self.history.add(revision, revision, revision, Vec::new());
         } else if !changes.is_empty() {
-            self.history.add(self.known_to, revision, changes.clone());
+            let after = self.known_to;
+            self.history.add(after, revision, after, changes.clone());
         }
         self.listed = true;
         self.known_to = revision;
@@ -201,27 +204,31 @@
         changes
     }
 
-    /// Takes in all changes of entries after one revision up to another, in order.
-    pub fn changed(
-        &mut self,
-        now_us: u64,
-        after: u64,
-        revision: u64,
-        entries: Vec<TargetEntry>,
-        teller: Teller,
-    ) -> Offered {
+    /// Takes in changes of entries.
+    pub fn changed(&mut self, now_us: u64, changes: EntryChanges, teller: Teller) -> Offered {
+        let EntryChanges {
+            after,
+            revision,
+            complete_to,
+            entries,
+            ..
+        } = changes;
         if !self.listed || after > self.known_to {
             return Offered::Gap;
         }
         if revision <= self.known_to {
             return self.shorten_stay(now_us, &entries, teller);
         }
+        if self.changed_at > complete_to {
+            return Offered::Gap;
+        }
         self.known_to = revision;
         if entries.is_empty() {
             return Offered::Old;
         }
         self.changed_at = revision;
-        self.history.add(after, revision, entries.clone());
+        self.history
+            .add(after, revision, complete_to, entries.clone());
         let mut removed = Vec::new();
         for entry in entries {
             match entry {
--- a/policy/src/instance/input.rs
+++ b/policy/src/instance/input.rs
@@ -4,13 +4,10 @@
 
 use model::world::Target;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use super::Envelope;
 use crate::exchange::Observation;
+use crate::feed::EntryChanges;
 use crate::feed::Release;
-use crate::feed::TargetEntry;
 use crate::membership::Member;
 use crate::notes::NumberedNote;
 
@@ -69,20 +66,6 @@
     Reachable(bool),
 }
 
-/// All changes of targets between two revisions of a registry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EntryChanges {
-    /// The revision after which.
-    pub after: u64,
-    /// The revision up to which.
-    pub revision: u64,
-    /// The changes in order.
-    pub entries: Vec<TargetEntry>,
-    /// How long targets stay whose entries went, in milliseconds, as the instance
-    /// that tells sees it; the registry itself does not say.
-    pub stay_ms: u64,
-}
-
 /// What came of a call to the platform.
 #[derive(Clone, Debug)]
 pub enum PlatformAnswer {
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -6,11 +6,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::EntryChanges;
 use super::ToldLoad;
 use crate::evidence::Report;
 use crate::evidence::Signal;
 use crate::evidence::Verdict;
+use crate::feed::EntryChanges;
 use crate::feed::Release;
 use crate::membership::Member;
 use crate::notes::NumberedNote;
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -26,7 +26,6 @@
 pub use action::PlatformCall;
 pub use action::RegistryPart;
 pub use fleet_load::ToldLoad;
-pub use input::EntryChanges;
 pub use input::Input;
 pub use input::PlatformAnswer;
 pub use input::RegistryNews;
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -5,7 +5,6 @@
 use model::world::Target;
 
 use super::Action;
-use super::EntryChanges;
 use super::Happening;
 use super::Instance;
 use super::Message;
@@ -13,11 +12,11 @@
 use super::RegistryPart;
 use super::messages::MICROS_PER_MILLI;
 use super::settings::EvidenceSharing;
+use crate::feed::EntryChanges;
 use crate::feed::Extent;
 use crate::feed::Offered;
 use crate::feed::Release;
 use crate::feed::Remedy;
-use crate::feed::TargetEntry;
 use crate::feed::Teller;
 use crate::notes::Span;
 use crate::routing::Placement;
@@ -51,19 +50,29 @@
             RegistryNews::Targets { revision, targets } => {
                 let is_first = !self.feed.is_listed();
                 let after = self.feed.targets_changed();
+                let complete_to = self.feed.targets_known_to();
                 let entries = self
                     .feed
                     .listed(now_us, revision, targets, Teller::Registry);
                 self.log_kept(now_us, None);
                 if !is_first && !entries.is_empty() {
-                    self.tell_entries(now_us, after, revision, entries);
+                    self.tell_entries(
+                        now_us,
+                        EntryChanges {
+                            after,
+                            revision,
+                            complete_to,
+                            entries,
+                            stay_ms: 0,
+                        },
+                    );
                 }
             }
             RegistryNews::Entries(changes) => {
                 let after = self.feed.targets_changed();
                 if self.take_entries(now_us, changes.clone(), Teller::Registry) {
                     self.log_kept(now_us, None);
-                    self.tell_entries(now_us, after, changes.revision, changes.entries);
+                    self.tell_entries(now_us, EntryChanges { after, ..changes });
                 }
             }
             RegistryNews::Reachable(reachable) => {
@@ -166,12 +175,14 @@
         }
         let revision = self.feed.targets_known_to();
         let missed = targets.and_then(|after| Some((after, self.feed.changes_after(after)?)));
-        if let Some((after, entries)) = missed {
+        if let Some((after, missed)) = missed {
+            let stay_us = self.feed.longest_stay_us(now_us, &missed.entries);
             let changes = EntryChanges {
                 after,
                 revision,
-                stay_ms: self.feed.longest_stay_us(now_us, &entries) / MICROS_PER_MILLI,
-                entries,
+                complete_to: missed.complete_to.min(revision),
+                entries: missed.entries,
+                stay_ms: stay_us / MICROS_PER_MILLI,
             };
             self.send(
                 now_us,
@@ -234,15 +245,14 @@
 
     /// Spreads changes of targets, if that falls to this instance. They are told as
     /// those after the last change, which all others know, not after the last look.
-    fn tell_entries(&mut self, now_us: u64, after: u64, revision: u64, entries: Vec<TargetEntry>) {
+    fn tell_entries(&mut self, now_us: u64, changes: EntryChanges) {
         if !self.is_watcher {
             return;
         }
+        let stay_us = self.feed.longest_stay_us(now_us, &changes.entries);
         let changes = EntryChanges {
-            after,
-            revision,
-            stay_ms: self.feed.longest_stay_us(now_us, &entries) / MICROS_PER_MILLI,
-            entries,
+            stay_ms: stay_us / MICROS_PER_MILLI,
+            ..changes
         };
         let ids = self.other_ids();
         self.spread_entries(now_us, &changes, &ids);
@@ -250,13 +260,7 @@
 
     /// Takes in changes of targets; true if they say something new.
     fn take_entries(&mut self, now_us: u64, changes: EntryChanges, teller: Teller) -> bool {
-        let EntryChanges {
-            after,
-            revision,
-            entries,
-            ..
-        } = changes;
-        let offered = self.feed.changed(now_us, after, revision, entries, teller);
+        let offered = self.feed.changed(now_us, changes, teller);
         match offered {
             Offered::Taken => true,
             Offered::Old => false,
--- a/policy/tests/feed.rs
+++ b/policy/tests/feed.rs
@@ -10,6 +10,7 @@
 use model::world::RouteTerms;
 use model::world::Service;
 use model::world::Target;
+use policy::feed::EntryChanges;
 use policy::feed::Next;
 use policy::feed::Offered;
 use policy::feed::Outcome;
@@ -76,6 +77,17 @@
     }
 }
 
+/// All changes of entries after one revision up to another.
+fn changes(after: u64, revision: u64, entries: Vec<TargetEntry>) -> EntryChanges {
+    EntryChanges {
+        after,
+        revision,
+        complete_to: revision,
+        entries,
+        stay_ms: 0,
+    }
+}
+
 /// A feed and the world that follows it.
 struct Follower {
     feed: WorldFeed,
@@ -107,7 +119,7 @@
         let removed = |name: &&str| TargetEntry::Removed(Arc::from(*name));
         let entries = names.iter().map(removed).collect();
         self.feed
-            .changed(now_us, after, after + 1, entries, Teller::Registry);
+            .changed(now_us, changes(after, after + 1, entries), Teller::Registry);
         self.tick(now_us);
     }
 
@@ -175,9 +187,11 @@
     assert_eq!(follower.targets(), 2);
     let after = follower.feed.targets_known_to();
     let back = vec![TargetEntry::Stands(target("t-1"))];
-    follower
-        .feed
-        .changed(10 * SECOND_US, after, after + 1, back, Teller::Registry);
+    follower.feed.changed(
+        10 * SECOND_US,
+        changes(after, after + 1, back),
+        Teller::Registry,
+    );
     follower.tick(11 * SECOND_US);
     assert_eq!(follower.targets(), 2);
     follower.tick(12 * SECOND_US);
@@ -191,13 +205,13 @@
     let plain = Teller::Peer { stay_us: 0 };
     follower
         .feed
-        .changed(2 * SECOND_US, 10, 11, gone("t-1"), plain);
+        .changed(2 * SECOND_US, changes(10, 11, gone("t-1")), plain);
     follower.tick(2 * SECOND_US);
     assert_eq!(follower.targets(), 3);
     let lapsing = Teller::Peer { stay_us: 2_300_000 };
     follower
         .feed
-        .changed(3 * SECOND_US, 11, 12, gone("t-2"), lapsing);
+        .changed(3 * SECOND_US, changes(11, 12, gone("t-2")), lapsing);
     follower.tick(4 * SECOND_US);
     assert_eq!(follower.targets(), 3);
     follower.tick(6 * SECOND_US);
@@ -218,15 +232,21 @@
     let mut follower = Follower::new(&["t-1"]);
     let news = || vec![TargetEntry::Stands(target("t-2"))];
     assert_eq!(
-        follower.feed.changed(0, 12, 14, news(), Teller::Registry),
+        follower
+            .feed
+            .changed(0, changes(12, 14, news()), Teller::Registry),
         Offered::Gap
     );
     assert_eq!(
-        follower.feed.changed(0, 9, 12, news(), Teller::Registry),
+        follower
+            .feed
+            .changed(0, changes(9, 12, news()), Teller::Registry),
         Offered::Taken
     );
     assert_eq!(
-        follower.feed.changed(0, 9, 12, news(), Teller::Registry),
+        follower
+            .feed
+            .changed(0, changes(9, 12, news()), Teller::Registry),
         Offered::Old
     );
     follower.follow();
@@ -258,7 +278,9 @@
     let mut early = target("t-9");
     early.service = "new".into();
     let entries = vec![TargetEntry::Stands(early)];
-    follower.feed.changed(0, 10, 11, entries, Teller::Registry);
+    follower
+        .feed
+        .changed(0, changes(10, 11, entries), Teller::Registry);
     follower.follow();
     assert!(!follower.world().targets.contains_key("t-9"));
     let mut later = release(7, &[("r", "/a/", "reads")]);
@@ -301,3 +323,32 @@
     }
     assert!(now_us > 3 * SECOND_US);
 }
+
+#[test]
+fn a_list_of_one_that_missed_a_target_hides_not_from_others_that_it_left() {
+    let mut follower = Follower::new(&["t-1"]);
+    let came = vec![TargetEntry::Stands(target("t-2"))];
+    follower
+        .feed
+        .changed(0, changes(10, 14, came), Teller::Registry);
+    // Another instance was at revision 12 and has read a list as of 20: it has seen
+    // neither that the second target came nor that it left.
+    let differences = EntryChanges {
+        complete_to: 12,
+        ..changes(10, 20, vec![TargetEntry::Stands(target("t-3"))])
+    };
+    let peer = Teller::Peer { stay_us: 0 };
+    let offered = follower.feed.changed(SECOND_US, differences, peer);
+    assert_eq!(offered, Offered::Gap);
+    assert_eq!(follower.feed.targets_known_to(), 14);
+}
+
+#[test]
+fn one_that_was_behind_before_a_list_is_told_the_whole_list() {
+    let mut follower = Follower::new(&["t-1", "t-2"]);
+    follower
+        .feed
+        .listed(0, 20, vec![target("t-2")], Teller::Registry);
+    assert!(follower.feed.changes_after(10).is_some());
+    assert!(follower.feed.changes_after(15).is_none());
+}
--- a/policy/tests/fleet/mod.rs
+++ b/policy/tests/fleet/mod.rs
@@ -13,9 +13,9 @@
 use policy::Action;
 use policy::Input;
 use policy::Instance;
+use policy::feed::EntryChanges;
 use policy::feed::Release;
 use policy::feed::TargetEntry;
-use policy::instance::EntryChanges;
 use policy::instance::Envelope;
 use policy::instance::EvidenceSharing;
 use policy::instance::PlatformAnswer;
@@ -405,6 +405,7 @@
                 Some(RegistryNews::Entries(EntryChanges {
                     after,
                     revision,
+                    complete_to: revision,
                     entries: changes.map(|(_, entry)| entry.clone()).collect(),
                     stay_ms: 0,
                 }))
--- a/policy/tests/lag.rs
+++ b/policy/tests/lag.rs
@@ -13,12 +13,12 @@
 use policy::Input;
 use policy::Instance;
 use policy::Message;
+use policy::feed::EntryChanges;
 use policy::feed::Extent;
 use policy::feed::Lag;
 use policy::feed::Release;
 use policy::feed::Remedy;
 use policy::feed::TargetEntry;
-use policy::instance::EntryChanges;
 use policy::instance::Envelope;
 use policy::instance::EvidenceSharing;
 use policy::instance::PlatformAnswer;
@@ -135,6 +135,7 @@
             after: revision - 1,
             revision,
             entries: vec![entry],
+            complete_to: revision,
             stay_ms: 0,
         };
         instance.handle(0, Input::Registry(RegistryNews::Entries(changes)));
--- a/sniperund/src/control/registry_follower.rs
+++ b/sniperund/src/control/registry_follower.rs
@@ -11,11 +11,11 @@
 use border::Watched;
 use futures::future::BoxFuture;
 use policy::Input;
+use policy::feed::EntryChanges;
 use policy::feed::Next;
 use policy::feed::Outcome;
 use policy::feed::Pace;
 use policy::feed::WATCH_MS;
-use policy::instance::EntryChanges;
 use policy::instance::PlatformAnswer;
 use policy::instance::RegistryNews;
 use policy::instance::RegistryPart;
@@ -155,6 +155,7 @@
         let changes = EntryChanges {
             after,
             revision: changes.revision,
+            complete_to: changes.revision,
             entries: changes.value,
             stay_ms: 0,
         };
