Let others stand in for watchers that are dead or cut off, and tell a peer at once what it missed

What callers would see: requests at leaving targets for some five seconds. Cause: about six instances watch the registry for all. Killed or turned away together, they are replaced only once they count as dead; until then nobody notices that a target leaves or that a release is out. The class: a part of the fleet taken for the fleet.

Each message now says how old the sender's view of the registry is; a receiver takes it over only if it knows all that the sender knows, so that an age never outruns the news. Where the view is older than 0.9 s an instance asks two others, and about four instances a tick read the registry and spread what they find. Changes that are known to be missing are asked for at once; one that is behind looks again at each tick, not only when a message comes. Parts of the spreading tree begin at a drawn place, so that all watchers' news do not pass the same dead instance. Watchers probe out of phase.

--- a/peers/tests/messages.rs
+++ b/peers/tests/messages.rs
@@ -25,7 +25,7 @@
         incarnation: 1,
         note: 2,
         targets_changed: 0,
-        registry_age_ms: None,
+        view_age_ms: None,
         news: Vec::new(),
         message: Message::Ping { sequence },
     }
--- a/peers/tests/sizes.rs
+++ b/peers/tests/sizes.rs
@@ -16,7 +16,7 @@
         incarnation: 1_700_000_000_123,
         note: 4_200_000,
         targets_changed: 4_200_000,
-        registry_age_ms: Some(800),
+        view_age_ms: Some(800),
         news: Vec::new(),
         message,
     };
--- a/policy/src/feed/lag.rs
+++ b/policy/src/feed/lag.rs
@@ -22,6 +22,13 @@
     pub targets: u64,
 }
 
+impl Extent {
+    /// Whether all that another extent covers is known.
+    pub fn covers(&self, other: Self) -> bool {
+        self.release >= other.release && self.targets >= other.targets
+    }
+}
+
 /// What to do about it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Remedy {
@@ -54,13 +61,25 @@
 }
 
 impl Lag {
+    /// Takes in that changes before those that came are missing: they are asked for at
+    /// once, as it is known that they did not arrive.
+    pub fn missed(&mut self, now_us: u64, own: Extent, peer: Extent) -> Remedy {
+        let since_us = now_us.saturating_sub(SPREAD_US);
+        let behind = self.behind.get_or_insert(Behind {
+            heard: peer,
+            since_us,
+            asked_us: None,
+        });
+        behind.since_us = behind.since_us.min(since_us);
+        self.heard(now_us, own, peer)
+    }
+
     /// Takes in how far a peer is.
     pub fn heard(&mut self, now_us: u64, own: Extent, peer: Extent) -> Remedy {
-        let is_met = |heard: Extent| own.release >= heard.release && own.targets >= heard.targets;
-        if self.behind.is_some_and(|behind| is_met(behind.heard)) {
+        if self.behind.is_some_and(|behind| own.covers(behind.heard)) {
             self.behind = None;
         }
-        if is_met(peer) {
+        if own.covers(peer) {
             return Remedy::Wait;
         }
         let behind = self.behind.get_or_insert(Behind {
--- a/policy/src/feed/world_feed.rs
+++ b/policy/src/feed/world_feed.rs
@@ -244,14 +244,14 @@
         Offered::Taken
     }
 
-    /// Notes that the registry answered this instance or another one.
+    /// Notes that the registry answered this instance, or another one of which all is
+    /// known that it knew then.
     pub fn answered(&mut self, at_us: u64) {
         self.contact.answered(at_us);
     }
 
-    /// Time since the registry last answered any instance, in microseconds, as far as
-    /// it is known.
-    pub fn answer_age_us(&self, now_us: u64) -> Option<u64> {
+    /// Time since the last of these answers, in microseconds; none before the first.
+    pub fn view_age_us(&self, now_us: u64) -> Option<u64> {
         self.contact.age_us(now_us)
     }
 
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -140,6 +140,11 @@
         /// The number of instances.
         instances: u32,
     },
+    /// The instance reads the registry in place of those that watch it.
+    StandsIn {
+        /// Age of its view of the registry, in milliseconds.
+        view_age_ms: u64,
+    },
     /// The registry answers again, or no longer.
     RegistryReachable(bool),
     /// An instance has joined.
--- a/policy/src/instance/alerts.rs
+++ b/policy/src/instance/alerts.rs
@@ -178,7 +178,7 @@
     }
 
     fn spread_alerts(&mut self, now_us: u64, alerts: &[Alert], ids: &[Arc<str>]) {
-        for (to, span) in crate::notes::split(ids) {
+        for (to, span) in crate::notes::split(ids, &mut self.rng) {
             let alerts = alerts.to_vec();
             self.send(now_us, &to, Message::Alerts { alerts, span });
         }
--- a/policy/src/instance/evidence.rs
+++ b/policy/src/instance/evidence.rs
@@ -247,7 +247,7 @@
         verdicts: &[Verdict],
         ids: &[Arc<str>],
     ) {
-        for (to, span) in crate::notes::split(ids) {
+        for (to, span) in crate::notes::split(ids, &mut self.rng) {
             let message = Message::Verdicts {
                 home: home.clone(),
                 verdicts: verdicts.to_vec(),
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -21,7 +21,6 @@
 use super::demand::Demand;
 use super::fleet_load::FleetLoad;
 use super::freshness::Freshness;
-use super::messages::MICROS_PER_MILLI;
 use super::notes::Incoming;
 use super::platform::Calls;
 use super::readiness::Readiness;
@@ -75,7 +74,11 @@
     pub(super) demand: Demand,
     pub(super) fleet_load: FleetLoad,
     pub(super) lag: Lag,
+    /// The peer heard last that was ahead, and how far it was.
+    pub(super) ahead: Option<(Arc<str>, Extent)>,
     pub(super) is_registry_lost: bool,
+    /// Whether the registry has answered and others are not told yet.
+    pub(super) has_answer_to_tell: bool,
     pub(super) next_answers_us: u64,
     pub(super) has_asked_doubts: bool,
     pub(super) member_lists: u32,
@@ -123,7 +126,9 @@
             demand: Demand::default(),
             fleet_load: FleetLoad::default(),
             lag: Lag::default(),
+            ahead: None,
             is_registry_lost: false,
+            has_answer_to_tell: false,
             next_answers_us: 0,
             has_asked_doubts: false,
             member_lists: 0,
@@ -259,10 +264,6 @@
         }
         self.membership
             .heard_from(now_us, &from, envelope.incarnation);
-        if let Some(age_ms) = envelope.registry_age_ms {
-            let age_us = age_ms.saturating_mul(MICROS_PER_MILLI);
-            self.feed.answered(now_us.saturating_sub(age_us));
-        }
         self.readiness.heard(&from, envelope.note);
         self.members_changed();
         match envelope.message {
@@ -313,6 +314,7 @@
                     targets: envelope.targets_changed,
                 };
                 self.follow_peer(now_us, &from, peer);
+                self.take_view_age(now_us, peer, envelope.view_age_ms);
             }
         }
         if !self.freshness.is_fresh() {
--- a/policy/src/instance/members.rs
+++ b/policy/src/instance/members.rs
@@ -13,7 +13,7 @@
 const JOIN_PERIOD_US: u64 = 1_000_000;
 const DEAD_PING_PERIOD_US: u64 = 1_000_000;
 /// Number of a ping whose answer says all by its news; others begin with 1.
-const DEAD_PING: u64 = 0;
+pub(super) const NEWS_PING: u64 = 0;
 const MEMBERS_PER_MESSAGE: usize = 200;
 
 impl Instance {
@@ -53,7 +53,7 @@
             return;
         };
         let ping = Message::Ping {
-            sequence: DEAD_PING,
+            sequence: NEWS_PING,
         };
         let mut envelope = self.envelope(now_us, ping);
         envelope.news.push(self.membership.own().clone());
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -28,9 +28,10 @@
     /// Revision of the registry at which targets changed last, as the sender
     /// knows; 0 without a registry.
     pub targets_changed: u64,
-    /// Time since the registry last answered any instance, in milliseconds, as the
-    /// sender knows; none without a registry.
-    pub registry_age_ms: Option<u64>,
+    /// Age of the sender's view of the registry, in milliseconds: time since the
+    /// registry answered an instance of which the sender knows all that it knew then;
+    /// none without a registry.
+    pub view_age_ms: Option<u64>,
     /// News of members.
     pub news: Vec<Member>,
     /// The message itself.
--- a/policy/src/instance/messages.rs
+++ b/policy/src/instance/messages.rs
@@ -28,13 +28,13 @@
     }
 
     pub(super) fn envelope(&mut self, now_us: u64, message: Message) -> Envelope {
-        let registry_age_us = self.feed.answer_age_us(now_us);
+        let view_age_us = self.feed.view_age_us(now_us);
         Envelope {
             from: self.membership.own().id.clone(),
             incarnation: self.membership.own().incarnation,
             note: self.log.number(),
             targets_changed: self.feed.targets_changed(),
-            registry_age_ms: registry_age_us.map(|age_us| age_us / MICROS_PER_MILLI),
+            view_age_ms: view_age_us.map(|age_us| age_us / MICROS_PER_MILLI),
             news: self.membership.take_news(),
             message,
         }
--- a/policy/src/instance/notes.rs
+++ b/policy/src/instance/notes.rs
@@ -107,7 +107,7 @@
     }
 
     fn spread_note(&mut self, now_us: u64, note: &NumberedNote, ids: &[Arc<str>]) {
-        for (to, span) in crate::notes::split(ids) {
+        for (to, span) in crate::notes::split(ids, &mut self.rng) {
             let note = note.clone();
             self.send(now_us, &to, Message::NewNote { note, span });
         }
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use model::world::Target;
+use rand::RngExt;
+use rand::seq::IndexedRandom;
 
 use super::Action;
 use super::Happening;
@@ -10,6 +12,7 @@
 use super::Message;
 use super::RegistryNews;
 use super::RegistryPart;
+use super::members::NEWS_PING;
 use super::messages::MICROS_PER_MILLI;
 use super::settings::EvidenceSharing;
 use crate::feed::EntryChanges;
@@ -27,8 +30,17 @@
 const SPREAD_ROUTES: usize = 100;
 
 /// Time between two tellings to all that the registry answers, in microseconds: with a
-/// probe each second by each watcher, all instances know of an answer under 1 s old.
-const ANSWERS_PERIOD_US: u64 = 600_000;
+/// probe each second by each watcher, views of all instances are less than 1 s old.
+const ANSWERS_PERIOD_US: u64 = 400_000;
+/// Time without news of an answer from which others than the watchers read the
+/// registry, in microseconds: with a tick, the call and the way to all instances under
+/// the bounds on leaving targets and new configurations.
+const SILENT_US: u64 = 900_000;
+/// Instances that do so in one tick of all: one at least in 98 of 100 ticks, however
+/// large the fleet, and few calls while the registry is away.
+const STAND_INS: f64 = 4.0;
+/// Others that an instance asks in a tick of such a time.
+const ASKED_IN_SILENCE: usize = 2;
 /// Readings of the instances after which all that started together are known.
 const LOOKS_TO_KNOW: u32 = 2;
 /// Time after a start from which an instance that could not read them watches all
@@ -42,7 +54,7 @@
     pub(super) fn registry_told(&mut self, now_us: u64, news: RegistryNews) {
         match news {
             RegistryNews::Release(release) => {
-                if self.feed.released(release.clone()) && self.is_watcher {
+                if self.feed.released(release.clone()) {
                     let ids = self.other_ids();
                     self.spread_release(now_us, &release, &ids);
                 }
@@ -70,9 +82,13 @@
             }
             RegistryNews::Entries(changes) => {
                 let after = self.feed.targets_changed();
-                if self.take_entries(now_us, changes.clone(), Teller::Registry) {
-                    self.log_kept(now_us, None);
-                    self.tell_entries(now_us, EntryChanges { after, ..changes });
+                match self.feed.changed(now_us, changes.clone(), Teller::Registry) {
+                    Offered::Taken => {
+                        self.log_kept(now_us, None);
+                        self.tell_entries(now_us, EntryChanges { after, ..changes });
+                    }
+                    Offered::Gap => self.actions.push(Action::Reread(RegistryPart::Targets)),
+                    Offered::Old | Offered::Shortened => {}
                 }
             }
             RegistryNews::Reachable(reachable) => {
@@ -96,12 +112,28 @@
             return;
         }
         self.feed.answered(now_us);
-        if self.is_watcher && now_us >= self.next_answers_us {
+        self.has_answer_to_tell = true;
+    }
+
+    /// Tells all others that the registry answers, unless they have just heard so, and
+    /// only once what it answered is known here.
+    fn tell_answer(&mut self, now_us: u64) {
+        if std::mem::take(&mut self.has_answer_to_tell) && now_us >= self.next_answers_us {
             let ids = self.other_ids();
             self.spread_answers(now_us, &ids);
         }
     }
 
+    /// Takes in how old a peer's view is, if this instance knows all that the peer does.
+    pub(super) fn take_view_age(&mut self, now_us: u64, peer: Extent, age_ms: Option<u64>) {
+        if let Some(age_ms) = age_ms
+            && self.extent().covers(peer)
+        {
+            let age_us = age_ms.saturating_mul(MICROS_PER_MILLI);
+            self.feed.answered(now_us.saturating_sub(age_us));
+        }
+    }
+
     /// Takes in that the registry has answered another instance.
     pub(super) fn answers_spread(&mut self, now_us: u64, span: Option<&Span>) {
         self.next_answers_us = now_us + ANSWERS_PERIOD_US;
@@ -113,27 +145,47 @@
 
     fn spread_answers(&mut self, now_us: u64, ids: &[Arc<str>]) {
         self.next_answers_us = now_us + ANSWERS_PERIOD_US;
-        for (to, span) in crate::notes::split(ids) {
+        for (to, span) in crate::notes::split(ids, &mut self.rng) {
             self.send(now_us, &to, Message::RegistryAnswers { span });
         }
     }
 
     pub(super) fn tick_registry(&mut self, now_us: u64) {
         self.show_watching(now_us);
+        self.stand_in_for_watchers(now_us);
+        self.tell_answer(now_us);
+        if let Some((peer, extent)) = self.ahead.take() {
+            self.follow_peer(now_us, &peer, extent);
+        }
         self.feed.tick(now_us);
         self.follow_registry();
     }
 
     /// Catches up with a peer that knows better, unless watchers tell it first.
     pub(super) fn follow_peer(&mut self, now_us: u64, from: &Arc<str>, peer: Extent) {
-        let own = Extent {
+        let own = self.extent();
+        if !own.covers(peer) {
+            self.ahead = Some((from.clone(), peer));
+        }
+        let remedy = self.lag.heard(now_us, own, peer);
+        self.remedy(now_us, from, remedy);
+    }
+
+    /// How far the release and the targets are known.
+    fn extent(&self) -> Extent {
+        Extent {
             release: self.log.number(),
             targets: self.feed.targets_known_to(),
-        };
-        match self.lag.heard(now_us, own, peer) {
+        }
+    }
+
+    fn remedy(&mut self, now_us: u64, from: &Arc<str>, remedy: Remedy) {
+        match remedy {
             Remedy::Wait => {}
             Remedy::AskPeer => self.ask_to_catch_up(now_us, from),
             Remedy::Read { release, targets } => {
+                // The registry may not answer here, and the answer of the first peer be lost.
+                self.ask_to_catch_up(now_us, from);
                 if release {
                     self.actions.push(Action::Reread(RegistryPart::Release));
                 }
@@ -237,18 +289,29 @@
         let teller = Teller::Peer {
             stay_us: changes.stay_ms.saturating_mul(MICROS_PER_MILLI),
         };
-        if self.take_entries(now_us, changes, teller) {
-            self.log_kept(now_us, Some(from));
-            self.follow_registry();
+        let revision = changes.revision;
+        match self.feed.changed(now_us, changes, teller) {
+            Offered::Taken => {
+                self.log_kept(now_us, Some(from));
+                self.follow_registry();
+            }
+            Offered::Shortened => self.follow_registry(),
+            Offered::Old => {}
+            Offered::Gap => {
+                let own = self.extent();
+                let peer = Extent {
+                    targets: revision,
+                    ..own
+                };
+                let remedy = self.lag.missed(now_us, own, peer);
+                self.remedy(now_us, from, remedy);
+            }
         }
     }
 
-    /// Spreads changes of targets, if that falls to this instance. They are told as
-    /// those after the last change, which all others know, not after the last look.
+    /// Spreads changes of targets. They are told as those after the last change, which
+    /// all others know, not after the last look.
     fn tell_entries(&mut self, now_us: u64, changes: EntryChanges) {
-        if !self.is_watcher {
-            return;
-        }
         let stay_us = self.feed.longest_stay_us(now_us, &changes.entries);
         let changes = EntryChanges {
             stay_ms: stay_us / MICROS_PER_MILLI,
@@ -258,25 +321,6 @@
         self.spread_entries(now_us, &changes, &ids);
     }
 
-    /// Takes in changes of targets; true if they say something new.
-    fn take_entries(&mut self, now_us: u64, changes: EntryChanges, teller: Teller) -> bool {
-        let offered = self.feed.changed(now_us, changes, teller);
-        match offered {
-            Offered::Taken => true,
-            Offered::Old => false,
-            Offered::Shortened => {
-                self.follow_registry();
-                false
-            }
-            Offered::Gap if teller == Teller::Registry => {
-                self.actions.push(Action::Reread(RegistryPart::Targets));
-                false
-            }
-            // What is missing is asked for as soon as the lag is noticed.
-            Offered::Gap => false,
-        }
-    }
-
     /// Logs which targets stay in use though their entries went, and who told.
     fn log_kept(&mut self, now_us: u64, from: Option<&Arc<str>>) {
         let by = from.unwrap_or(&self.membership.own().id).clone();
@@ -295,14 +339,14 @@
         if release.routes.len() > SPREAD_ROUTES {
             return;
         }
-        for (to, span) in crate::notes::split(ids) {
+        for (to, span) in crate::notes::split(ids, &mut self.rng) {
             let release = release.clone();
             self.send(now_us, &to, Message::Release { release, span });
         }
     }
 
     fn spread_entries(&mut self, now_us: u64, changes: &EntryChanges, ids: &[Arc<str>]) {
-        for (to, span) in crate::notes::split(ids) {
+        for (to, span) in crate::notes::split(ids, &mut self.rng) {
             let changes = changes.clone();
             self.send(now_us, &to, Message::Entries { changes, span });
         }
@@ -312,14 +356,44 @@
     /// together know each other at their second look; until then none of them
     /// can tell that it falls to it to watch.
     fn show_watching(&mut self, now_us: u64) {
-        let known = self.member_lists >= LOOKS_TO_KNOW || now_us >= ALONE_US;
-        let watches = self.is_watcher && known;
+        let watches = self.is_watcher && self.are_members_known(now_us);
         if self.shared.watching().show(watches) != watches && watches {
             self.actions.push(Action::Reread(RegistryPart::Release));
             self.actions.push(Action::Reread(RegistryPart::Targets));
         }
     }
 
+    fn are_members_known(&self, now_us: u64) -> bool {
+        self.member_lists >= LOOKS_TO_KNOW || now_us >= ALONE_US
+    }
+
+    /// Asks others, and in a few instances the registry, where no answer was heard of
+    /// for a while: all that watch may be dead or cut off from it, or one of those that
+    /// pass their news on. Their death shows only later.
+    fn stand_in_for_watchers(&mut self, now_us: u64) {
+        let Some(age_us) = self.feed.view_age_us(now_us) else {
+            return;
+        };
+        let is_needed = age_us > SILENT_US && self.are_members_known(now_us);
+        if !is_needed || self.shared.watching().is_watcher() {
+            return;
+        }
+        let others = self.own_ids.sample(&mut self.rng, ASKED_IN_SILENCE);
+        let others: Vec<Arc<str>> = others.cloned().collect();
+        for id in others {
+            let sequence = NEWS_PING;
+            self.send(now_us, &id, Message::Ping { sequence });
+        }
+        let chance = STAND_INS / (self.own_ids.len() + 1) as f64;
+        if self.rng.random_bool(chance.min(1.0)) {
+            let view_age_ms = age_us / MICROS_PER_MILLI;
+            self.actions
+                .push(Action::Log(Happening::StandsIn { view_age_ms }));
+            self.actions.push(Action::Reread(RegistryPart::Release));
+            self.actions.push(Action::Reread(RegistryPart::Targets));
+        }
+    }
+
     /// Puts in force what differs between the registry and the world.
     fn follow_registry(&mut self) {
         let Some((number, change)) = self.feed.change(self.log.world()) else {
--- a/policy/src/notes/spread.rs
+++ b/policy/src/notes/spread.rs
@@ -6,6 +6,8 @@
 
 use std::sync::Arc;
 
+use rand::Rng;
+use rand::RngExt;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -22,8 +24,12 @@
 }
 
 /// Splits sorted `ids` into the receivers of a message and what each passes on.
-pub fn split(ids: &[Arc<str>]) -> Vec<(Arc<str>, Option<Span>)> {
+///
+/// Where the parts begin is drawn, so that the same news told by several instances does
+/// not pass the same ones, one of which may be dead.
+pub fn split(ids: &[Arc<str>], rng: &mut impl Rng) -> Vec<(Arc<str>, Option<Span>)> {
     let size = ids.len().div_ceil(FAN_OUT).max(1);
+    let (first, others) = ids.split_at(rng.random_range(0..size).min(ids.len()));
     let part = |chunk: &[Arc<str>]| {
         let first = chunk[0].clone();
         let last = chunk[chunk.len() - 1].clone();
@@ -33,7 +39,11 @@
         });
         (first, span)
     };
-    ids.chunks(size).map(part).collect()
+    first
+        .chunks(size)
+        .chain(others.chunks(size))
+        .map(part)
+        .collect()
 }
 
 impl Span {
--- a/policy/tests/lag.rs
+++ b/policy/tests/lag.rs
@@ -158,7 +158,7 @@
         incarnation: 1,
         note: 0,
         targets_changed: 0,
-        registry_age_ms: None,
+        view_age_ms: None,
         news: Vec::new(),
         message: Message::CatchUp { release, targets },
     };
@@ -242,7 +242,7 @@
         incarnation: 1,
         note: 0,
         targets_changed: 0,
-        registry_age_ms: None,
+        view_age_ms: None,
         news: vec![dead],
         message: Message::Ack { sequence: 0 },
     };
--- a/policy/tests/notes.rs
+++ b/policy/tests/notes.rs
@@ -60,7 +60,7 @@
         incarnation: 1,
         note: number,
         targets_changed: 0,
-        registry_age_ms: None,
+        view_age_ms: None,
         news: Vec::new(),
         message: Message::Ack { sequence: 0 },
     })
@@ -122,7 +122,7 @@
         incarnation: 1,
         note: 1,
         targets_changed: 0,
-        registry_age_ms: None,
+        view_age_ms: None,
         news: Vec::new(),
         message: Message::Notes(vec![note(1)]),
     });
@@ -135,7 +135,7 @@
         incarnation: 1,
         note: 2,
         targets_changed: 0,
-        registry_age_ms: None,
+        view_age_ms: None,
         news: Vec::new(),
         message: Message::Notes(vec![note(2)]),
     });
@@ -186,13 +186,14 @@
 fn a_tree_reaches_each_instance_once() {
     let ids: Vec<Arc<str>> = (0..1_000).map(|at| format!("i-{at:04}").into()).collect();
     let mut reached = Vec::new();
-    let mut waiting = split(&ids);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut waiting = split(&ids, &mut rng);
     let mut most_hops = 0;
     let mut depth: Vec<usize> = vec![1; waiting.len()];
     while let (Some((id, span)), Some(hops)) = (waiting.pop(), depth.pop()) {
         most_hops = most_hops.max(hops);
         if let Some(span) = span {
-            let further = split(&span.cut(&ids));
+            let further = split(&span.cut(&ids), &mut rng);
             depth.extend(further.iter().map(|_| hops + 1));
             waiting.extend(further);
         }
--- a/policy/tests/strain.rs
+++ b/policy/tests/strain.rs
@@ -101,7 +101,7 @@
         incarnation: 1,
         note: 0,
         targets_changed: 0,
-        registry_age_ms: None,
+        view_age_ms: None,
         news,
         message: Message::Ack { sequence: 0 },
     };
--- a/proof/examples/capacity/slopes.rs
+++ b/proof/examples/capacity/slopes.rs
@@ -83,7 +83,7 @@
         incarnation: 1_764_800_000_000,
         note: 100_000,
         targets_changed: 0,
-        registry_age_ms: None,
+        view_age_ms: None,
         news: (0..news).map(full_size::member).collect(),
         message,
     };
@@ -122,7 +122,7 @@
         incarnation: member.incarnation,
         note: 0,
         targets_changed: 0,
-        registry_age_ms: None,
+        view_age_ms: None,
         news: Vec::new(),
         message,
     })
@@ -309,7 +309,7 @@
         incarnation: 1_764_800_000_000,
         note: 100_000,
         targets_changed: 0,
-        registry_age_ms: None,
+        view_age_ms: None,
         news: Vec::new(),
         message: Message::Ping {
             sequence: 1_000_000,
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -131,6 +131,9 @@
             Happening::RetryReserve { instances } => {
                 log::info!("event=retry-reserve instances={instances}");
             }
+            Happening::StandsIn { view_age_ms } => {
+                log::info!("event=registry-stand-in view_age_ms={view_age_ms}");
+            }
             Happening::RegistryReachable(true) => log::info!("event=registry-regained"),
             Happening::RegistryReachable(false) => log::warn!("event=registry-lost"),
             Happening::Joined { instance } => {
--- a/sniperund/src/control/registry_follower.rs
+++ b/sniperund/src/control/registry_follower.rs
@@ -20,6 +20,7 @@
 use policy::instance::RegistryNews;
 use policy::instance::RegistryPart;
 use policy::membership::Member;
+use rand::RngExt;
 use tokio::sync::Notify;
 
 use super::ControlHandle;
@@ -186,6 +187,10 @@
     /// both parts are read at once.
     async fn keep_probing(&self, reach: &Reach) {
         let mut is_silent = false;
+        // Instances that start together are not to probe together: others count on an
+        // answer to one of them several times a second.
+        let phase: f64 = rand::rng().random();
+        tokio::time::sleep(PROBE_PERIOD.mul_f64(phase)).await;
         loop {
             tokio::time::sleep(PROBE_PERIOD).await;
             if !self.handle.shared().watching().is_watcher() && !is_silent {
