Play a crowd at few targets; callers with little time are starved

Eighteen instances, twelve targets of which spells hold ten, 47 callers a second, a tenth of them with 0.9 s and the others with 6 s; refused ones come back as told. A second test holds what must not get worse: the targets' capacity is used.

--- a/policy/tests/fleet/mod.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -13,6 +13,7 @@
 use policy::Action;
 use policy::Input;
 use policy::Instance;
+use policy::exchange::Observation;
 use policy::feed::EntryChanges;
 use policy::feed::Release;
 use policy::feed::TargetEntry;
@@ -24,6 +25,7 @@
 use policy::instance::WorldSource;
 use policy::membership::Member;
 use policy::membership::Status;
+use policy::routing::RoutingTable;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -253,6 +255,16 @@
         self.at(back_us, Event::Return);
     }
 
+    /// What requests at an instance are placed by.
+    pub(crate) fn table(&self, number: usize) -> Arc<RoutingTable> {
+        self.nodes[number].instance.shared().table()
+    }
+
+    /// Tells an instance how an attempt ended.
+    pub(crate) fn observe(&mut self, number: usize, observation: Observation) {
+        self.tell(number, Input::Observed(observation));
+    }
+
     /// Targets that could still be placed on after the bound.
     pub(crate) fn late_placings(&self) -> &[LatePlacing] {
         &self.late
--- a/policy/tests/leaving.rs
+++ b/policy/tests/fleet/leaving.rs
@@ -3,11 +3,9 @@
 //! Plays a fleet against a registry that turns some instances away, or is away for
 //! all, while targets come and leave; messages are late, doubled and lost.
 
-mod fleet;
-
-use fleet::Fleet;
-use fleet::INSTANCES;
-use fleet::SECOND_US;
+use crate::fleet::Fleet;
+use crate::fleet::INSTANCES;
+use crate::fleet::SECOND_US;
 
 const SEEDS: u64 = 40;
 const END_US: u64 = 30 * SECOND_US;
@@ -81,6 +79,6 @@
         fleet.turn_away(INSTANCES, 8 * SECOND_US, 16 * SECOND_US);
         fleet.lapse(12 * SECOND_US, 17_500_000);
         fleet.run(END_US);
-        assert_eq!(fleet.fewest_in_use(), fleet::TARGETS, "seed {seed}");
+        assert_eq!(fleet.fewest_in_use(), crate::fleet::TARGETS, "seed {seed}");
     }
 }
--- /dev/null
+++ b/policy/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! A fleet without a network.
+
+mod crowded;
+mod fleet;
+mod leaving;
