Let in what few sound targets can finish, callers without time to come back first

Cause: with two sound targets left for 47 requests a second each instance sends on, and queues at the targets grow until they are longer than the shortest deadline. The class: a bound that each instance keeps (slots a target) and the fleet does not.

Where more is in flight to the sound targets than they can finish within the shortest deadline of the latest requests, times 2.5, each instance lets in its part of what they can finish, a rate and not a share, as those that are refused come back faster than the load is measured. Others are refused at once (code 207) with the time to come back. Callers that have no time to come back are let in ahead. event=service-crowded and sniperun_service_crowded show it.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -208,14 +208,17 @@
     }
 
     fn begin(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
-        self.table.load.retries.earn();
-        self.table.load.begun.fetch_add(1, Ordering::Relaxed);
-        if now_us >= self.request.deadline_us {
+        let left_us = self.request.deadline_us.saturating_sub(now_us);
+        let is_admitted = self.table.load.begin(left_us);
+        if left_us == 0 {
             return self.refuse_for(ResultCode::DeadlineTooNear, Some(1));
         }
         if self.table.candidates.is_empty() {
             return self.give_up(now_us, ResultCode::NoTarget, rng);
         }
+        if !is_admitted {
+            return self.give_up(now_us, ResultCode::Crowded, rng);
+        }
         if self.request.claims_key {
             self.state = State::Claiming;
             return Step::Claim;
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -135,6 +135,17 @@
         /// Id of the instance that told of the change; its own where the registry did.
         by: Arc<str>,
     },
+    /// A service's targets cannot finish all requests in time, or can again.
+    Crowded {
+        /// The service's name.
+        service: Arc<str>,
+        /// Requests a second that this instance admits, in thousandths; none if all.
+        admitted_milli: Option<u32>,
+        /// Slots of the targets that nothing speaks against.
+        slots: u32,
+        /// Requests a second on all instances, in thousandths.
+        fleet_milli: u64,
+    },
     /// The reserve of retries is shared with as many instances, this one included.
     RetryReserve {
         /// The number of instances.
--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -14,6 +14,7 @@
 use super::Message;
 use super::ToldLoad;
 use super::fleet_load::MeanLoad;
+use crate::limits::Crowding;
 use crate::routing::ServiceLoad;
 
 const PERIOD_US: u64 = 500_000;
@@ -39,6 +40,10 @@
 const ASSUMED_US: f64 = 500_000.0;
 /// Weight of one outcome in the share of overdue ones.
 const OVERDUE_WEIGHT: f64 = 0.1;
+/// Time for which the shortest deadline counts, in microseconds.
+const SHORTEST_KEPT_US: u64 = 5_000_000;
+/// Load, in parts of what the targets can finish, from which requests wait.
+const WAITING_LOAD: f64 = 0.8;
 /// Share of overdue outcomes above which the service as a whole is slow, and an
 /// overdue one says nothing of its target.
 const SLOW_SERVICE: f64 = 0.25;
@@ -54,6 +59,14 @@
     counted_s: f64,
     latency_us: f64,
     overdue_share: f64,
+    /// The shortest deadline of the latest requests, and when it was seen.
+    shortest: Option<(f64, u64)>,
+    /// Mean time of a request where none waits, as the whole fleet sees it, in seconds.
+    work_s: Option<f64>,
+    /// This instance's part of the fleet's requests while all were admitted.
+    part: f64,
+    /// Whether not all are.
+    is_crowded: bool,
 }
 
 /// The demand for each service, as measured by this instance.
@@ -94,7 +107,18 @@
 }
 
 impl ServiceDemand {
-    fn measure(&mut self, load: &ServiceLoad) {
+    fn measure(&mut self, now_us: u64, load: &ServiceLoad) {
+        let is_old = |(_, at_us): &(f64, u64)| now_us.saturating_sub(*at_us) > SHORTEST_KEPT_US;
+        self.shortest = self.shortest.filter(|shortest| !is_old(shortest));
+        if let Some(shortest_us) = load.take_shortest_us() {
+            let shortest_s = shortest_us as f64 / 1e6;
+            if self
+                .shortest
+                .is_none_or(|(known_s, _)| shortest_s <= known_s)
+            {
+                self.shortest = Some((shortest_s, now_us));
+            }
+        }
         let begun = load.begun.load(Ordering::Relaxed);
         let new = begun.saturating_sub(self.begun) as f64;
         let unserved = load.unserved.load(Ordering::Relaxed);
@@ -126,8 +150,48 @@
         self.counted / self.counted_s.max(f64::MIN_POSITIVE)
     }
 
+    /// Requests a second over the last seconds.
+    fn recent_per_s(&self) -> f64 {
+        self.recent * (1.0 - RECENT_KEPT) / (PERIOD_US as f64 / 1e6)
+    }
+
+    /// Requests a second that this instance admits, its part of what the whole fleet
+    /// does; none if it admits all.
+    fn admitted_per_s(&mut self, mean: MeanLoad, members: f64, slots: u32) -> Option<f64> {
+        let latency_s = mean.slots / mean.rate_per_s.max(f64::MIN_POSITIVE);
+        let work_s = self.work_s.unwrap_or(latency_s);
+        let rate_per_s = mean.recent_per_s * members;
+        let load = rate_per_s * work_s / f64::from(slots.max(1));
+        let is_waiting = load > WAITING_LOAD;
+        // Where requests wait, only a shorter time can be that of the work alone.
+        if !is_waiting || latency_s < work_s {
+            self.work_s = Some(latency_s);
+        }
+        let crowding = Crowding {
+            rate_per_s,
+            work_s: self.work_s.unwrap_or(latency_s),
+            slots,
+            in_flight: mean.in_flight * members,
+            shortest_s: mean.shortest_s.unwrap_or(f64::MAX),
+        };
+        let all_per_s = crowding.admitted_per_s(self.is_crowded);
+        self.is_crowded = all_per_s.is_some();
+        // Rates rise together while refused callers come back, but each is told late, so
+        // that the parts would come to more than the whole.
+        if !self.is_crowded {
+            self.part = self.rate_per_s() / (mean.rate_per_s * members).max(f64::MIN_POSITIVE);
+        }
+        all_per_s.map(|all_per_s| all_per_s * self.part)
+    }
+
+    /// The share of the requests that this instance admits.
+    fn admitted_share(&self, admitted_per_s: Option<f64>) -> f64 {
+        let per_s = self.rate_per_s().max(f64::MIN_POSITIVE);
+        admitted_per_s.map_or(1.0, |admitted_per_s| (admitted_per_s / per_s).min(1.0))
+    }
+
     /// The load as this instance sees it.
-    fn own_load(&self) -> MeanLoad {
+    fn own_load(&self, in_flight: u32) -> MeanLoad {
         let latency_us = if self.latency_us > 0.0 {
             self.latency_us
         } else {
@@ -137,6 +201,9 @@
         MeanLoad {
             slots: rate_per_s * latency_us / 1e6,
             rate_per_s,
+            recent_per_s: self.recent_per_s(),
+            in_flight: f64::from(in_flight),
+            shortest_s: self.shortest.map(|(shortest_s, _)| shortest_s),
         }
     }
 }
@@ -169,24 +236,41 @@
                 table.load.retries.set_reserve(all / members, PERIOD_US);
             }
             let demand = self.demand.services.entry(name.clone()).or_default();
-            demand.measure(&table.load);
-            let own = demand.own_load();
+            demand.measure(now_us, &table.load);
+            let in_flight = table.sound_in_flight(now_us);
+            let own = demand.own_load(in_flight);
             loads.push(ToldLoad {
                 service: name.clone(),
                 slots_milli: (own.slots * 1e3) as u32,
                 rate_milli: (own.rate_per_s * 1e3) as u32,
+                recent_milli: (own.recent_per_s * 1e3) as u32,
+                in_flight,
+                shortest_ms: own.shortest_s.map(|shortest_s| (shortest_s * 1e3) as u32),
             });
             let mean = self.fleet_load.mean(now_us, name, own);
             let fleet_rate_per_s = mean.rate_per_s * members;
             let load = &table.load;
             let strained = demand.is_strained(fleet_rate_per_s, silent_share);
             load.strained.store(strained, Ordering::Relaxed);
-            let needed = (mean.slots * members).ceil() as u32;
+            let slots = table.sound_slots(now_us);
+            let admitted_per_s = demand.admitted_per_s(mean, members, slots);
+            let admitted_share = demand.admitted_share(admitted_per_s);
+            let needed = (mean.slots * members * admitted_share).ceil() as u32;
             load.needed_slots.store(needed, Ordering::Relaxed);
-            let rate_milli = (fleet_rate_per_s * 1e3) as u64;
+            let rate_milli = (fleet_rate_per_s * admitted_share * 1e3) as u64;
             load.fleet_rate_milli.store(rate_milli, Ordering::Relaxed);
-            let local = (mean.slots * near).ceil() as u32;
+            let local = (mean.slots * near * admitted_share).ceil() as u32;
             load.local_slots.store(local, Ordering::Relaxed);
+            let work_s = demand.work_s.unwrap_or_default();
+            load.gate.set_work_us((work_s * 1e6) as u64);
+            if !load.gate.set(admitted_per_s, PERIOD_US) {
+                self.actions.push(Action::Log(Happening::Crowded {
+                    service: name.clone(),
+                    admitted_milli: admitted_per_s.map(|per_s| (per_s * 1e3) as u32),
+                    slots,
+                    fleet_milli: (mean.recent_per_s * members * 1e3) as u64,
+                }));
+            }
         }
         self.tell_loads(now_us, loads);
     }
--- a/policy/src/limits/mod.rs
+++ b/policy/src/limits/mod.rs
@@ -1,6 +1,8 @@
 //! Limits that keep load from growing on itself.
 
 mod admission;
+mod crowd_gate;
+mod crowding;
 mod customers;
 mod fair_queue;
 mod retry_budget;
@@ -8,6 +10,8 @@
 
 pub use admission::Admission;
 pub use admission::Admitted;
+pub use crowd_gate::CrowdGate;
+pub use crowding::Crowding;
 pub use customers::CustomerPlace;
 pub use customers::Customers;
 pub use fair_queue::FairQueue;
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 use rand::RngExt;
 
+use super::Candidate;
 use super::Need;
 use super::ServiceTable;
 
@@ -133,13 +134,32 @@
 
     /// Whether the load fills the targets that nothing speaks against.
     pub fn is_full(&self, now_us: u64) -> bool {
-        let undoubted = self
-            .candidates
-            .iter()
-            .filter(|candidate| candidate.load.doubt(now_us) <= UNDOUBTED);
+        let undoubted = self.undoubted(now_us);
         self.fill(undoubted.map(|candidate| candidate.target.slots).sum()) > SHORT_FILL
     }
 
+    /// Slots of the targets that nothing speaks against; the share that is used however
+    /// doubted the targets are, if that is more.
+    pub fn sound_slots(&self, now_us: u64) -> u32 {
+        let undoubted = self.undoubted(now_us);
+        let slots: u32 = undoubted.map(|candidate| candidate.target.slots).sum();
+        slots.max((f64::from(self.slots()) * LEAST_SHARE) as u32)
+    }
+
+    /// Requests in flight from this instance to the targets that nothing speaks against.
+    pub fn sound_in_flight(&self, now_us: u64) -> u32 {
+        let undoubted = self.undoubted(now_us);
+        undoubted.map(|candidate| candidate.load.in_flight()).sum()
+    }
+
+    /// The targets that nothing speaks against.
+    fn undoubted(&self, now_us: u64) -> impl Iterator<Item = &Candidate> {
+        let candidates = self.candidates.iter();
+        candidates.filter(move |candidate| {
+            !candidate.load.is_closed() && candidate.load.doubt(now_us) <= UNDOUBTED
+        })
+    }
+
     /// The share of a set's slots that the load takes up.
     fn fill_of(&self, set: &[(f64, usize)]) -> f64 {
         let slots = set.iter().map(|(_, at)| self.candidates[*at].target.slots);
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -131,6 +131,20 @@
             Happening::RetryReserve { instances } => {
                 log::info!("event=retry-reserve instances={instances}");
             }
+            Happening::Crowded {
+                service,
+                admitted_milli,
+                slots,
+                fleet_milli,
+            } => {
+                let admitted = match admitted_milli {
+                    Some(milli) => milli.to_string(),
+                    None => "all".to_owned(),
+                };
+                log::info!(
+                    "event=service-crowded service={service} admitted_milli={admitted} slots={slots} fleet_milli={fleet_milli}"
+                );
+            }
             Happening::StandsIn { view_age_ms } => {
                 log::info!("event=registry-stand-in view_age_ms={view_age_ms}");
             }
--- a/sniperund/src/metrics/gauges.rs
+++ b/sniperund/src/metrics/gauges.rs
@@ -53,6 +53,9 @@
         self.add_of_services("needed_slots", table, |service| {
             service.load.needed_slots.load(Ordering::Relaxed)
         });
+        self.add_of_services("crowded", table, |service| {
+            u8::from(!service.load.gate.is_open())
+        });
         self.add_of_services("retries_left", table, |service| service.load.retries.left());
         self.add_of_services("strained", table, |service| {
             u8::from(service.load.strained.load(Ordering::Relaxed))
