Send nothing to a target that began to leave while its connection was opened

What callers would see: requests at a leaving target up to 0.3 s after it was taken out, the time to open a connection, or later by a retry that holds an older table. Now it is asked again before the first byte leaves (not sent, another target is tried, and the target is not blamed), and replaced counters are closed.

Evidence: a_request_that_holds_an_older_table_reaches_no_former_process_of_a_target fails with the closing taken out. The look before sending has no test of its own.

--- a/policy/src/instance/tables.rs
+++ b/policy/src/instance/tables.rs
@@ -46,7 +46,13 @@
         }
         let load = match known {
             Some((old, load)) if same_load(old, target) => load.clone(),
-            _ => Arc::new(TargetLoad::new(target.slots)),
+            replaced => {
+                // Tables still in use know the target by its former address or process.
+                if let Some((_, load)) = replaced {
+                    load.close();
+                }
+                Arc::new(TargetLoad::new(target.slots))
+            }
         };
         if target.leaving {
             load.close();
--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -221,6 +221,15 @@
         self.at(at_us, Event::Leave);
     }
 
+    /// Starts the process of a target anew under its name.
+    pub(crate) fn restart_target(&mut self, number: u64) {
+        let restarted = Target {
+            incarnation: self.names,
+            ..target(number, false)
+        };
+        self.registry.put(TargetEntry::Stands(restarted));
+    }
+
     /// Turns some instances away from the registry for a while.
     pub(crate) fn turn_away(&mut self, count: usize, from_us: u64, until_us: u64) {
         let mut numbers: Vec<usize> = (0..INSTANCES).collect();
--- a/policy/tests/fleet/leaving.rs
+++ b/policy/tests/fleet/leaving.rs
@@ -3,6 +3,8 @@
 //! Plays a fleet against a registry that turns some instances away, or is away for
 //! all, while targets come and leave; messages are late, doubled and lost.
 
+use policy::routing::RoutingTable;
+
 use crate::fleet::Fleet;
 use crate::fleet::INSTANCES;
 use crate::fleet::SECOND_US;
@@ -82,3 +84,19 @@
         assert_eq!(fleet.fewest_in_use(), crate::fleet::TARGETS, "seed {seed}");
     }
 }
+
+#[test]
+fn a_request_that_holds_an_older_table_reaches_no_former_process_of_a_target() {
+    let mut fleet = Fleet::new(1);
+    fleet.run(3 * SECOND_US);
+    let older = fleet.table(0);
+    fleet.restart_target(3);
+    fleet.run(5 * SECOND_US);
+    let is_closed = |table: &RoutingTable| {
+        let mut candidates = table.services["gates"].candidates.iter();
+        let target = candidates.find(|candidate| &*candidate.target.name == "t003");
+        target.map(|target| target.load.is_closed())
+    };
+    assert_eq!(is_closed(&older), Some(true));
+    assert_eq!(is_closed(&fleet.table(0)), Some(false));
+}
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -23,6 +23,7 @@
 use policy::exchange::Observation;
 use policy::exchange::Reply;
 use policy::exchange::Step;
+use policy::routing::Candidate;
 
 use super::Entry;
 use super::body::AnswerBody;
@@ -146,7 +147,7 @@
 
     fn send(&mut self, attempt: usize, candidate: usize) {
         let table = self.call.exchange.table();
-        let target = table.candidates[candidate].target.clone();
+        let Candidate { target, load, .. } = table.candidates[candidate].clone();
         let now_us = self.entry.clock.now_us();
         let usual_us = self.call.usual_us();
         self.slow_us = usual_us.map(|usual_us| now_us + usual_us);
@@ -169,7 +170,7 @@
         let body = self.call.body.clone();
         let entry = self.entry.clone();
         let sending = async move {
-            let result = attempt_once(&entry, &target, fresh, parts, &body).await;
+            let result = attempt_once(&entry, &target, &load, fresh, parts, &body).await;
             Ended { attempt, result }
         };
         self.attempts.push(sending.boxed());
@@ -207,6 +208,7 @@
             Err(failure) => {
                 let (end, failure) = match failure {
                     SendFailure::NotSent => (AttemptEnd::NotSent, Failure::NotSent),
+                    SendFailure::Leaving => (AttemptEnd::Cancelled, Failure::NotSent),
                     SendFailure::Unreachable => (AttemptEnd::Unreachable, Failure::NotSent),
                     SendFailure::Cut => (AttemptEnd::Cut, Failure::Cut),
                     SendFailure::Silent => (AttemptEnd::Unreachable, Failure::Cut),
--- a/sniperund/src/callers/sending.rs
+++ b/sniperund/src/callers/sending.rs
@@ -9,6 +9,7 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use model::world::Target;
+use policy::routing::TargetLoad;
 
 use super::Entry;
 use super::body::CallerBody;
@@ -47,6 +48,7 @@
 pub(super) async fn attempt_once(
     entry: &Entry,
     target: &Target,
+    load: &TargetLoad,
     fresh: bool,
     head: Request<()>,
     body: &CallerBody,
@@ -60,6 +62,10 @@
         ErrorKind::TimedOut => SendFailure::Unreachable,
         _ => SendFailure::NotSent,
     })?;
+    // The target may have begun to leave while the connection was opened.
+    if load.is_closed() {
+        return Err(SendFailure::Leaving);
+    }
     let body = body.take().ok_or(SendFailure::NotSent)?;
     let response = connection.send(head.map(|()| body)).await?;
     Ok(Head {
--- a/sniperund/src/targets/connection.rs
+++ b/sniperund/src/targets/connection.rs
@@ -39,6 +39,9 @@
     /// No byte of the request has left.
     #[display("not sent")]
     NotSent,
+    /// The target leaves, and no byte of the request has left.
+    #[display("target leaves")]
+    Leaving,
     /// No connection was opened in time.
     #[display("unreachable")]
     Unreachable,
