Bound the head of a target's answer, and test bytes without end

A target in trouble may send bytes without end that are no answer, in a head or a body, until its caller closes. Heads were bounded by the library's 400 KB a connection; now 64 KB, as an instance may hold thousands of connections in 260 MB. Bodies were passed on as they come and closed with their caller; that is unchanged and now tested.

--- a/sniperund/src/targets/connection.rs
+++ b/sniperund/src/targets/connection.rs
@@ -33,6 +33,10 @@
 /// system's shortest. A link that was cut shows by the limit above.
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
 
+/// Bytes of an answer's head at most; the users' heads take under 1 KB, and a target in
+/// trouble may send bytes without end.
+const HEAD_LIMIT_BYTES: usize = 64 * 1024;
+
 /// Why no head of an answer came.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum SendFailure {
@@ -79,7 +83,9 @@
             .with_time(KEEP_ALIVE)
             .with_interval(KEEP_ALIVE);
         socket.set_tcp_keepalive(&keep_alive)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(HEAD_LIMIT_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = connection.await;
--- a/sniperund/tests/users/deployment.rs
+++ b/sniperund/tests/users/deployment.rs
@@ -92,12 +92,17 @@
         }
     }
 
+    /// The address that callers reach it at.
+    pub(crate) fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLERS_PORT)
+    }
+
     /// Sends a request with an id; none if the connection fails.
     pub(crate) async fn ask(&self, method: &str, path: &str, id: &str) -> Option<Answer> {
         let text = format!(
             "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 8000\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
         );
-        exchange(SocketAddr::new(self.ip, CALLERS_PORT), &text).await
+        exchange(self.callers(), &text).await
     }
 
     /// The status at the address that the balancer asks.
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod deployment;
+mod endless;
 mod outages;
 mod reload;
 mod requests;
--- a/standin/src/users/target.rs
+++ b/standin/src/users/target.rs
@@ -49,6 +49,12 @@
     Cuts,
     /// It sends a second answer after the first.
     AnswersTwice,
+    /// It sends bytes without end that are no answer.
+    EndlessBytes,
+    /// It sends the head of an answer without end.
+    EndlessHead,
+    /// It sends the body of an answer without end.
+    EndlessBody,
 }
 
 /// A request that reached a target.
@@ -69,6 +75,8 @@
     pub arrivals: Vec<Arrival>,
     /// The ids of the requests that it ran.
     pub ran: Vec<String>,
+    /// Bytes of each answer without end that its caller has closed.
+    pub endless_bytes: Vec<u64>,
 }
 
 #[derive(Default)]
@@ -223,6 +231,11 @@
             stream.set_zero_linger()?;
             return Ok(());
         }
+        if let Some((first, rest)) = endless_answer(script, &id) {
+            let sent = write_until_closed(&mut stream, first.as_bytes(), rest).await;
+            state.got.lock().endless_bytes.push(sent);
+            return Ok(());
+        }
         stream.write_all(&answer(script, &id, &state.id)).await?;
         if script == TargetScript::Cuts {
             return Ok(());
@@ -230,6 +243,29 @@
     }
 }
 
+/// How an answer without end begins, and what it goes on with.
+fn endless_answer(script: TargetScript, id: &str) -> Option<(String, &'static [u8])> {
+    let head =
+        format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: 3e1b.07\r\n");
+    match script {
+        TargetScript::EndlessBytes => Some((String::new(), &[0x5a; 4096])),
+        TargetScript::EndlessHead => Some((head + "x-more: ", &[b'a'; 4096])),
+        TargetScript::EndlessBody => Some((head + "\r\n", &[b'b'; 4096])),
+        _ => None,
+    }
+}
+
+/// Writes until the other side closes; gives the bytes that were taken.
+async fn write_until_closed(stream: &mut TcpStream, first: &[u8], rest: &[u8]) -> u64 {
+    let mut sent = 0;
+    let mut next = first;
+    while stream.write_all(next).await.is_ok() {
+        sent += next.len() as u64;
+        next = rest;
+    }
+    sent
+}
+
 /// The bytes of an answer of a request that ran.
 fn answer(script: TargetScript, id: &str, target: &str) -> Vec<u8> {
     let body = format!("ran {id} at {target}");
