Let no unfit entry or release hold up the rest of a change

What callers would see: leaving targets in use and releases not in force, for good, once one entry or release does not fit. An entry that another writer left under a name of over 128 bytes, or with a sign that names do not have, decodes well and then held up everything. The class: one part's fault taken for the whole's.

Now targets whose names or slots do not fit are left out, and where a release does not fit, the targets of known services are put in force all the same; a void release is logged once.

Evidence: a_target_under_an_unfit_name_holds_up_no_release_and_no_other_target and a_release_that_does_not_fit_holds_up_no_leaving_target fail before and pass now.

--- a/model/src/note/check.rs
+++ b/model/src/note/check.rs
@@ -14,6 +14,12 @@
 
 const MAX_NAME_BYTES: usize = 128;
 
+/// Whether an object can have this name.
+pub fn is_name(name: &str) -> bool {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_./".contains(c);
+    !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(plain)
+}
+
 /// An object whose own values can be checked against the world around it.
 pub(super) trait Check: Named {
     fn check(&self, world: &World) -> Result<()>;
@@ -35,10 +41,8 @@
     }
 
     fn check_name(&self) -> Result<()> {
-        let name = self.name();
-        let plain = |c: char| c.is_ascii_alphanumeric() || "-_./".contains(c);
         self.require(
-            !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(plain),
+            is_name(self.name()),
             "expected a name of 1 to 128 letters, digits and - _ . /",
         )
     }
--- a/policy/src/feed/world_feed.rs
+++ b/policy/src/feed/world_feed.rs
@@ -13,6 +13,7 @@
 use model::Note;
 use model::World;
 use model::note::Delta;
+use model::note::is_name;
 use model::world::Named;
 use model::world::Target;
 
@@ -314,6 +315,8 @@
         };
         let wanted = self.targets.values().map(|known| &known.target);
         let wanted = wanted.filter(|target| listed(&target.service).is_some());
+        // An entry that another writer left must not hold up all others.
+        let wanted = wanted.filter(|target| is_name(&target.name) && target.slots > 0);
         let mut note = Note {
             title: "registry".into(),
             targets: delta(wanted, &world.targets),
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use model::Note;
+use model::World;
 use model::world::Target;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -396,19 +398,26 @@
 
     /// Puts in force what differs between the registry and the world.
     fn follow_registry(&mut self) {
-        let Some((number, change)) = self.feed.change(self.log.world()) else {
+        let Some((mut number, mut change)) = self.feed.change(self.log.world()) else {
             return;
         };
         self.prepare_tables();
         self.shared
             .set_idle_limit_ms(self.feed.idle_limit_ms().unwrap_or(0));
-        let renumbered = number > self.log.number();
         if let Err(error) = self.log.adjust(number, &change) {
-            let reason = error.to_string();
-            self.actions
-                .push(Action::Log(Happening::NoteVoid { number, reason }));
-            return;
+            if std::mem::replace(&mut self.void_number, number) != number {
+                let reason = error.to_string();
+                self.actions
+                    .push(Action::Log(Happening::NoteVoid { number, reason }));
+            }
+            // Targets that leave do not wait for a release that fits.
+            number = self.log.number();
+            change = targets_only(&change, self.log.world());
+            if change.targets.is_empty() || self.log.adjust(number, &change).is_err() {
+                return;
+            }
         }
+        let renumbered = number > self.table.world.number;
         let put = change.targets.add.iter().chain(&change.targets.change);
         let put: Vec<Arc<str>> = put.map(|target| target.name.clone()).collect();
         let withdrawn = change.targets.withdraw.clone();
@@ -431,3 +440,16 @@
         self.tables.retry_reserve = self.shared_retry_reserve.map(|_| FIRST_RETRY_RESERVE);
     }
 }
+
+/// The part of a change that concerns targets of services that `world` has.
+fn targets_only(change: &Note, world: &World) -> Note {
+    let mut targets = change.targets.clone();
+    let is_served = |target: &Target| world.services.contains_key(&target.service);
+    targets.add.retain(is_served);
+    targets.change.retain(is_served);
+    Note {
+        title: change.title.clone(),
+        targets,
+        ..Note::default()
+    }
+}
--- a/policy/tests/lag.rs
+++ b/policy/tests/lag.rs
@@ -6,8 +6,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use model::world::Class;
+use model::world::Repeat;
 use model::world::Route;
 use model::world::RouteTerms;
+use model::world::Service;
 use model::world::Target;
 use policy::Action;
 use policy::Input;
@@ -284,3 +287,57 @@
     assert!(!ask(&mut informed, 3, Some(11)).iter().any(is_release));
     assert!(ask(&mut informed, 0, None).iter().any(is_release));
 }
+
+fn service(name: &str) -> Service {
+    Service {
+        name: name.into(),
+        class: Class::Command,
+        repeat: Repeat::Never,
+        time_limit_ms: 8_000,
+        floor_share: 0.7,
+        false_ejection_rate: 1e-6,
+        missed_detection_rate: 1e-6,
+        retry_share: 0.2,
+        queue: 32,
+        probe_path: "/health".into(),
+    }
+}
+
+fn tell_targets(instance: &mut Instance, revision: u64, names: &[&str]) {
+    let targets = names.iter().map(|name| target(name)).collect();
+    let news = RegistryNews::Targets { revision, targets };
+    instance.handle(revision, Input::Registry(news));
+}
+
+#[test]
+fn a_target_under_an_unfit_name_holds_up_no_release_and_no_other_target() {
+    let mut instance = instance("informed", "late");
+    tell_targets(&mut instance, 10, &["t-1", "not a name"]);
+    let release = Release {
+        services: vec![service("gates")],
+        ..release()
+    };
+    instance.handle(11, Input::Registry(RegistryNews::Release(release)));
+    assert_eq!(instance.world().number, 3);
+    assert!(instance.world().targets.contains_key("t-1"));
+}
+
+#[test]
+fn a_release_that_does_not_fit_holds_up_no_leaving_target() {
+    let mut instance = instance("informed", "late");
+    let first = Release {
+        services: vec![service("gates")],
+        ..release()
+    };
+    instance.handle(9, Input::Registry(RegistryNews::Release(first.clone())));
+    tell_targets(&mut instance, 10, &["t-1", "t-2"]);
+    let unfit = Release {
+        number: 4,
+        services: vec![service("gates"), service("not a name")],
+        ..first
+    };
+    instance.handle(11, Input::Registry(RegistryNews::Release(unfit)));
+    tell_targets(&mut instance, 12, &["t-2"]);
+    assert_eq!(instance.world().number, 3);
+    assert!(!instance.world().targets.contains_key("t-1"));
+}
