--- a/peers/tests/sizes.rs
+++ b/peers/tests/sizes.rs
@@ -48,9 +48,9 @@
         let load = ToldLoad {
             service: "huvo11a".into(),
             slots_milli: 1_250,
-            recent_milli: 240,
+            recent_milli: 2_700,
             in_flight: 1,
-            shortest_ms: Some(900),
+            shortest_steps: 18,
             rate_milli: 2_700,
         };
         bytes(Message::Loads(vec![load; count]))
--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -14,6 +14,7 @@
 use super::Message;
 use super::ToldLoad;
 use super::fleet_load::MeanLoad;
+use super::fleet_load::steps;
 use crate::limits::Crowding;
 use crate::routing::ServiceLoad;
 
@@ -245,7 +246,7 @@
                 rate_milli: (own.rate_per_s * 1e3) as u32,
                 recent_milli: (own.recent_per_s * 1e3) as u32,
                 in_flight,
-                shortest_ms: own.shortest_s.map(|shortest_s| (shortest_s * 1e3) as u32),
+                shortest_steps: steps(own.shortest_s),
             });
             let mean = self.fleet_load.mean(now_us, name, own);
             let fleet_rate_per_s = mean.rate_per_s * members;
--- a/policy/src/instance/fleet_load.rs
+++ b/policy/src/instance/fleet_load.rs
@@ -18,6 +18,9 @@
 /// What was told that is kept at most.
 const KEPT: usize = 64;
 
+/// Step in which deadlines are told, in milliseconds: those up to 12.7 s take one byte.
+pub(super) const STEP_MS: u64 = 50;
+
 /// The load of a service as one instance sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldLoad {
@@ -31,8 +34,8 @@
     pub recent_milli: u32,
     /// Requests in flight to targets that nothing speaks against.
     pub in_flight: u32,
-    /// The shortest deadline of the latest requests, in milliseconds.
-    pub shortest_ms: Option<u32>,
+    /// The shortest deadline of the latest requests, in steps of 50 ms; 0 if none.
+    pub shortest_steps: u8,
 }
 
 /// What some instances have told lately.
@@ -81,10 +84,7 @@
                 if is_latest {
                     sum.in_flight += f64::from(load.in_flight);
                 }
-                let shortest_s = load
-                    .shortest_ms
-                    .map(|shortest_ms| f64::from(shortest_ms) / 1e3);
-                shortest.extend(shortest_s);
+                shortest.extend(seconds(load.shortest_steps));
             }
         }
         MeanLoad {
@@ -97,6 +97,17 @@
     }
 }
 
+/// The steps that a deadline is told in, at least one.
+pub(super) fn steps(shortest_s: Option<f64>) -> u8 {
+    let steps = |shortest_s: f64| (shortest_s * 1e3 / STEP_MS as f64).clamp(1.0, 255.0);
+    shortest_s.map_or(0, |shortest_s| steps(shortest_s) as u8)
+}
+
+/// The deadline that was told in steps, in seconds.
+fn seconds(steps: u8) -> Option<f64> {
+    (steps > 0).then(|| f64::from(steps) * STEP_MS as f64 / 1e3)
+}
+
 /// The value that a quarter of some values do not exceed.
 fn lower_quarter(mut values: Vec<f64>) -> Option<f64> {
     values.sort_by(f64::total_cmp);
