Read the change once more: a file for view ages, no state or work twice

Behaviour stays as it is; what was found on reading: - instance/registry.rs had two jobs; telling answers, view ages and stand-ins are in view_age.rs, and asking for both parts again stands once. - That the registry is lost, and that a service is crowded, were kept twice (Currency, the gate); the time after which refused callers return stood twice. - Each answer of the registry made the instance look for differences of all targets, though an answer alone changes nothing; names of all targets were checked on each tick and are checked once; changes known already, which come six times, made it go through all targets. - Four test files built the same service. Not joined: the gate and the budget of retries are both buckets of tokens with other rules.

--- a/policy/src/feed/world_feed.rs
+++ b/policy/src/feed/world_feed.rs
@@ -58,6 +58,8 @@
 #[derive(Clone, Debug)]
 struct Known {
     target: Target,
+    /// Whether its values fit a world, as those that another writer left may not.
+    is_fit: bool,
     /// When it is taken out unless its entry comes back.
     out_at_us: Option<u64>,
 }
@@ -295,7 +297,9 @@
                 offered = Offered::Shortened;
             }
         }
-        self.tick(now_us);
+        if offered == Offered::Shortened {
+            self.tick(now_us);
+        }
         offered
     }
 
@@ -313,10 +317,10 @@
             let named = release.services.iter().any(|known| known.name == *service);
             named.then_some(())
         };
-        let wanted = self.targets.values().map(|known| &known.target);
+        // One that does not fit must not hold up all others.
+        let wanted = self.targets.values().filter(|known| known.is_fit);
+        let wanted = wanted.map(|known| &known.target);
         let wanted = wanted.filter(|target| listed(&target.service).is_some());
-        // An entry that another writer left must not hold up all others.
-        let wanted = wanted.filter(|target| is_name(&target.name) && target.slots > 0);
         let mut note = Note {
             title: "registry".into(),
             targets: delta(wanted, &world.targets),
@@ -332,6 +336,7 @@
 
     fn stands(&mut self, target: Target) {
         let known = Known {
+            is_fit: is_name(&target.name) && target.slots > 0,
             target,
             out_at_us: None,
         };
--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -66,8 +66,6 @@
     work_s: Option<f64>,
     /// This instance's part of the fleet's requests while all were admitted.
     part: f64,
-    /// Whether not all are.
-    is_crowded: bool,
 }
 
 /// The demand for each service, as measured by this instance.
@@ -158,7 +156,13 @@
 
     /// Requests a second that this instance admits, its part of what the whole fleet
     /// does; none if it admits all.
-    fn admitted_per_s(&mut self, mean: MeanLoad, members: f64, slots: u32) -> Option<f64> {
+    fn admitted_per_s(
+        &mut self,
+        mean: MeanLoad,
+        members: f64,
+        slots: u32,
+        is_crowded: bool,
+    ) -> Option<f64> {
         let latency_s = mean.slots / mean.rate_per_s.max(f64::MIN_POSITIVE);
         let work_s = self.work_s.unwrap_or(latency_s);
         let rate_per_s = mean.recent_per_s * members;
@@ -175,11 +179,10 @@
             in_flight: mean.in_flight * members,
             shortest_s: mean.shortest_s.unwrap_or(f64::MAX),
         };
-        let all_per_s = crowding.admitted_per_s(self.is_crowded);
-        self.is_crowded = all_per_s.is_some();
+        let all_per_s = crowding.admitted_per_s(is_crowded);
         // Rates rise together while refused callers come back, but each is told late, so
         // that the parts would come to more than the whole.
-        if !self.is_crowded {
+        if all_per_s.is_none() {
             self.part = self.rate_per_s() / (mean.rate_per_s * members).max(f64::MIN_POSITIVE);
         }
         all_per_s.map(|all_per_s| all_per_s * self.part)
@@ -254,7 +257,7 @@
             let strained = demand.is_strained(fleet_rate_per_s, silent_share);
             load.strained.store(strained, Ordering::Relaxed);
             let slots = table.sound_slots(now_us);
-            let admitted_per_s = demand.admitted_per_s(mean, members, slots);
+            let admitted_per_s = demand.admitted_per_s(mean, members, slots, !load.gate.is_open());
             let admitted_share = demand.admitted_share(admitted_per_s);
             let needed = (mean.slots * members * admitted_share).ceil() as u32;
             load.needed_slots.store(needed, Ordering::Relaxed);
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -76,7 +76,6 @@
     pub(super) lag: Lag,
     /// The peer heard last that was ahead, and how far it was.
     pub(super) ahead: Option<(Arc<str>, Extent)>,
-    pub(super) is_registry_lost: bool,
     /// Number of the latest release that did not fit, as it is logged once.
     pub(super) void_number: u64,
     /// Whether the registry has answered and others are not told yet.
@@ -129,7 +128,6 @@
             fleet_load: FleetLoad::default(),
             lag: Lag::default(),
             ahead: None,
-            is_registry_lost: false,
             void_number: 0,
             has_answer_to_tell: false,
             next_answers_us: 0,
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -20,6 +20,7 @@
 mod shared;
 mod steering;
 mod tables;
+mod view_age;
 
 pub use action::Action;
 pub use action::Happening;
--- a/policy/src/limits/crowd_gate.rs
+++ b/policy/src/limits/crowd_gate.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use super::return_advice::FULL_MS;
+
 const MILLI: f64 = 1e3;
 /// Requests that may be let in at once after a pause.
 const SAVED: f64 = 2.0;
@@ -15,7 +17,7 @@
 const AHEAD: f64 = 2.0;
 /// Time after which a refused caller is back, in microseconds: as it is told where the
 /// targets are full.
-const RETURN_US: u64 = 900_000;
+const RETURN_US: u64 = FULL_MS as u64 * 1_000;
 
 /// A gate that is open, or lets requests in at a bounded rate.
 #[derive(Debug)]
--- a/policy/src/limits/return_advice.rs
+++ b/policy/src/limits/return_advice.rs
@@ -14,7 +14,7 @@
 /// Where a target refused though the service has room.
 const OTHER_TARGET_MS: f64 = 250.0;
 /// Where the targets are full: about the time in which a request is done.
-const FULL_MS: f64 = 900.0;
+pub(super) const FULL_MS: f64 = 900.0;
 /// Times are spread from this share of the usual one to as much above it.
 const SPREAD: f64 = 0.5;
 /// Share of the time left that a caller stays away at most; callers of the
--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -6,9 +6,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use model::world::Class;
-use model::world::Repeat;
-use model::world::Service;
 use model::world::Target;
 use policy::Action;
 use policy::Input;
@@ -30,6 +27,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::support::service;
+
 pub(crate) const SECOND_US: u64 = 1_000_000;
 pub(crate) const INSTANCES: usize = 18;
 pub(crate) const TARGETS: usize = 12;
@@ -146,18 +145,7 @@
 }
 
 fn release() -> Release {
-    let service = Service {
-        name: "gates".into(),
-        class: Class::Command,
-        repeat: Repeat::Never,
-        time_limit_ms: 8_000,
-        floor_share: 0.7,
-        false_ejection_rate: 1e-6,
-        missed_detection_rate: 1e-6,
-        retry_share: 0.2,
-        queue: 32,
-        probe_path: "/health".into(),
-    };
+    let service = service("gates");
     Release {
         number: 1,
         services: vec![service],
--- a/policy/tests/fleet/main.rs
+++ b/policy/tests/fleet/main.rs
@@ -3,3 +3,5 @@
 mod crowded;
 mod fleet;
 mod leaving;
+#[path = "../support/mod.rs"]
+mod support;
--- a/policy/tests/lag.rs
+++ b/policy/tests/lag.rs
@@ -3,14 +3,13 @@
 //! Plays the load of a large fleet: changes follow each other, numbers travel with
 //! every message, and most changes arrive by themselves a moment later.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use model::world::Class;
-use model::world::Repeat;
 use model::world::Route;
 use model::world::RouteTerms;
-use model::world::Service;
 use model::world::Target;
 use policy::Action;
 use policy::Input;
@@ -30,6 +29,8 @@
 use policy::membership::Member;
 use policy::membership::Status;
 
+use support::service;
+
 const MS_US: u64 = 1_000;
 
 fn extent(targets: u64) -> Extent {
@@ -288,21 +289,6 @@
     assert!(ask(&mut informed, 0, None).iter().any(is_release));
 }
 
-fn service(name: &str) -> Service {
-    Service {
-        name: name.into(),
-        class: Class::Command,
-        repeat: Repeat::Never,
-        time_limit_ms: 8_000,
-        floor_share: 0.7,
-        false_ejection_rate: 1e-6,
-        missed_detection_rate: 1e-6,
-        retry_share: 0.2,
-        queue: 32,
-        probe_path: "/health".into(),
-    }
-}
-
 fn tell_targets(instance: &mut Instance, revision: u64, names: &[&str]) {
     let targets = names.iter().map(|name| target(name)).collect();
     let news = RegistryNews::Targets { revision, targets };
--- a/policy/tests/placing.rs
+++ b/policy/tests/placing.rs
@@ -1,11 +1,10 @@
 //! Where requests go by doubt, played against targets that fail in turn.
 
+mod support;
+
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use model::world::Class;
-use model::world::Repeat;
-use model::world::Service;
 use model::world::Target;
 use policy::evidence::Signal;
 use policy::evidence::Standing;
@@ -20,21 +19,12 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use support::service;
+
 const SECOND_US: u64 = 1_000_000;
 
 fn table(local: usize, far: usize) -> ServiceTable {
-    let service = Service {
-        name: "gates".into(),
-        class: Class::Command,
-        repeat: Repeat::Never,
-        time_limit_ms: 8_000,
-        floor_share: 0.7,
-        false_ejection_rate: 1e-6,
-        missed_detection_rate: 1e-6,
-        retry_share: 0.2,
-        queue: 32,
-        probe_path: "/health".into(),
-    };
+    let service = service("gates");
     let candidate = |number: usize| Candidate {
         target: Arc::new(Target {
             name: format!("gates-{number:02}").into(),
--- a/policy/tests/strain.rs
+++ b/policy/tests/strain.rs
@@ -3,13 +3,12 @@
 //! Plays the load of a hundred instances: each sees a few requests a second, and
 //! nobody hears of those that a frozen instance holds.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use model::world::Class;
-use model::world::Repeat;
-use model::world::Service;
 use model::world::Target;
 use policy::Input;
 use policy::Instance;
@@ -23,6 +22,8 @@
 use policy::membership::Member;
 use policy::membership::Status;
 
+use support::service;
+
 const SECOND_US: u64 = 1_000_000;
 const OTHERS: usize = 20;
 
@@ -39,18 +40,7 @@
 }
 
 fn release() -> Release {
-    let service = Service {
-        name: "gates".into(),
-        class: Class::Command,
-        repeat: Repeat::Never,
-        time_limit_ms: 8_000,
-        floor_share: 0.7,
-        false_ejection_rate: 1e-6,
-        missed_detection_rate: 1e-6,
-        retry_share: 0.2,
-        queue: 32,
-        probe_path: "/health".into(),
-    };
+    let service = service("gates");
     Release {
         number: 1,
         services: vec![service],
