--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -145,6 +145,12 @@
         slots: u32,
         /// Requests a second on all instances, in thousandths.
         fleet_milli: u64,
+        /// Requests in flight to these targets on all instances, as far as known.
+        in_flight: u32,
+        /// Time of a request at a target that nothing waits at, in milliseconds.
+        work_ms: u64,
+        /// The shortest deadline of the latest requests, in milliseconds; none if unknown.
+        shortest_ms: Option<u64>,
     },
     /// The reserve of retries is shared with as many instances, this one included.
     RetryReserve {
--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -273,6 +273,9 @@
                     admitted_milli: admitted_per_s.map(|per_s| (per_s * 1e3) as u32),
                     slots,
                     fleet_milli: (mean.recent_per_s * members * 1e3) as u64,
+                    in_flight: (mean.in_flight * members) as u32,
+                    work_ms: (work_s * 1e3) as u64,
+                    shortest_ms: mean.shortest_s.map(|shortest_s| (shortest_s * 1e3) as u64),
                 }));
             }
         }
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -136,13 +136,16 @@
                 admitted_milli,
                 slots,
                 fleet_milli,
+                in_flight,
+                work_ms,
+                shortest_ms,
             } => {
                 let admitted = match admitted_milli {
                     Some(milli) => milli.to_string(),
                     None => "all".to_owned(),
                 };
                 log::info!(
-                    "event=service-crowded service={service} admitted_milli={admitted} slots={slots} fleet_milli={fleet_milli}"
+                    "event=service-crowded service={service} admitted_milli={admitted} slots={slots} fleet_milli={fleet_milli} in_flight={in_flight} work_ms={work_ms} shortest_ms={shortest_ms:?}"
                 );
             }
             Happening::StandsIn { view_age_ms } => {
