--- a/policy/tests/fleet/crowded.rs
+++ b/policy/tests/fleet/crowded.rs
@@ -1,78 +1,30 @@
 //! What callers get while few targets are left for the load of all.
-//!
-//! Spells hold ten of twelve targets, which reset what they get. Most callers have
-//! six seconds, some have less than one; those refused come back as they are told.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
-use std::collections::BinaryHeap;
-use std::collections::VecDeque;
-use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
-use policy::exchange::AttemptEnd;
-use policy::exchange::Event;
-use policy::exchange::Exchange;
-use policy::exchange::Failure;
-use policy::exchange::Observation;
-use policy::exchange::Request;
-use policy::exchange::Step;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
-
-use crate::fleet::Fleet;
-use crate::fleet::INSTANCES;
+use crate::crowd::Account;
+use crate::crowd::Crowd;
+use crate::crowd::Scenario;
+use crate::crowd::Spell;
+use crate::crowd::Story;
 use crate::fleet::SECOND_US;
 use crate::fleet::TARGETS;
 
 const SEEDS: u64 = 8;
-const CALM_PER_S: f64 = 40.0;
-const CROWDED_PER_S: f64 = 47.0;
-/// Share of the callers that have little time.
-const HURRIED: f64 = 0.1;
-const HURRIED_US: u64 = 900_000;
-const PATIENT_US: u64 = 6 * SECOND_US;
-/// Time of a request at a target: the least, and the mean of what varies.
-const WORK_US: u64 = 350_000;
-const VARYING_WORK_US: f64 = 280_000.0;
-/// Times that a caller comes back after it was refused.
-const RETURNS: u32 = 3;
-const SLOTS: usize = 6;
-/// Requests that wait at a target before it refuses more.
-const QUEUE: usize = 24;
-const CROWDED_FROM_US: u64 = 20 * SECOND_US;
 /// From when the crowded state is judged.
 const JUDGED_FROM_US: u64 = 23 * SECOND_US;
 const END_US: u64 = 33 * SECOND_US;
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Happens {
-    Arrives {
-        deadline_us: u64,
-        first_us: u64,
-        returns: u32,
-    },
-    Finishes(u64),
-    RunsOut(u64),
-}
-
-struct Work {
-    node: usize,
-    exchange: Exchange,
-    attempt: usize,
-    target: Arc<str>,
-    sent_us: u64,
-    first_us: u64,
-    returns: u32,
-    is_hurried: bool,
-}
-
-#[derive(Default)]
-struct Place {
-    running: BTreeSet<u64>,
-    waiting: VecDeque<u64>,
-}
+/// Days drawn in CI; `CROWD_DAYS` asks for others, `CROWD_FROM` for the first seed.
+const DAYS: u64 = 60;
+/// Time in which the fleet learns of a change.
+const LEARNING_US: u64 = SECOND_US;
+/// Requests on added routes from which the users' rule holds.
+const ENOUGH: u32 = 20;
+/// The users' objective.
+const OBJECTIVE_US: u64 = 2 * SECOND_US;
+const LATE_WORTH: f64 = 0.3;
 
 /// Callers by the time that they have.
 #[derive(Clone, Copy, Debug, Default)]
@@ -82,245 +34,58 @@
 }
 
 impl Callers {
-    fn share(self) -> f64 {
-        f64::from(self.served) / f64::from(self.asked.max(1))
-    }
-}
-
-struct Crowd {
-    fleet: Fleet,
-    now_us: u64,
-    events: BinaryHeap<Reverse<(u64, u64, Happens)>>,
-    works: BTreeMap<u64, Work>,
-    places: BTreeMap<Arc<str>, Place>,
-    failing: BTreeSet<Arc<str>>,
-    next: u64,
-    rng: ChaCha8Rng,
-    hurried: Callers,
-    patient: Callers,
-}
-
-impl Crowd {
-    fn new(seed: u64) -> Self {
-        Self {
-            fleet: Fleet::new(seed),
-            now_us: 0,
-            events: BinaryHeap::new(),
-            works: BTreeMap::new(),
-            places: BTreeMap::new(),
-            failing: BTreeSet::new(),
-            next: 0,
-            rng: ChaCha8Rng::seed_from_u64(seed),
-            hurried: Callers::default(),
-            patient: Callers::default(),
-        }
-    }
-
-    fn play(mut self) -> (Callers, Callers) {
-        let mut at_us = 2 * SECOND_US;
-        while at_us < END_US {
-            let rate = match at_us < CROWDED_FROM_US {
-                true => CALM_PER_S,
-                false => CROWDED_PER_S,
-            };
-            at_us += self.exponential(1e6 / rate);
-            let is_hurried = self.rng.random_bool(HURRIED);
-            let limit_us = if is_hurried { HURRIED_US } else { PATIENT_US };
-            let arrives = Happens::Arrives {
-                deadline_us: at_us + limit_us,
-                first_us: at_us,
-                returns: 0,
-            };
-            self.at(at_us, arrives);
-        }
-        while let Some(Reverse((at_us, _, happens))) = self.events.pop() {
-            self.fleet.run(at_us);
-            self.now_us = at_us;
-            if at_us >= CROWDED_FROM_US && self.failing.is_empty() {
-                self.failing = (2..TARGETS).map(|at| format!("t{at:03}").into()).collect();
-            }
-            match happens {
-                Happens::Arrives {
-                    deadline_us,
-                    first_us,
-                    returns,
-                } => self.arrive(deadline_us, first_us, returns),
-                Happens::Finishes(id) => self.finish(id),
-                Happens::RunsOut(id) => self.run_out(id),
-            }
-        }
-        (self.hurried, self.patient)
-    }
-
-    fn exponential(&mut self, mean_us: f64) -> u64 {
-        let drawn: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
-        (-drawn.ln() * mean_us) as u64
-    }
-
-    fn at(&mut self, at_us: u64, happens: Happens) {
-        self.next += 1;
-        self.events.push(Reverse((at_us, self.next, happens)));
-    }
-
-    fn callers(&mut self, work: &Work) -> Option<&mut Callers> {
-        let is_judged = (JUDGED_FROM_US..END_US).contains(&work.first_us);
-        is_judged.then_some(match work.is_hurried {
-            true => &mut self.hurried,
-            false => &mut self.patient,
-        })
-    }
-
-    fn arrive(&mut self, deadline_us: u64, first_us: u64, returns: u32) {
-        let node = self.rng.random_range(0..INSTANCES);
-        let table = self.fleet.table(node).services["gates"].clone();
-        let request = Request {
-            deadline_us,
-            caller_deadline_us: deadline_us,
-            claims_key: false,
-            replayable: true,
-            repeatable: true,
-            max_attempts: 2,
-        };
-        let mut work = Work {
-            node,
-            exchange: Exchange::new(request, table),
-            attempt: 0,
-            target: "".into(),
-            sent_us: self.now_us,
-            first_us,
-            returns,
-            is_hurried: deadline_us - first_us == HURRIED_US,
-        };
-        if returns == 0
-            && let Some(callers) = self.callers(&work)
-        {
+    fn of<'a>(stories: impl Iterator<Item = &'a Story>) -> Self {
+        let mut callers = Self::default();
+        for story in stories.filter(|story| !story.is_lost) {
             callers.asked += 1;
+            callers.served += u32::from(story.served_us.is_some());
         }
-        let step = work.exchange.on(self.now_us, Event::Begin, &mut self.rng);
-        self.next += 1;
-        let id = self.next;
-        self.events
-            .push(Reverse((deadline_us, id, Happens::RunsOut(id))));
-        self.follow(id, work, step, deadline_us);
-    }
-
-    fn follow(&mut self, id: u64, mut work: Work, mut step: Step, deadline_us: u64) {
-        loop {
-            step = match step {
-                Step::Send { attempt, candidate } => {
-                    work.attempt = attempt;
-                    work.sent_us = self.now_us;
-                    let table = work.exchange.table();
-                    work.target = table.candidates[candidate].target.name.clone();
-                    if self.failing.contains(&work.target) {
-                        self.fail(&mut work, AttemptEnd::Cut, Failure::Cut)
-                    } else if self.enter(id, &work.target) {
-                        self.works.insert(id, work);
-                        return;
-                    } else {
-                        self.fail(&mut work, AttemptEnd::Shed, Failure::Refused)
-                    }
-                }
-                Step::Reply(reply) => {
-                    let left_us = deadline_us.saturating_sub(self.now_us);
-                    let after_us = reply.retry_after_ms.unwrap_or(u64::MAX / 2_000) * 1_000;
-                    if after_us <= left_us / 3 && work.returns < RETURNS {
-                        let arrives = Happens::Arrives {
-                            deadline_us,
-                            first_us: work.first_us,
-                            returns: work.returns + 1,
-                        };
-                        self.at(self.now_us + after_us, arrives);
-                    }
-                    return;
-                }
-                _ => return,
-            };
-        }
-    }
-
-    fn fail(&mut self, work: &mut Work, end: AttemptEnd, failure: Failure) -> Step {
-        self.observe(work, end);
-        let attempt = work.attempt;
-        let failed = Event::Failed { attempt, failure };
-        work.exchange.on(self.now_us, failed, &mut self.rng)
+        callers
     }
 
-    fn observe(&mut self, work: &Work, end: AttemptEnd) {
-        let observation = Observation {
-            service: "gates".into(),
-            target: work.target.clone(),
-            end,
-            counted: false,
-        };
-        self.fleet.observe(work.node, observation);
-    }
-
-    /// Takes a request to a target; false if it has no room for it.
-    fn enter(&mut self, id: u64, target: &Arc<str>) -> bool {
-        let place = self.places.entry(target.clone()).or_default();
-        if place.waiting.len() >= QUEUE {
-            return false;
-        }
-        place.waiting.push_back(id);
-        self.start_next(target);
-        true
-    }
-
-    fn start_next(&mut self, target: &Arc<str>) {
-        let place = self.places.entry(target.clone()).or_default();
-        if place.running.len() >= SLOTS {
-            return;
-        }
-        let Some(id) = place.waiting.pop_front() else {
-            return;
-        };
-        place.running.insert(id);
-        let work_us = WORK_US + self.exponential(VARYING_WORK_US);
-        self.at(self.now_us + work_us, Happens::Finishes(id));
-    }
-
-    fn leave(&mut self, id: u64, target: &Arc<str>) {
-        let place = self.places.entry(target.clone()).or_default();
-        place.running.remove(&id);
-        place.waiting.retain(|waiting| *waiting != id);
-        self.start_next(target);
+    fn share(self) -> f64 {
+        f64::from(self.served) / f64::from(self.asked.max(1))
     }
+}
 
-    fn finish(&mut self, id: u64) {
-        let Some(mut work) = self.works.remove(&id) else {
-            return;
-        };
-        self.leave(id, &work.target);
-        let latency_us = self.now_us - work.sent_us;
-        let good = true;
-        self.observe(&work, AttemptEnd::Answered { good, latency_us });
-        let head = Event::Head {
-            attempt: work.attempt,
-            status: 200,
-        };
-        work.exchange.on(self.now_us, head, &mut self.rng);
-        work.exchange.on(self.now_us, Event::Ended, &mut self.rng);
-        if let Some(callers) = self.callers(&work) {
-            callers.served += 1;
-        }
-    }
+/// The hurried and the patient callers that came first within some spans.
+fn callers(account: &Account, spans: &[(u64, u64)]) -> (Callers, Callers) {
+    let within = |story: &&Story| {
+        let mut spans = spans.iter();
+        spans.any(|(from_us, until_us)| (*from_us..*until_us).contains(&story.first_us))
+    };
+    let stories = || account.stories.iter().filter(within);
+    let hurried = Callers::of(stories().filter(|story| story.is_hurried));
+    let patient = Callers::of(stories().filter(|story| !story.is_hurried));
+    (hurried, patient)
+}
 
-    fn run_out(&mut self, id: u64) {
-        let Some(mut work) = self.works.remove(&id) else {
-            return;
-        };
-        self.leave(id, &work.target);
-        self.observe(&work, AttemptEnd::Cancelled);
-        work.exchange
-            .on(self.now_us, Event::Deadline, &mut self.rng);
+/// Ten of twelve targets reset all that they get.
+fn two_targets_left() -> Scenario {
+    Scenario {
+        targets: TARGETS,
+        spells: vec![Spell {
+            from_us: 20 * SECOND_US,
+            until_us: 50 * SECOND_US,
+            sound: 2,
+        }],
+        reset: 1.0,
+        restart_us: None,
+        calm_per_s: 40.0,
+        spell_per_s: 47.0,
+        hurried: 0.1,
+        hurried_us: 900_000,
+        hurried_return: true,
+        work_us: 630_000.0,
+        end_us: END_US,
     }
 }
 
 #[test]
 fn callers_with_little_time_are_not_starved_by_those_with_much() {
     for seed in 0..SEEDS {
-        let (hurried, patient) = Crowd::new(seed).play();
+        let account = Crowd::new(seed, two_targets_left()).play();
+        let (hurried, patient) = callers(&account, &[(JUDGED_FROM_US, END_US)]);
         assert!(
             hurried.share() > patient.share() / 4.0,
             "seed {seed}: {hurried:?} {patient:?}"
@@ -330,14 +95,169 @@
 
 #[test]
 fn a_crowd_at_few_targets_is_served_as_far_as_they_can() {
-    let can = 2.0 * SLOTS as f64 / ((WORK_US as f64 + VARYING_WORK_US) / 1e6);
+    let scenario = two_targets_left();
+    let can_per_s = scenario.can_per_s(2);
     for seed in 0..SEEDS {
-        let (hurried, patient) = Crowd::new(seed).play();
+        let account = Crowd::new(seed, scenario.clone()).play();
+        let (hurried, patient) = callers(&account, &[(JUDGED_FROM_US, END_US)]);
         let served = f64::from(hurried.served + patient.served);
         let span_s = (END_US - JUDGED_FROM_US) as f64 / 1e6;
         assert!(
-            served > 0.8 * can * span_s,
+            served > 0.8 * can_per_s * span_s,
             "seed {seed}: {hurried:?} {patient:?}"
         );
     }
 }
+
+/// What broke on a drawn day, and what it was worth.
+#[derive(Debug, Default)]
+struct Verdict {
+    /// Hurried callers served less than a quarter as often as the others.
+    starves: bool,
+    /// Hurried callers served less than half as often as the others in a spell, and fewer
+    /// than half of what the sound targets could finish.
+    neglects: bool,
+    /// Under 0.8 of what the sound targets can finish, or of what was asked, is served.
+    wastes: bool,
+    /// Sends to sound targets in spells, and those known to be in vain.
+    sends: u32,
+    vain: u32,
+    worth: f64,
+    hurried: Callers,
+    patient: Callers,
+}
+
+impl Verdict {
+    fn of(scenario: &Scenario, account: &Account) -> Self {
+        let mut verdict = Self::default();
+        let mut crowded = Vec::new();
+        for spell in scenario.spells.iter().filter(|spell| spell.sound > 0) {
+            let spans = learned_spans(scenario, spell);
+            let (hurried, patient) = callers(account, &spans);
+            let span_us: u64 = spans
+                .iter()
+                .map(|(from_us, until_us)| until_us - from_us)
+                .sum();
+            let span_s = span_us as f64 / 1e6;
+            let can = scenario.can_per_s(spell.sound) * span_s;
+            let enough = hurried.asked >= ENOUGH && patient.asked >= ENOUGH;
+            verdict.neglects |= enough
+                && hurried.share() < patient.share() / 2.0
+                && f64::from(hurried.served) < can / 2.0;
+            let served = f64::from(hurried.served + patient.served);
+            let asked = f64::from(hurried.asked + patient.asked);
+            verdict.wastes |= enough && served < 0.8 * can.min(asked);
+            crowded.extend(spans);
+        }
+        (verdict.hurried, verdict.patient) = callers(account, &crowded);
+        verdict.starves = verdict.hurried.asked >= ENOUGH
+            && verdict.hurried.share() < verdict.patient.share() / 4.0;
+        for (first_us, in_vain) in &account.sends {
+            let is_crowded = |span: &(u64, u64)| (span.0..span.1).contains(first_us);
+            if crowded.iter().any(is_crowded) {
+                verdict.sends += 1;
+                verdict.vain += u32::from(*in_vain);
+            }
+        }
+        let patient = account.stories.iter().filter(|story| !story.is_hurried);
+        let (earned, owed) = patient.fold((0.0, 0.0), |(earned, owed), story| {
+            let worth = story.served_us.map_or(0.0, |served_us| {
+                match served_us - story.first_us <= OBJECTIVE_US {
+                    true => 1.0,
+                    false => LATE_WORTH,
+                }
+            });
+            (earned + worth, owed + 1.0)
+        });
+        verdict.worth = earned / owed;
+        verdict
+    }
+}
+
+/// The parts of a spell in which the fleet has had time to learn of it, and of itself
+/// after a restart.
+fn learned_spans(scenario: &Scenario, spell: &Spell) -> Vec<(u64, u64)> {
+    let from_us = spell.from_us + LEARNING_US;
+    let split = scenario.restart_us;
+    let split = split.filter(|at_us| (spell.from_us..spell.until_us).contains(at_us));
+    let spans = match split {
+        Some(at_us) => vec![(from_us, at_us), (at_us + LEARNING_US, spell.until_us)],
+        None => vec![(from_us, spell.until_us)],
+    };
+    spans
+        .into_iter()
+        .filter(|(from, until)| from < until)
+        .collect()
+}
+
+fn number(variable: &str, default: u64) -> u64 {
+    let text = std::env::var(variable).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Plays drawn days on some threads.
+fn drawn_days() -> Vec<(u64, Verdict)> {
+    let (first, count) = (number("CROWD_FROM", 0), number("CROWD_DAYS", DAYS));
+    let next = AtomicU64::new(first);
+    let play = || {
+        let mut verdicts = Vec::new();
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= first + count {
+                return verdicts;
+            }
+            let scenario = Scenario::drawn(seed);
+            let account = Crowd::new(seed, scenario.clone()).play();
+            verdicts.push((seed, Verdict::of(&scenario, &account)));
+        }
+    };
+    let mut verdicts: Vec<(u64, Verdict)> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..4).map(|_| scope.spawn(play)).collect();
+        let ended = threads.into_iter().map(|thread| thread.join());
+        ended
+            .flat_map(|verdicts| verdicts.expect("it plays"))
+            .collect()
+    });
+    verdicts.sort_by_key(|(seed, _)| *seed);
+    verdicts
+}
+
+#[test]
+fn no_crowd_at_few_targets_starves_callers_with_little_time_or_wastes_what_they_can_do() {
+    let days = drawn_days();
+    let seeds = |broken: fn(&Verdict) -> bool| -> Vec<u64> {
+        let days = days.iter().filter(|(_, verdict)| broken(verdict));
+        days.map(|(seed, _)| *seed).collect()
+    };
+    let mean = |figure: fn(&Verdict) -> f64| {
+        days.iter().map(|(_, verdict)| figure(verdict)).sum::<f64>() / days.len() as f64
+    };
+    let sum =
+        |figure: fn(&Verdict) -> u32| days.iter().map(|(_, verdict)| figure(verdict)).sum::<u32>();
+    let (starves, neglects) = (seeds(|day| day.starves), seeds(|day| day.neglects));
+    let wastes = seeds(|day| day.wastes);
+    let broken = seeds(|day| day.starves || day.neglects || day.wastes);
+    println!(
+        "days {} broken {} starves {} neglects {} wastes {} sends {} in vain {} worth {:.4} hurried {:.4} patient {:.4}",
+        days.len(),
+        broken.len(),
+        starves.len(),
+        neglects.len(),
+        wastes.len(),
+        sum(|day| day.sends),
+        sum(|day| day.vain),
+        mean(|day| day.worth),
+        mean(|day| day.hurried.share()),
+        mean(|day| day.patient.share()),
+    );
+    let first = |seeds: &[u64]| seeds.iter().take(8).copied().collect::<Vec<_>>();
+    assert!(
+        broken.is_empty(),
+        "{} of {} days; starves {:?} neglects {:?} wastes {:?}",
+        broken.len(),
+        days.len(),
+        first(&starves),
+        first(&neglects),
+        first(&wastes),
+    );
+}
--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -113,6 +113,8 @@
     late: Vec<LatePlacing>,
     fewest_in_use: usize,
     names: u64,
+    targets: usize,
+    seed: u64,
 }
 
 fn member(number: usize) -> Member {
@@ -157,40 +159,31 @@
 impl Fleet {
     /// A fleet whose instances know each other and the first targets.
     pub(crate) fn new(seed: u64) -> Self {
+        Self::with_targets(seed, TARGETS)
+    }
+
+    /// The same with another number of targets.
+    pub(crate) fn with_targets(seed: u64, targets: usize) -> Self {
         let mut registry = Registry::default();
-        for number in 0..TARGETS as u64 {
+        for number in 0..targets as u64 {
             registry.put(TargetEntry::Stands(target(number, false)));
         }
-        let node = |number: usize| {
-            let mut settings = policy::Settings::new(member(number), seed + number as u64);
-            settings.evidence = EvidenceSharing::Alerts;
-            settings.source = WorldSource::Registry;
-            Node {
-                instance: Instance::new(settings),
-                follower: Follower::default(),
-                away: Vec::new(),
-                is_dead: false,
-            }
-        };
         let mut fleet = Self {
             now_us: 0,
-            nodes: (0..INSTANCES).map(node).collect(),
+            nodes: Vec::new(),
             registry,
             events: BinaryHeap::new(),
             on_the_way: BTreeMap::new(),
             sequence: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             late: Vec::new(),
-            fewest_in_use: TARGETS,
-            names: TARGETS as u64,
+            fewest_in_use: targets,
+            names: targets as u64,
+            targets,
+            seed,
         };
+        fleet.start(1);
         for number in 0..INSTANCES {
-            let members: Vec<Member> = (0..INSTANCES).map(member).collect();
-            for _ in 0..2 {
-                let members = PlatformAnswer::Instances(members.clone());
-                fleet.tell(number, Input::Platform(members));
-            }
-            fleet.tell(number, Input::Registry(RegistryNews::Release(release())));
             let tick_us = fleet.draw(TICK_US);
             fleet.at(tick_us, Event::Tick(number));
             let poll_us = fleet.draw(POLL_US);
@@ -199,6 +192,40 @@
         fleet
     }
 
+    /// Lets all instances start anew.
+    pub(crate) fn restart(&mut self) {
+        let started = self.nodes[0].instance.membership().own().incarnation;
+        self.on_the_way.clear();
+        self.start(started + 1);
+    }
+
+    fn start(&mut self, incarnation: u64) {
+        let own = |number: usize| Member {
+            incarnation,
+            ..member(number)
+        };
+        let node = |number: usize| {
+            let mut settings = policy::Settings::new(own(number), self.seed + number as u64);
+            settings.evidence = EvidenceSharing::Alerts;
+            settings.source = WorldSource::Registry;
+            Node {
+                instance: Instance::new(settings),
+                follower: Follower::default(),
+                away: Vec::new(),
+                is_dead: false,
+            }
+        };
+        self.nodes = (0..INSTANCES).map(node).collect();
+        for number in 0..INSTANCES {
+            let members: Vec<Member> = (0..INSTANCES).map(own).collect();
+            for _ in 0..2 {
+                let members = PlatformAnswer::Instances(members.clone());
+                self.tell(number, Input::Platform(members));
+            }
+            self.tell(number, Input::Registry(RegistryNews::Release(release())));
+        }
+    }
+
     /// A number below `limit`.
     pub(crate) fn draw(&mut self, limit: u64) -> u64 {
         self.rng.random_range(0..limit)
@@ -274,44 +301,50 @@
 
     /// Plays until a time.
     pub(crate) fn run(&mut self, until_us: u64) {
-        while let Some(Reverse((at_us, ..))) = self.events.peek()
-            && *at_us <= until_us
-        {
-            let Some(Reverse((at_us, sequence, event))) = self.events.pop() else {
-                return;
-            };
-            self.now_us = at_us;
-            match event {
-                Event::Tick(number) => {
-                    self.tell(number, Input::Tick);
-                    self.at(at_us + TICK_US, Event::Tick(number));
-                }
-                Event::Poll(number) => {
-                    self.poll(number);
-                    self.check(number);
-                    self.at(at_us + POLL_US, Event::Poll(number));
-                }
-                Event::Deliver(number) => {
-                    if let Some(envelope) = self.on_the_way.remove(&sequence) {
-                        self.tell(number, Input::Received(envelope));
-                    }
+        while self.step(until_us) {}
+        self.now_us = until_us;
+    }
+
+    /// Plays what happens next; false if nothing does until a time.
+    fn step(&mut self, until_us: u64) -> bool {
+        let next = self.events.peek();
+        if next.is_none_or(|Reverse((at_us, ..))| *at_us > until_us) {
+            return false;
+        }
+        let Some(Reverse((at_us, sequence, event))) = self.events.pop() else {
+            return false;
+        };
+        self.now_us = at_us;
+        match event {
+            Event::Tick(number) => {
+                self.tell(number, Input::Tick);
+                self.at(at_us + TICK_US, Event::Tick(number));
+            }
+            Event::Poll(number) => {
+                self.poll(number);
+                self.check(number);
+                self.at(at_us + POLL_US, Event::Poll(number));
+            }
+            Event::Deliver(number) => {
+                if let Some(envelope) = self.on_the_way.remove(&sequence) {
+                    self.tell(number, Input::Received(envelope));
                 }
-                Event::Leave => self.leave(),
-                Event::Lapse => {
-                    let names: Vec<_> = self.registry.standing.keys().cloned().collect();
-                    for name in names {
-                        self.registry.put(TargetEntry::Removed(name));
-                    }
+            }
+            Event::Leave => self.leave(),
+            Event::Lapse => {
+                let names: Vec<_> = self.registry.standing.keys().cloned().collect();
+                for name in names {
+                    self.registry.put(TargetEntry::Removed(name));
                 }
-                Event::Return => {
-                    for number in 0..TARGETS as u64 {
-                        self.registry
-                            .put(TargetEntry::Stands(target(number, false)));
-                    }
+            }
+            Event::Return => {
+                for number in 0..self.targets as u64 {
+                    self.registry
+                        .put(TargetEntry::Stands(target(number, false)));
                 }
             }
         }
-        self.now_us = until_us;
+        true
     }
 
     fn at(&mut self, at_us: u64, event: Event) -> u64 {
--- a/policy/tests/fleet/main.rs
+++ b/policy/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! A fleet without a network.
 
+mod crowd;
 mod crowded;
 mod fleet;
 mod leaving;
