Bound what waits at the targets of a crowded service by one book a target

Cause: each instance bounded what it sent to the few sound targets, by its own share of an estimate, and the fleet did not. The gate closed up to 4 s late, since it waited for what is in flight, which is told late and was taken for 20 to 203 in one second; closing let 56 requests a second through where 9.5 were meant; a target of six slots had 29 to 44 requests when one with under a second was sent to it; after a restart of all nothing was known.

Now: a crowd is judged by what each instance knows at once, the sound slots and the load before, also at the moment a doubt changes sides. While it lasts, a request asks the home of its target (rendezvous hash) for a permit; the home knows what is in flight there, admits what is done before the shortest deadline, lets callers that cannot come back wait a little longer, and the rest is refused at once. A lost question or a home that is silent costs one request 125 ms; then requests go by the part that the targets can finish. Nothing is stored; what a home has missed ends with the deadlines. The gate, its tokens and the telling of deadlines and of what is in flight are gone.

--- a/peers/src/codec.rs
+++ b/peers/src/codec.rs
@@ -9,7 +9,7 @@
 pub(crate) type Result<T> = std::result::Result<T, CodecError>;
 
 /// Version of the messages; instances of other versions are refused.
-pub const VERSION: u16 = 3;
+pub const VERSION: u16 = 4;
 /// Size of an encoded message at most, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 2_000_000;
 
--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -10,10 +10,12 @@
 use model::Outcome;
 use model::ResultCode;
 use rand::Rng;
+use rand::RngExt;
 
 use super::Failure;
 use super::attempt::Attempt;
 use crate::command::ClaimAnswer;
+use crate::instance::PermitAnswer;
 use crate::invariant;
 use crate::invariant::Invariant;
 use crate::limits::Refusal;
@@ -28,6 +30,9 @@
 /// Targets in vain asked for a connection, after which a request is given up: with
 /// the time limit of opening one, half of the shortest objective.
 const MAX_UNSENT: usize = 3;
+/// Targets that a request asks for at most: where all are full, more questions cost the
+/// homes more than they bring callers.
+const MAX_DENIED: usize = 5;
 /// When to come back while the platform is away, in milliseconds.
 const RETRY_AFTER_CLAIM_MS: u64 = 5_000;
 
@@ -55,6 +60,8 @@
     Begin,
     /// The claim of its key was answered.
     Claimed(ClaimAnswer),
+    /// Whether it may be sent to the target that was chosen.
+    Permit(PermitAnswer),
     /// Its turn in the queue has come.
     Turn,
     /// The queue does not take it.
@@ -101,6 +108,11 @@
 pub enum Step {
     /// Claim the key.
     Claim,
+    /// Ask for a permit to send to the candidate.
+    Ask {
+        /// The candidate's index in the table.
+        candidate: usize,
+    },
     /// Wait in the queue.
     Wait,
     /// Send to the candidate.
@@ -130,6 +142,7 @@
     New,
     Claiming,
     Waiting,
+    Asking,
     Sent,
     Passing,
     Over,
@@ -143,6 +156,10 @@
     state: State,
     attempts: Vec<Attempt>,
     tried: Vec<usize>,
+    /// The candidate that a permit is asked for, and those that were denied since the last
+    /// attempt.
+    asked: Option<(usize, Slot)>,
+    denied: Vec<usize>,
     /// Attempts of which no byte has left.
     unsent: usize,
     may_have_run: bool,
@@ -158,6 +175,8 @@
             state: State::New,
             attempts: Vec::new(),
             tried: Vec::new(),
+            asked: None,
+            denied: Vec::new(),
             unsent: 0,
             may_have_run: false,
             outcome: Outcome::NotRun,
@@ -189,6 +208,7 @@
             (State::Waiting, Event::Refused(refusal)) => {
                 self.refuse_for(refusal.code, Some(refusal.retry_after_ms))
             }
+            (State::Asking, Event::Permit(answer)) => self.permitted(now_us, answer, rng),
             (State::Sent, Event::Failed { attempt, failure }) => {
                 self.failed(now_us, attempt, failure, rng)
             }
@@ -209,16 +229,13 @@
 
     fn begin(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
         let left_us = self.request.deadline_us.saturating_sub(now_us);
-        let is_admitted = self.table.load.begin(left_us);
+        self.table.load.begin();
         if left_us == 0 {
             return self.refuse_for(ResultCode::DeadlineTooNear, Some(1));
         }
         if self.table.candidates.is_empty() {
             return self.give_up(now_us, ResultCode::NoTarget, rng);
         }
-        if !is_admitted {
-            return self.give_up(now_us, ResultCode::Crowded, rng);
-        }
         if self.request.claims_key {
             self.state = State::Claiming;
             return Step::Claim;
@@ -252,7 +269,7 @@
             return self.give_up(now_us, ResultCode::NotReady, rng);
         }
         match self.table.choose(now_us, self.need(now_us), rng) {
-            Choice::Target(candidate, slot) => self.start_attempt(candidate, slot),
+            Choice::Target(candidate, slot) => self.ask_or_start(now_us, candidate, slot),
             Choice::Busy => {
                 self.state = State::Waiting;
                 Step::Wait
@@ -261,6 +278,44 @@
         }
     }
 
+    fn ask_or_start(&mut self, now_us: u64, candidate: usize, slot: Slot) -> Step {
+        if !self.table.needs_permit(now_us, candidate) {
+            return self.start_attempt(candidate, slot);
+        }
+        self.state = State::Asking;
+        self.asked = Some((candidate, slot));
+        Step::Ask { candidate }
+    }
+
+    /// Sends the request if it may; tries another target or refuses it at once if not.
+    fn permitted(&mut self, now_us: u64, answer: PermitAnswer, rng: &mut impl Rng) -> Step {
+        let Some((candidate, slot)) = self.asked.take() else {
+            return Step::Continue;
+        };
+        let is_permitted = match answer {
+            PermitAnswer::Permitted { .. } => true,
+            PermitAnswer::Denied { .. } => false,
+            PermitAnswer::Unknown => rng.random_bool(self.table.load.crowd.part_finished()),
+        };
+        if is_permitted {
+            return self.start_attempt(candidate, slot);
+        }
+        drop(slot);
+        self.denied.push(candidate);
+        let other = match self.denied.len() < MAX_DENIED {
+            true => {
+                let need = self.need(now_us);
+                self.table
+                    .choose_unpermitted(now_us, need, &self.denied, rng)
+            }
+            false => None,
+        };
+        match other {
+            Some((candidate, slot)) => self.ask_or_start(now_us, candidate, slot),
+            None => self.give_up(now_us, ResultCode::Crowded, rng),
+        }
+    }
+
     fn need(&self, now_us: u64) -> Need<'_> {
         Need {
             repeatable: self.request.repeatable,
@@ -271,6 +326,7 @@
 
     fn start_attempt(&mut self, candidate: usize, slot: Slot) -> Step {
         self.state = State::Sent;
+        self.denied.clear();
         self.tried.push(candidate);
         self.attempts.push(Attempt {
             candidate,
@@ -341,6 +397,7 @@
         let may = self.request.repeatable
             && self.in_flight() == 1
             && !self.table.is_full(now_us)
+            && !self.table.load.crowd.is_crowded()
             && self.may_try_again(now_us, Failure::Cut);
         if !may {
             return Step::Continue;
@@ -425,6 +482,7 @@
         if outcome != Outcome::Ran {
             self.table.load.unserved.fetch_add(1, Ordering::Relaxed);
         }
+        self.asked = None;
         for attempt in &mut self.attempts {
             attempt.slot = None;
         }
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -6,6 +6,7 @@
 use model::world::Target;
 
 use super::Envelope;
+use super::PermitAnswer;
 use crate::evidence::Signal;
 use crate::evidence::Standing;
 use crate::feed::Stay;
@@ -33,6 +34,13 @@
     Call(PlatformCall),
     /// Read a part of the registry again: a peer knows of something newer.
     Reread(RegistryPart),
+    /// Tell a request whether it may be sent.
+    Permit {
+        /// Number of its question.
+        number: u64,
+        /// The answer.
+        answer: PermitAnswer,
+    },
     /// Log that something happened.
     Log(Happening),
 }
@@ -135,22 +143,18 @@
         /// Id of the instance that told of the change; its own where the registry did.
         by: Arc<str>,
     },
-    /// A service's targets cannot finish all requests in time, or can again.
+    /// A service's sound targets are too few for its load, or are enough again.
     Crowded {
         /// The service's name.
         service: Arc<str>,
-        /// Requests a second that this instance admits, in thousandths; none if all.
-        admitted_milli: Option<u32>,
+        /// Whether they are too few.
+        is_crowded: bool,
         /// Slots of the targets that nothing speaks against.
         slots: u32,
-        /// Requests a second on all instances, in thousandths.
-        fleet_milli: u64,
-        /// Requests in flight to these targets on all instances, as far as known.
-        in_flight: u32,
+        /// Requests a second on all instances, in thousandths; none while unknown.
+        fleet_milli: Option<u64>,
         /// Time of a request at a target that nothing waits at, in milliseconds.
         work_ms: u64,
-        /// The shortest deadline of the latest requests, in milliseconds; none if unknown.
-        shortest_ms: Option<u64>,
     },
     /// The reserve of retries is shared with as many instances, this one included.
     RetryReserve {
--- a/policy/src/instance/alerts.rs
+++ b/policy/src/instance/alerts.rs
@@ -173,6 +173,7 @@
                 before_milli: milli(before),
                 after_milli: milli(after),
             }));
+            self.judge_crowd(now_us, &target.service);
         }
         (before, after)
     }
--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -14,7 +14,6 @@
 use super::Message;
 use super::ToldLoad;
 use super::fleet_load::MeanLoad;
-use super::fleet_load::steps;
 use crate::limits::Crowding;
 use crate::routing::ServiceLoad;
 
@@ -41,10 +40,8 @@
 const ASSUMED_US: f64 = 500_000.0;
 /// Weight of one outcome in the share of overdue ones.
 const OVERDUE_WEIGHT: f64 = 0.1;
-/// Time for which the shortest deadline counts, in microseconds.
-const SHORTEST_KEPT_US: u64 = 5_000_000;
-/// Load, in parts of what the targets can finish, from which requests wait.
-const WAITING_LOAD: f64 = 0.8;
+/// Time over which requests are counted before their rate is known, in seconds.
+const KNOWN_S: f64 = 3.0;
 /// Share of overdue outcomes above which the service as a whole is slow, and an
 /// overdue one says nothing of its target.
 const SLOW_SERVICE: f64 = 0.25;
@@ -60,12 +57,10 @@
     counted_s: f64,
     latency_us: f64,
     overdue_share: f64,
-    /// The shortest deadline of the latest requests, and when it was seen.
-    shortest: Option<(f64, u64)>,
+    /// The load as it was measured last.
+    crowding: Crowding,
     /// Mean time of a request where none waits, as the whole fleet sees it, in seconds.
     work_s: Option<f64>,
-    /// This instance's part of the fleet's requests while all were admitted.
-    part: f64,
 }
 
 /// The demand for each service, as measured by this instance.
@@ -106,18 +101,7 @@
 }
 
 impl ServiceDemand {
-    fn measure(&mut self, now_us: u64, load: &ServiceLoad) {
-        let is_old = |(_, at_us): &(f64, u64)| now_us.saturating_sub(*at_us) > SHORTEST_KEPT_US;
-        self.shortest = self.shortest.filter(|shortest| !is_old(shortest));
-        if let Some(shortest_us) = load.take_shortest_us() {
-            let shortest_s = shortest_us as f64 / 1e6;
-            if self
-                .shortest
-                .is_none_or(|(known_s, _)| shortest_s <= known_s)
-            {
-                self.shortest = Some((shortest_s, now_us));
-            }
-        }
+    fn measure(&mut self, load: &ServiceLoad) {
         let begun = load.begun.load(Ordering::Relaxed);
         let new = begun.saturating_sub(self.begun) as f64;
         let unserved = load.unserved.load(Ordering::Relaxed);
@@ -154,48 +138,29 @@
         self.recent * (1.0 - RECENT_KEPT) / (PERIOD_US as f64 / 1e6)
     }
 
-    /// Requests a second that this instance admits, its part of what the whole fleet
-    /// does; none if it admits all.
-    fn admitted_per_s(
+    /// The load on all instances, with what was known of the sound targets last.
+    fn crowding(
         &mut self,
         mean: MeanLoad,
         members: f64,
         slots: u32,
-        is_crowded: bool,
-    ) -> Option<f64> {
+        was_crowded: bool,
+    ) -> Crowding {
         let latency_s = mean.slots / mean.rate_per_s.max(f64::MIN_POSITIVE);
-        let work_s = self.work_s.unwrap_or(latency_s);
-        let rate_per_s = mean.recent_per_s * members;
-        let load = rate_per_s * work_s / f64::from(slots.max(1));
-        let is_waiting = load > WAITING_LOAD;
-        // Where requests wait, only a shorter time can be that of the work alone.
-        if !is_waiting || latency_s < work_s {
+        // In a crowd requests wait at the targets, and the time is not that of the work alone.
+        if !was_crowded {
             self.work_s = Some(latency_s);
         }
-        let crowding = Crowding {
-            rate_per_s,
+        Crowding {
+            rate_per_s: (self.counted_s >= KNOWN_S).then_some(mean.recent_per_s * members),
             work_s: self.work_s.unwrap_or(latency_s),
             slots,
-            in_flight: mean.in_flight * members,
-            shortest_s: mean.shortest_s.unwrap_or(f64::MAX),
-        };
-        let all_per_s = crowding.admitted_per_s(is_crowded);
-        // Rates rise together while refused callers come back, but each is told late, so
-        // that the parts would come to more than the whole.
-        if all_per_s.is_none() {
-            self.part = self.rate_per_s() / (mean.rate_per_s * members).max(f64::MIN_POSITIVE);
+            ..self.crowding
         }
-        all_per_s.map(|all_per_s| all_per_s * self.part)
-    }
-
-    /// The share of the requests that this instance admits.
-    fn admitted_share(&self, admitted_per_s: Option<f64>) -> f64 {
-        let per_s = self.rate_per_s().max(f64::MIN_POSITIVE);
-        admitted_per_s.map_or(1.0, |admitted_per_s| (admitted_per_s / per_s).min(1.0))
     }
 
     /// The load as this instance sees it.
-    fn own_load(&self, in_flight: u32) -> MeanLoad {
+    fn own_load(&self) -> MeanLoad {
         let latency_us = if self.latency_us > 0.0 {
             self.latency_us
         } else {
@@ -206,8 +171,6 @@
             slots: rate_per_s * latency_us / 1e6,
             rate_per_s,
             recent_per_s: self.recent_per_s(),
-            in_flight: f64::from(in_flight),
-            shortest_s: self.shortest.map(|(shortest_s, _)| shortest_s),
         }
     }
 }
@@ -232,6 +195,7 @@
         }
         let silent_share = self.membership.silent_share(now_us);
         let mut loads = Vec::new();
+        let mut services = Vec::new();
         for (name, table) in &self.table.services {
             if let Some(share) = self.changed_retry_share {
                 table.load.retries.set_share(share);
@@ -240,48 +204,61 @@
                 table.load.retries.set_reserve(all / members, PERIOD_US);
             }
             let demand = self.demand.services.entry(name.clone()).or_default();
-            demand.measure(now_us, &table.load);
-            let in_flight = table.sound_in_flight(now_us);
-            let own = demand.own_load(in_flight);
+            demand.measure(&table.load);
+            let own = demand.own_load();
             loads.push(ToldLoad {
                 service: name.clone(),
                 slots_milli: (own.slots * 1e3) as u32,
                 rate_milli: (own.rate_per_s * 1e3) as u32,
                 recent_milli: (own.recent_per_s * 1e3) as u32,
-                in_flight,
-                shortest_steps: steps(own.shortest_s),
             });
             let mean = self.fleet_load.mean(now_us, name, own);
             let fleet_rate_per_s = mean.rate_per_s * members;
             let load = &table.load;
             let strained = demand.is_strained(fleet_rate_per_s, silent_share);
             load.strained.store(strained, Ordering::Relaxed);
-            let slots = table.sound_slots(now_us);
-            let admitted_per_s = demand.admitted_per_s(mean, members, slots, !load.gate.is_open());
-            let admitted_share = demand.admitted_share(admitted_per_s);
-            let needed = (mean.slots * members * admitted_share).ceil() as u32;
+            let needed = (mean.slots * members).ceil() as u32;
             load.needed_slots.store(needed, Ordering::Relaxed);
-            let rate_milli = (fleet_rate_per_s * admitted_share * 1e3) as u64;
+            let rate_milli = (fleet_rate_per_s * 1e3) as u64;
             load.fleet_rate_milli.store(rate_milli, Ordering::Relaxed);
-            let local = (mean.slots * near * admitted_share).ceil() as u32;
+            let local = (mean.slots * near).ceil() as u32;
             load.local_slots.store(local, Ordering::Relaxed);
-            let work_s = demand.work_s.unwrap_or_default();
-            load.gate.set_work_us((work_s * 1e6) as u64);
-            if !load.gate.set(admitted_per_s, PERIOD_US) {
-                self.actions.push(Action::Log(Happening::Crowded {
-                    service: name.clone(),
-                    admitted_milli: admitted_per_s.map(|per_s| (per_s * 1e3) as u32),
-                    slots,
-                    fleet_milli: (mean.recent_per_s * members * 1e3) as u64,
-                    in_flight: (mean.in_flight * members) as u32,
-                    work_ms: (work_s * 1e3) as u64,
-                    shortest_ms: mean.shortest_s.map(|shortest_s| (shortest_s * 1e3) as u64),
-                }));
-            }
+            let was_crowded = load.crowd.is_crowded();
+            demand.crowding = demand.crowding(mean, members, table.slots(), was_crowded);
+            services.push(name.clone());
+        }
+        for service in services {
+            self.judge_crowd(now_us, &service);
         }
         self.tell_loads(now_us, loads);
     }
 
+    /// Shows the request path whether a service's sound targets are too few.
+    pub(super) fn judge_crowd(&mut self, now_us: u64, service: &Arc<str>) {
+        let (Some(table), Some(demand)) = (
+            self.table.services.get(service),
+            self.demand.services.get(service),
+        ) else {
+            return;
+        };
+        let crowding = Crowding {
+            sound_slots: table.sound_slots(now_us),
+            ..demand.crowding
+        };
+        let crowd = &table.load.crowd;
+        let work_us = (crowding.work_s * 1e6) as u64;
+        let is_crowded = crowding.is_crowded(crowd.is_crowded());
+        if !crowd.show(is_crowded, crowding.part_finished(), work_us) {
+            self.actions.push(Action::Log(Happening::Crowded {
+                service: service.clone(),
+                is_crowded,
+                slots: crowding.sound_slots,
+                fleet_milli: crowding.rate_per_s.map(|per_s| (per_s * 1e3) as u64),
+                work_ms: work_us / 1_000,
+            }));
+        }
+    }
+
     /// Tells some others the load, at half the pace at which it is measured.
     fn tell_loads(&mut self, now_us: u64, loads: Vec<ToldLoad>) {
         self.demand.tells = !self.demand.tells;
--- a/policy/src/instance/input.rs
+++ b/policy/src/instance/input.rs
@@ -5,6 +5,7 @@
 use model::world::Target;
 
 use super::Envelope;
+use super::PermitQuestion;
 use crate::exchange::Observation;
 use crate::feed::EntryChanges;
 use crate::feed::Release;
@@ -33,6 +34,15 @@
     Platform(PlatformAnswer),
     /// The registry told something.
     Registry(RegistryNews),
+    /// A request to a crowded service is to be sent.
+    AskPermit(PermitQuestion),
+    /// A request that asked for a permit has ended, or no longer waits for an answer.
+    EndPermit {
+        /// Number of its question.
+        number: u64,
+        /// Whether it waited for the answer as long as it may.
+        is_unanswered: bool,
+    },
     /// The bounds on retries have changed.
     Retries(RetryTerms),
     /// The instance is to stop.
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -22,6 +22,7 @@
 use super::fleet_load::FleetLoad;
 use super::freshness::Freshness;
 use super::notes::Incoming;
+use super::permits::Permits;
 use super::platform::Calls;
 use super::readiness::Readiness;
 use super::steering::Steering;
@@ -73,6 +74,7 @@
     pub(super) feed: WorldFeed,
     pub(super) demand: Demand,
     pub(super) fleet_load: FleetLoad,
+    pub(super) permits: Permits,
     pub(super) lag: Lag,
     /// The peer heard last that was ahead, and how far it was.
     pub(super) ahead: Option<(Arc<str>, Extent)>,
@@ -126,6 +128,7 @@
             feed: WorldFeed::default(),
             demand: Demand::default(),
             fleet_load: FleetLoad::default(),
+            permits: Permits::default(),
             lag: Lag::default(),
             ahead: None,
             void_number: 0,
@@ -187,6 +190,11 @@
             } => self.probed(now_us, &service, &target, good),
             Input::Platform(answer) => self.platform_answered(now_us, answer),
             Input::Registry(news) => self.registry_told(now_us, news),
+            Input::AskPermit(question) => self.ask_permit(now_us, question),
+            Input::EndPermit {
+                number,
+                is_unanswered,
+            } => self.end_permit(now_us, number, is_unanswered),
             Input::Retries(terms) => self.bound_retries(terms),
             Input::Drain => self.drain(now_us),
         }
@@ -209,6 +217,7 @@
         if self.evidence == EvidenceSharing::Alerts {
             self.ask_for_doubts(now_us);
             self.measure_demand(now_us);
+            self.permits.tick(now_us);
         } else {
             self.tick_evidence(now_us);
         }
@@ -303,6 +312,17 @@
                 self.targets_told(now_us, &from, revision, targets)
             }
             Message::Loads(loads) => self.fleet_load.told(now_us, loads),
+            Message::AskPermit {
+                target,
+                number,
+                need,
+            } => self.permit(now_us, &from, target, number, need),
+            Message::PermitAnswer {
+                number,
+                is_permitted,
+                in_flight,
+            } => self.permit_answered(number, is_permitted, in_flight),
+            Message::EndPermit { target, number } => self.permit_ended(&from, &target, number),
             Message::AskDoubts => self.tell_doubts(now_us, &from),
             Message::Doubts(told) => self.learn_doubts(now_us, &told),
             Message::Alerts { alerts, span } => self.alerted(now_us, &from, &alerts, span.as_ref()),
--- a/policy/src/instance/members.rs
+++ b/policy/src/instance/members.rs
@@ -99,6 +99,7 @@
         for change in &changes {
             self.homes.change(change, &self.membership);
             if let Change::Left(member) = change {
+                self.permits.gone(&member.id);
                 for target in self.book.forget_home(&member.id) {
                     self.rebuild_of_target(&target);
                 }
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -12,6 +12,7 @@
 use crate::evidence::Verdict;
 use crate::feed::EntryChanges;
 use crate::feed::Release;
+use crate::limits::PermitNeed;
 use crate::membership::Member;
 use crate::notes::NumberedNote;
 use crate::notes::Span;
@@ -180,4 +181,30 @@
         /// Whom the receiver passes them on to.
         span: Option<Span>,
     },
+    /// Asks the home of a target whether a request may be sent there; answered by
+    /// [`Message::PermitAnswer`].
+    AskPermit {
+        /// The target's name.
+        target: Arc<str>,
+        /// Number that the answer repeats.
+        number: u64,
+        /// What the request needs.
+        need: PermitNeed,
+    },
+    /// Whether a request may be sent.
+    PermitAnswer {
+        /// Number of the question.
+        number: u64,
+        /// Whether it may.
+        is_permitted: bool,
+        /// Requests that were in flight to the target.
+        in_flight: u32,
+    },
+    /// A request that asked has ended.
+    EndPermit {
+        /// The target's name.
+        target: Arc<str>,
+        /// Number of the question.
+        number: u64,
+    },
 }
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -10,7 +10,7 @@
 use crate::evidence::Doubt;
 use crate::evidence::RESTING;
 use crate::evidence::Signal;
-use crate::limits::CrowdGate;
+use crate::limits::Crowd;
 use crate::limits::RetryBudget;
 
 const MILLI: u32 = 1_000;
@@ -212,11 +212,8 @@
     pub fleet_rate_milli: AtomicU64,
     /// Slots that the requests of this data centre's instances take up.
     pub local_slots: AtomicU32,
-    /// Lets in what the targets can finish.
-    pub gate: CrowdGate,
-    /// The shortest deadline of the requests begun since it was last asked for, of those
-    /// that can be met, in microseconds.
-    shortest_us: AtomicU64,
+    /// Whether its sound targets are too few for the load.
+    pub crowd: Crowd,
 }
 
 impl ServiceLoad {
@@ -236,26 +233,15 @@
             needed_slots: AtomicU32::new(0),
             fleet_rate_milli: AtomicU64::new(0),
             local_slots: AtomicU32::new(0),
-            gate: CrowdGate::default(),
-            shortest_us: AtomicU64::new(u64::MAX),
+            crowd: Crowd::default(),
             median_us: AtomicU64::new(0),
             slow_us: AtomicU64::new(0),
         }
     }
 
-    /// Counts a request that has so much time; false if it is not admitted.
-    pub fn begin(&self, limit_us: u64) -> bool {
+    /// Counts a request.
+    pub fn begin(&self) {
         self.retries.earn();
         self.begun.fetch_add(1, Ordering::Relaxed);
-        if limit_us >= self.gate.work_us() {
-            self.shortest_us.fetch_min(limit_us, Ordering::Relaxed);
-        }
-        self.gate.admit(limit_us)
-    }
-
-    /// The shortest deadline of the requests begun since the last call, in microseconds.
-    pub fn take_shortest_us(&self) -> Option<u64> {
-        let shortest_us = self.shortest_us.swap(u64::MAX, Ordering::Relaxed);
-        (shortest_us < u64::MAX).then_some(shortest_us)
     }
 }
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -12,10 +12,12 @@
 
 use rand::Rng;
 use rand::RngExt;
+use rand::seq::IteratorRandom;
 
 use super::Candidate;
 use super::Need;
 use super::ServiceTable;
+use super::Slot;
 
 /// Doubt below which a target takes part: reached 11 s after a reset, and not
 /// passed by a single error.
@@ -73,8 +75,10 @@
             .collect();
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (undoubted, doubted) = ranked.split_at(self.working_set_len(&ranked));
+        // In a crowd no queue is long, and a sound target is asked first.
         if need.repeatable
             && need.tried.is_empty()
+            && !self.load.crowd.is_crowded()
             && self.would_be_late(need.left_us)
             && let Some(at) = self.least_doubted_idle(doubted)
         {
@@ -138,18 +142,50 @@
         self.fill(undoubted.map(|candidate| candidate.target.slots).sum()) > SHORT_FILL
     }
 
-    /// Slots of the targets that nothing speaks against; the share that is used however
-    /// doubted the targets are, if that is more.
+    /// Slots of the targets that nothing speaks against.
     pub fn sound_slots(&self, now_us: u64) -> u32 {
         let undoubted = self.undoubted(now_us);
-        let slots: u32 = undoubted.map(|candidate| candidate.target.slots).sum();
-        slots.max((f64::from(self.slots()) * LEAST_SHARE) as u32)
+        undoubted.map(|candidate| candidate.target.slots).sum()
     }
 
-    /// Requests in flight from this instance to the targets that nothing speaks against.
-    pub fn sound_in_flight(&self, now_us: u64) -> u32 {
-        let undoubted = self.undoubted(now_us);
-        undoubted.map(|candidate| candidate.load.in_flight()).sum()
+    /// Whether a request to a candidate needs a permit: all do while the service is
+    /// crowded, but for trials beside targets that nothing speaks against.
+    pub fn needs_permit(&self, now_us: u64, at: usize) -> bool {
+        let is_trial = || {
+            self.candidates[at].load.doubt(now_us) > UNDOUBTED
+                && self.undoubted(now_us).next().is_some()
+        };
+        self.load.crowd.is_crowded() && !is_trial()
+    }
+
+    /// Another target for a request that got no permit: one that nothing speaks against,
+    /// or for a repeatable one a doubted target that may be sound again.
+    pub fn choose_unpermitted(
+        &self,
+        now_us: u64,
+        need: Need<'_>,
+        denied: &[usize],
+        rng: &mut impl Rng,
+    ) -> Option<(usize, Slot)> {
+        let is_left = |at: &usize| {
+            let load = &self.candidates[*at].load;
+            !denied.contains(at)
+                && !need.tried.contains(at)
+                && !load.is_closed()
+                && load.has_room(now_us)
+        };
+        let left = (0..self.candidates.len()).filter(is_left);
+        let left = left.map(|at| (self.candidates[at].load.doubt(now_us), at));
+        let (mut doubted, sound): (Vec<_>, Vec<_>) =
+            left.partition(|(doubt, _)| *doubt > UNDOUBTED);
+        doubted.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let at = match sound.iter().choose(rng) {
+            Some((_, at)) => Some(*at),
+            None if need.repeatable => self.least_doubted_idle(&doubted),
+            None => self.trial(&doubted, EAGER_PACE, rng),
+        };
+        let at = at?;
+        Some((at, self.candidates[at].load.take(now_us)?))
     }
 
     /// The targets that nothing speaks against.
--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -16,6 +17,8 @@
 use policy::feed::TargetEntry;
 use policy::instance::Envelope;
 use policy::instance::EvidenceSharing;
+use policy::instance::PermitAnswer;
+use policy::instance::PermitQuestion;
 use policy::instance::PlatformAnswer;
 use policy::instance::RegistryNews;
 use policy::instance::RegistryPart;
@@ -115,6 +118,7 @@
     names: u64,
     targets: usize,
     seed: u64,
+    answers: VecDeque<(u64, PermitAnswer)>,
 }
 
 fn member(number: usize) -> Member {
@@ -181,6 +185,7 @@
             names: targets as u64,
             targets,
             seed,
+            answers: VecDeque::new(),
         };
         fleet.start(1);
         for number in 0..INSTANCES {
@@ -196,6 +201,7 @@
     pub(crate) fn restart(&mut self) {
         let started = self.nodes[0].instance.membership().own().incarnation;
         self.on_the_way.clear();
+        self.answers.clear();
         self.start(started + 1);
     }
 
@@ -289,6 +295,35 @@
         self.tell(number, Input::Observed(observation));
     }
 
+    /// Asks for a permit on behalf of a request at an instance.
+    pub(crate) fn ask_permit(&mut self, number: usize, question: PermitQuestion) {
+        self.tell(number, Input::AskPermit(question));
+    }
+
+    /// Tells an instance that a request has ended that asked for a permit.
+    pub(crate) fn end_permit(&mut self, number: usize, question: u64, is_unanswered: bool) {
+        let ended = Input::EndPermit {
+            number: question,
+            is_unanswered,
+        };
+        self.tell(number, ended);
+    }
+
+    /// Plays until a time, or until a request is told whether it may be sent.
+    pub(crate) fn run_to_answer(&mut self, until_us: u64) -> Option<(u64, PermitAnswer)> {
+        while self.answers.is_empty() && self.step(until_us) {}
+        let answer = self.answers.pop_front();
+        if answer.is_none() {
+            self.now_us = until_us;
+        }
+        answer
+    }
+
+    /// The present time.
+    pub(crate) fn now_us(&self) -> u64 {
+        self.now_us
+    }
+
     /// Targets that could still be placed on after the bound.
     pub(crate) fn late_placings(&self) -> &[LatePlacing] {
         &self.late
@@ -381,6 +416,7 @@
                 Action::Send {
                     address, envelope, ..
                 } => self.send(address, envelope),
+                Action::Permit { number, answer } => self.answers.push_back((number, answer)),
                 Action::Reread(RegistryPart::Targets) => {
                     self.nodes[number].follower.asked = true;
                 }
--- a/proof/src/requests.rs
+++ b/proof/src/requests.rs
@@ -12,6 +12,7 @@
 use policy::exchange::Exchange;
 use policy::exchange::Request;
 use policy::exchange::Step;
+use policy::instance::PermitAnswer;
 use rand::RngExt;
 
 use super::Event;
@@ -215,6 +216,8 @@
                 self.queue
                     .push(now_us + PLATFORM_US / 2, Event::Claim(id, 0));
             }
+            // The simulated services place by standing, where none is crowded.
+            Step::Ask { .. } => self.on(id, Happened::Permit(PermitAnswer::Unknown)),
             Step::Wait => self.wait(id),
             Step::Send { attempt, candidate } => self.send_attempt(id, attempt, candidate),
             Step::Continue => {}
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -530,7 +530,7 @@
                 standing: Standing::Ejected,
                 ..
             }) => self.stats.ejections.push((self.now_us, target)),
-            Action::Log(_) | Action::Reread(_) => {}
+            Action::Log(_) | Action::Reread(_) | Action::Permit { .. } => {}
         }
     }
 
@@ -646,6 +646,9 @@
         | Message::AskDoubts
         | Message::Loads(_)
         | Message::Doubts(_) => "verdicts",
+        Message::AskPermit { .. } | Message::PermitAnswer { .. } | Message::EndPermit { .. } => {
+            "permits"
+        }
         Message::NewNote { .. }
         | Message::PullNotes { .. }
         | Message::Notes(_)
--- a/sniperund/src/app/app.rs
+++ b/sniperund/src/app/app.rs
@@ -36,6 +36,7 @@
 use crate::control::Control;
 use crate::control::ControlHandle;
 use crate::control::ControlParts;
+use crate::control::Permits;
 use crate::control::RegistryFollower;
 use crate::control::Rereads;
 use crate::logs::Sampler;
@@ -102,6 +103,7 @@
             own.source = WorldSource::Registry;
             own.evidence = EvidenceSharing::Alerts;
         }
+        let permits = Arc::new(Permits::default());
         let parts = ControlParts {
             clock,
             sender: Sender::new(metrics.peers.clone()),
@@ -109,6 +111,7 @@
             rereads: rereads.clone(),
             prober: Prober,
             metrics: metrics.clone(),
+            permits: permits.clone(),
         };
         let (control_loop, control) = Control::new(Instance::new(own), parts);
         late.set(control.clone());
@@ -121,6 +124,7 @@
             admission: Arc::new(Admission::new(settings.limits.in_flight)),
             customers: Arc::new(Customers::default()),
             waiting: WaitingRoom::default(),
+            permits,
             claims: around
                 .platform
                 .clone()
--- a/sniperund/src/callers/entry.rs
+++ b/sniperund/src/callers/entry.rs
@@ -15,6 +15,7 @@
 use super::WaitingRoom;
 use crate::Clock;
 use crate::control::ControlHandle;
+use crate::control::Permits;
 use crate::logs::Sampler;
 use crate::metrics::Metrics;
 use crate::settings::Limits;
@@ -38,6 +39,8 @@
     pub customers: Arc<Customers>,
     /// Requests that wait.
     pub waiting: WaitingRoom,
+    /// Questions of requests to crowded services.
+    pub permits: Arc<Permits>,
     /// Claims of keys; none where commands have no names.
     pub claims: Option<Arc<ClaimStore>>,
     /// How callers and targets mark requests and answers.
--- a/sniperund/src/callers/pass_body.rs
+++ b/sniperund/src/callers/pass_body.rs
@@ -30,6 +30,7 @@
 use super::body::BoxError;
 use super::call::Places;
 use super::command::CommandRecord;
+use crate::control::Permit;
 use crate::metrics::RequestLabels;
 use crate::targets::Connection;
 
@@ -47,6 +48,8 @@
     pub(super) target: Arc<str>,
     pub(super) connection: Option<Connection>,
     pub(super) places: Places,
+    /// The permit by which the request was sent, held to the end of the answer.
+    pub(super) _permit: Option<Permit>,
 }
 
 /// The body of a target's answer.
--- a/sniperund/src/callers/request_log.rs
+++ b/sniperund/src/callers/request_log.rs
@@ -5,6 +5,7 @@
 use policy::exchange::AttemptEnd;
 use policy::exchange::Failure;
 use policy::exchange::Reply;
+use policy::instance::PermitAnswer;
 
 use super::call::Call;
 
@@ -27,6 +28,22 @@
     );
 }
 
+/// Logs what the home of a crowded target has said.
+pub(super) fn permit(call: &Call, target: &str, answer: PermitAnswer, after_us: u64) {
+    let (answer, in_flight) = match answer {
+        PermitAnswer::Permitted { in_flight } => ("permitted", Some(in_flight)),
+        PermitAnswer::Denied { in_flight } => ("denied", Some(in_flight)),
+        PermitAnswer::Unknown => ("unknown", None),
+    };
+    let crowd = &call.exchange.table().load.crowd;
+    log::info!(
+        "event=permit-asked id={} target={target} answer={answer} in_flight={in_flight:?} work_ms={} after_ms={}",
+        call.asked.id(),
+        crowd.work_us() / MICROS_PER_MILLI,
+        after_us / MICROS_PER_MILLI
+    );
+}
+
 /// Logs how an attempt failed.
 pub(super) fn attempt_failed(
     call: &Call,
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -23,6 +23,8 @@
 use policy::exchange::Observation;
 use policy::exchange::Reply;
 use policy::exchange::Step;
+use policy::instance::PERMIT_LIMIT_US;
+use policy::instance::PermitAnswer;
 use policy::routing::Candidate;
 
 use super::Entry;
@@ -36,6 +38,7 @@
 use super::sending::Head;
 use super::sending::attempt_once;
 use super::sending::outgoing;
+use crate::control::Permit;
 use crate::metrics::RequestLabels;
 use crate::targets::SendFailure;
 
@@ -53,6 +56,8 @@
     attempts: FuturesUnordered<BoxFuture<'static, Ended>>,
     sent: Vec<SentAttempt>,
     head: Option<Head>,
+    /// The permit by which the attempt in work was sent.
+    permit: Option<Permit>,
     /// When the attempt in work counts as overdue.
     slow_us: Option<u64>,
     /// When another target is asked beside it.
@@ -76,6 +81,7 @@
             attempts: FuturesUnordered::new(),
             sent: Vec::new(),
             head: None,
+            permit: None,
             slow_us: None,
             hedge_us: None,
         }
@@ -87,6 +93,7 @@
         loop {
             step = match step {
                 Step::Claim => self.claim().await,
+                Step::Ask { candidate } => self.ask(candidate).await,
                 Step::Wait => self.wait().await,
                 Step::Send { attempt, candidate } => {
                     self.send(attempt, candidate);
@@ -122,6 +129,32 @@
         }
     }
 
+    /// Asks the home of a target of a crowded service for a permit.
+    async fn ask(&mut self, candidate: usize) -> Step {
+        let table = self.call.exchange.table();
+        let target = table.candidates[candidate].target.name.clone();
+        let asked_us = self.entry.clock.now_us();
+        let left_us = self.call.deadline_us.saturating_sub(asked_us);
+        let permits = &self.entry.permits;
+        let (answer, permit) = permits.ask(&self.entry.control, target.clone(), left_us);
+        let until_us = asked_us + PERMIT_LIMIT_US.min(left_us);
+        let until = self.entry.clock.instant(until_us);
+        let answer = match tokio::time::timeout_at(until, answer).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => PermitAnswer::Unknown,
+        };
+        match answer {
+            PermitAnswer::Permitted { .. } => self.permit = Some(permit),
+            PermitAnswer::Denied { .. } => drop(permit),
+            PermitAnswer::Unknown => permit.expire(),
+        }
+        if self.is_logged {
+            let now_us = self.entry.clock.now_us();
+            request_log::permit(&self.call, &target, answer, now_us - asked_us);
+        }
+        self.on(Event::Permit(answer))
+    }
+
     async fn wait(&mut self) -> Step {
         let now_us = self.entry.clock.now_us();
         let table = self.call.exchange.table().clone();
@@ -239,6 +272,7 @@
     }
 
     fn fail(&mut self, attempt: usize, end: AttemptEnd, failure: Failure) -> Step {
+        self.permit = None;
         let sent = &self.sent[attempt];
         let after_us = self.entry.clock.now_us().saturating_sub(sent.sent_us);
         request_log::attempt_failed(
@@ -339,6 +373,7 @@
             target: sent.target.name.clone(),
             connection: Some(head.connection),
             places: self.call.places,
+            _permit: self.permit,
         };
         let (mut parts, incoming) = head.response.into_parts();
         remove_hop_by_hop(&mut parts.headers);
--- a/sniperund/src/control/control_loop.rs
+++ b/sniperund/src/control/control_loop.rs
@@ -12,6 +12,7 @@
 
 use super::ControlHandle;
 use super::ControlMessage;
+use super::Permits;
 use super::Rereads;
 use super::Status;
 use super::driver::Driver;
@@ -33,6 +34,8 @@
     pub prober: Prober,
     /// Metrics.
     pub metrics: Arc<Metrics>,
+    /// Questions of requests to crowded services.
+    pub permits: Arc<Permits>,
 }
 
 /// The control loop.
@@ -55,6 +58,7 @@
             rereads: parts.rereads,
             prober: parts.prober,
             metrics: parts.metrics,
+            permits: parts.permits,
         };
         let control = Self {
             instance,
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -15,6 +15,7 @@
 use policy::instance::PlatformCall;
 
 use super::ControlHandle;
+use super::Permits;
 use super::Rereads;
 use crate::metrics::Metrics;
 use crate::targets::Prober;
@@ -31,6 +32,7 @@
     pub(super) rereads: Arc<Rereads>,
     pub(super) prober: Prober,
     pub(super) metrics: Arc<Metrics>,
+    pub(super) permits: Arc<Permits>,
 }
 
 impl Driver {
@@ -43,6 +45,7 @@
             Action::Probe { target, path } => self.probe(target, path),
             Action::Call(call) => self.call(call),
             Action::Reread(part) => self.rereads.ask(part),
+            Action::Permit { number, answer } => self.permits.answer(number, answer),
             Action::Log(happening) => self.log(&happening),
         }
     }
@@ -133,19 +136,13 @@
             }
             Happening::Crowded {
                 service,
-                admitted_milli,
+                is_crowded,
                 slots,
                 fleet_milli,
-                in_flight,
                 work_ms,
-                shortest_ms,
             } => {
-                let admitted = match admitted_milli {
-                    Some(milli) => milli.to_string(),
-                    None => "all".to_owned(),
-                };
                 log::info!(
-                    "event=service-crowded service={service} admitted_milli={admitted} slots={slots} fleet_milli={fleet_milli} in_flight={in_flight} work_ms={work_ms} shortest_ms={shortest_ms:?}"
+                    "event=service-crowded service={service} crowded={is_crowded} slots={slots} fleet_milli={fleet_milli:?} work_ms={work_ms}"
                 );
             }
             Happening::StandsIn { view_age_ms } => {
--- a/sniperund/src/control/mod.rs
+++ b/sniperund/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod control_loop;
 mod driver;
 mod handle;
+mod permits;
 mod registry_follower;
 mod status;
 
@@ -10,6 +11,8 @@
 pub use control_loop::ControlParts;
 pub use handle::ControlHandle;
 pub use handle::ControlMessage;
+pub use permits::Permit;
+pub use permits::Permits;
 pub use registry_follower::RegistryFollower;
 pub use registry_follower::Rereads;
 pub use status::MemberStatus;
--- a/sniperund/src/metrics/gauges.rs
+++ b/sniperund/src/metrics/gauges.rs
@@ -54,7 +54,7 @@
             service.load.needed_slots.load(Ordering::Relaxed)
         });
         self.add_of_services("crowded", table, |service| {
-            u8::from(!service.load.gate.is_open())
+            u8::from(service.load.crowd.is_crowded())
         });
         self.add_of_services("retries_left", table, |service| service.load.retries.left());
         self.add_of_services("strained", table, |service| {
