Use doubted targets beside a sound one only for paced trials

What callers saw: with one sound target left they lost requests though it had room.

Cause: a fifth of the service's slots was always in use however doubted the targets, so that beside one sound target half of the requests went to one that resets them; and trials, two a second for each doubted target, took all requests of a service that gets ten a second. What was lost so has no retry left. Class: a pace for each target where one for the whole is due.

Now the fifth is used only where nothing is sound, and trials take a fifth of the requests at most, as many as the bound on retries can send again.

--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -39,6 +39,9 @@
     doubt: 0.55,
     trials_per_s: 2.0,
 };
+/// Share of the requests that try out doubted targets at most: as many as the bound on
+/// retries can send again.
+const MOST_TRIED: f64 = 0.2;
 /// Share of a service's slots that is used however doubted the targets are.
 const LEAST_SHARE: f64 = 0.2;
 /// Share of the slots in use that the load may fill before targets are short.
@@ -123,7 +126,11 @@
 
     /// How many of the targets, the least doubted first, take part.
     fn working_set_len(&self, ranked: &[(f64, usize)]) -> usize {
-        let least = (f64::from(self.slots()) * LEAST_SHARE) as u32;
+        let is_any_sound = ranked.first().is_some_and(|(doubt, _)| *doubt <= UNDOUBTED);
+        let least = match is_any_sound {
+            true => 0,
+            false => (f64::from(self.slots()) * LEAST_SHARE) as u32,
+        };
         let mut slots = 0;
         let mut len = 0;
         for (doubt, at) in ranked {
@@ -234,7 +241,7 @@
         let rate_milli = self.load.fleet_rate_milli.load(Ordering::Relaxed).max(1);
         let share = pace.trials_per_s * 1e3 * ripe.len() as f64 / rate_milli as f64;
         // Any of them, since all instances rank them alike and would try out the same one.
-        (!ripe.is_empty() && rng.random_bool(share.min(1.0)))
+        (!ripe.is_empty() && rng.random_bool(share.min(MOST_TRIED)))
             .then(|| ripe[rng.random_range(0..ripe.len())])
     }
 
