Let the one that asks for a permit say how many slots its target has

A home that did not know a new target yet, for half a second at most, took it for one without slots and denied all.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -30,9 +30,9 @@
 /// Targets in vain asked for a connection, after which a request is given up: with
 /// the time limit of opening one, half of the shortest objective.
 const MAX_UNSENT: usize = 3;
-/// Targets that a request asks for at most: where all are full, more questions cost the
-/// homes more than they bring callers.
-const MAX_DENIED: usize = 5;
+/// Targets of a crowded service that a request asks for at most: each question takes a
+/// way between data centres, and where five are full the others are, too.
+const MAX_ASKED: usize = 5;
 /// When to come back while the platform is away, in milliseconds.
 const RETRY_AFTER_CLAIM_MS: u64 = 5_000;
 
@@ -302,7 +302,7 @@
         }
         drop(slot);
         self.denied.push(candidate);
-        let other = match self.denied.len() < MAX_DENIED {
+        let other = match self.denied.len() < MAX_ASKED {
             true => {
                 let need = self.need(now_us);
                 self.table
--- a/policy/src/instance/permits.rs
+++ b/policy/src/instance/permits.rs
@@ -125,6 +125,7 @@
         let need = PermitNeed {
             left_ms: ms(left_us),
             work_ms: times.map_or(0, |crowd| ms(crowd.work_us())),
+            slots: known.slots,
             stray,
         };
         let asked = Asked {
@@ -167,10 +168,8 @@
         number: u64,
         need: PermitNeed,
     ) {
-        let known = self.log.world().targets.get(&target);
-        let slots = known.map_or(0, |target| target.slots);
         let book = self.permits.books.entry(target).or_default();
-        let (is_permitted, in_flight) = book.ask(now_us, (from, number), need, slots);
+        let (is_permitted, in_flight) = book.ask(now_us, (from, number), need);
         let message = Message::PermitAnswer {
             number,
             is_permitted,
--- a/policy/src/limits/permit_book.rs
+++ b/policy/src/limits/permit_book.rs
@@ -35,6 +35,8 @@
     pub left_ms: u32,
     /// How long a target works on a request, in milliseconds; 0 while unknown.
     pub work_ms: u32,
+    /// Slots of the target.
+    pub slots: u32,
     /// Requests that the asking instance has at the target without a permit.
     pub stray: u32,
 }
@@ -54,18 +56,18 @@
     }
 
     /// Requests that may be at the target so that a deadline is met.
-    fn bound(&self, deadline_ms: u32, slots: u32) -> f64 {
+    fn bound(&self, deadline_ms: u32) -> f64 {
         let work_ms = f64::from(self.work_ms());
         let wait_ms = USABLE_PART * f64::from(deadline_ms) - work_ms;
-        f64::from(slots) * (1.0 + wait_ms.max(0.0) / work_ms)
+        f64::from(self.slots) * (1.0 + wait_ms.max(0.0) / work_ms)
     }
 
     /// Whether the request is done in its time behind so many others.
-    fn is_met_behind(&self, in_flight: u32, slots: u32) -> bool {
+    fn is_met_behind(&self, in_flight: u32) -> bool {
         let work_ms = f64::from(self.work_ms());
-        let queued = f64::from((in_flight + 1).saturating_sub(slots));
+        let queued = f64::from((in_flight + 1).saturating_sub(self.slots));
         queued < 1.0
-            || (1.0 + queued / f64::from(slots.max(1))) * work_ms <= f64::from(self.left_ms)
+            || (1.0 + queued / f64::from(self.slots.max(1))) * work_ms <= f64::from(self.left_ms)
     }
 }
 
@@ -86,7 +88,6 @@
         now_us: u64,
         (holder, number): (&Arc<str>, u64),
         need: PermitNeed,
-        slots: u32,
     ) -> (bool, u32) {
         self.forget(now_us);
         match need.stray {
@@ -100,12 +101,11 @@
         let in_flight = self.permits.len() as u32 + strays;
         let deadline_ms = self.shortest_ms(now_us, need);
         let ahead = match need.is_hurried() {
-            true => AHEAD_PART * f64::from(slots),
+            true => AHEAD_PART * f64::from(need.slots),
             false => 0.0,
         };
-        let bound = need.bound(deadline_ms, slots) + ahead;
-        let is_permitted =
-            f64::from(in_flight + 1) <= bound && need.is_met_behind(in_flight, slots);
+        let bound = need.bound(deadline_ms) + ahead;
+        let is_permitted = f64::from(in_flight + 1) <= bound && need.is_met_behind(in_flight);
         if is_permitted {
             let until_us = now_us + u64::from(need.left_ms) * 1_000;
             self.permits.insert((holder.clone(), number), until_us);
