--- a/peers/tests/sizes.rs
+++ b/peers/tests/sizes.rs
@@ -8,6 +8,7 @@
 use policy::instance::Envelope;
 use policy::instance::Message;
 use policy::instance::ToldLoad;
+use policy::limits::PermitNeed;
 use policy::notes::Span;
 
 fn bytes(message: Message) -> usize {
@@ -58,6 +59,37 @@
     assert!(loads(3) <= 100, "{} bytes", loads(3));
 }
 
+#[test]
+fn a_permit_takes_few_bytes() {
+    let target = "i-7f3a91c2d0";
+    let need = PermitNeed {
+        left_ms: 7_900,
+        work_ms: 480,
+        slots: 6,
+        stray: 1,
+    };
+    let number = 1_000_000;
+    let sizes = [
+        bytes(Message::AskPermit {
+            target: target.into(),
+            number,
+            need,
+        }),
+        bytes(Message::PermitAnswer {
+            number,
+            is_permitted: true,
+            in_flight: 7,
+        }),
+        bytes(Message::EndPermit {
+            target: target.into(),
+            number,
+        }),
+    ];
+    println!("{sizes:?} bytes");
+    // What the capacity page counts for each.
+    assert!(sizes.iter().all(|size| *size <= 80), "{sizes:?} bytes");
+}
+
 #[test]
 fn a_grown_deployments_targets_fit_one_message_many_times() {
     let target = |number: u32| Target {
