Send nothing on a permit that comes at the deadline

A request that waited for its home's answer up to its deadline was sent with no time left: the answer's limit is the deadline then, and what is unknown may be sent. Found on reading; the new test failed before (Send in place of 304's refusal). Such a request is answered as one whose deadline has passed, not run. Two more tests hold that a command denied everywhere is refused as not run, and that nothing goes out without a permit where the targets finish nothing.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -292,6 +292,9 @@
         let Some((candidate, slot)) = self.asked.take() else {
             return Step::Continue;
         };
+        if now_us >= self.request.deadline_us {
+            return self.deadline(now_us, rng);
+        }
         let is_permitted = match answer {
             PermitAnswer::Permitted { .. } => true,
             PermitAnswer::Denied { .. } => false,
--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -138,7 +138,8 @@
         self.recent * (1.0 - RECENT_KEPT) / (PERIOD_US as f64 / 1e6)
     }
 
-    /// The load on all instances, with what was known of the sound targets last.
+    /// The load on all instances beside all targets; the sound ones are counted when it is
+    /// judged.
     fn crowding(
         &mut self,
         mean: MeanLoad,
@@ -155,7 +156,7 @@
             rate_per_s: (self.counted_s >= KNOWN_S).then_some(mean.recent_per_s * members),
             work_s: self.work_s.unwrap_or(latency_s),
             slots,
-            ..self.crowding
+            sound_slots: slots,
         }
     }
 
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -17,6 +17,7 @@
 use policy::exchange::Reply;
 use policy::exchange::Request;
 use policy::exchange::Step;
+use policy::instance::PermitAnswer;
 use policy::routing::Candidate;
 use policy::routing::Placement;
 use policy::routing::ServiceLoad;
@@ -227,3 +228,42 @@
     };
     assert!(reply.retry_after_ms.is_some());
 }
+
+fn crowded_run(repeat: Repeat) -> Run {
+    let run = Run::new(repeat, false);
+    run.exchange.table().load.crowd.show(true, 0.0, 500_000);
+    run
+}
+
+#[test]
+fn a_permit_that_comes_at_the_deadline_sends_nothing() {
+    let mut run = crowded_run(Repeat::Idempotent);
+    assert!(matches!(run.on(Event::Begin), Step::Ask { .. }));
+    let permitted = Event::Permit(PermitAnswer::Permitted { in_flight: 0 });
+    let step = run.exchange.on(DEADLINE_US, permitted, &mut run.rng);
+    assert!(is_reply(step, ResultCode::DeadlineTooNear, Outcome::NotRun));
+}
+
+#[test]
+fn a_command_that_no_target_is_permitted_for_is_refused_at_once_as_not_run() {
+    let mut run = crowded_run(Repeat::Never);
+    let mut asked = Vec::new();
+    let mut step = run.on(Event::Begin);
+    while let Step::Ask { candidate } = step {
+        asked.push(candidate);
+        step = run.on(Event::Permit(PermitAnswer::Denied { in_flight: 9 }));
+    }
+    asked.sort_unstable();
+    assert_eq!(asked, [0, 1, 2]);
+    assert!(is_reply(step, ResultCode::Crowded, Outcome::NotRun));
+}
+
+#[test]
+fn nothing_is_sent_without_a_permit_where_the_targets_finish_nothing() {
+    let mut run = crowded_run(Repeat::Never);
+    let mut step = run.on(Event::Begin);
+    while let Step::Ask { .. } = step {
+        step = run.on(Event::Permit(PermitAnswer::Unknown));
+    }
+    assert!(is_reply(step, ResultCode::Crowded, Outcome::NotRun));
+}
