Log owners of permits, count permit answers, and list histograms last

Now gauges and counters come first. Answers to permit requests are counted by kind, an owner logs when it begins a ledger, and a holder how many permits of an earlier owner it has when a target gets another one. No decision changes.

Test: metrics_list_gauges_and_counters_before_histograms, red with the order before.

--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -167,6 +167,21 @@
         /// Service time of a request at a target without a queue, in milliseconds.
         work_ms: u64,
     },
+    /// This instance has become the owner of a target of an overloaded service and begins its
+    /// ledger of permits.
+    LedgerStarted {
+        /// The target's name.
+        target: Arc<str>,
+    },
+    /// Another instance now owns a target for which this instance holds permits.
+    OwnerChanged {
+        /// The target's name.
+        target: Arc<str>,
+        /// Id of the new owner.
+        owner: Arc<str>,
+        /// Permits that the earlier owner has granted to this instance.
+        permits: usize,
+    },
     /// The number of instances that share the retry reserve has changed.
     RetryReserve {
         /// Instances that share the reserve, this one included.
--- a/policy/src/instance/members.rs
+++ b/policy/src/instance/members.rs
@@ -115,6 +115,7 @@
                 },
             }));
         }
+        self.log_changed_owners();
         self.peer_ids = self.membership.present_ids();
         let own = self.membership.own().id.clone();
         self.peer_ids.retain(|id| *id != own);
--- a/policy/src/instance/permits.rs
+++ b/policy/src/instance/permits.rs
@@ -12,6 +12,7 @@
 
 use super::Action;
 use super::Instance;
+use super::LogEvent;
 use super::Message;
 use crate::limits::PermitLedger;
 use crate::limits::PermitParams;
@@ -174,6 +175,11 @@
         number: u64,
         params: PermitParams,
     ) {
+        if !self.permits.ledgers.contains_key(&target) {
+            let target = target.clone();
+            self.actions
+                .push(Action::Log(LogEvent::LedgerStarted { target }));
+        }
         let ledger = self.permits.ledgers.entry(target).or_default();
         let (is_permitted, in_flight) = ledger.request(now_us, (from, number), params);
         let message = Message::PermitAnswer {
@@ -184,6 +190,27 @@
         self.send(now_us, from, message);
     }
 
+    /// Logs the targets with permits of this instance that have another owner now.
+    pub(super) fn log_changed_owners(&mut self) {
+        let mut moved: BTreeMap<(Arc<str>, Arc<str>), usize> = BTreeMap::new();
+        for permit in self.permits.pending.values() {
+            let owners = self.owners.of(&permit.target, &self.membership);
+            if let Some(owner) = owners.into_iter().next()
+                && owner != permit.owner
+            {
+                *moved.entry((permit.target.clone(), owner)).or_default() += 1;
+            }
+        }
+        let changed = moved.into_iter().map(|((target, owner), permits)| {
+            Action::Log(LogEvent::OwnerChanged {
+                target,
+                owner,
+                permits,
+            })
+        });
+        self.actions.extend(changed);
+    }
+
     /// Removes a released permit from the ledger of a target that this instance owns.
     pub(super) fn handle_permit_release(&mut self, from: &Arc<str>, target: &str, number: u64) {
         if let Some(ledger) = self.permits.ledgers.get_mut(target) {
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -170,6 +170,7 @@
             PermitAnswer::Denied { .. } => drop(permit),
             PermitAnswer::Unknown => permit.expire(),
         }
+        self.proxy_state.metrics.count_permit_answer(answer);
         if self.is_logged {
             let now_us = self.proxy_state.clock.now_us();
             request_log::log_permit_answer(&self.request, &target, answer, now_us - requested_us);
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -135,6 +135,18 @@
                     "event=targets-kept targets=\"{targets}\" stay={reason:?} for_ms={for_ms} by={by}"
                 );
             }
+            LogEvent::LedgerStarted { target } => {
+                log::info!("event=permit-ledger-started target={target}");
+            }
+            LogEvent::OwnerChanged {
+                target,
+                owner,
+                permits,
+            } => {
+                log::info!(
+                    "event=target-owner-changed target={target} owner={owner} permits={permits}"
+                );
+            }
             LogEvent::RetryReserve { instances } => {
                 log::info!("event=retry-reserve instances={instances}");
             }
--- a/sniperund/src/metrics/metrics.rs
+++ b/sniperund/src/metrics/metrics.rs
@@ -1,5 +1,8 @@
 //! Counters and histograms.
 //!
+//! Histograms come last in the text, after the gauges and counters: on-call engineers may keep
+//! only its first kilobytes.
+//!
 //! Label values come from the configuration and the table of result codes, never from callers, so
 //! their number is bounded.
 
@@ -7,6 +10,7 @@
 use std::sync::Arc;
 
 use peers::Counters;
+use policy::instance::PermitAnswer;
 use policy::invariant;
 use policy::invariant::Invariant;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -42,11 +46,18 @@
     service: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PermitLabels {
+    answer: &'static str,
+}
+
 type Histograms = Family<ServiceLabels, Histogram, fn() -> Histogram>;
 
 /// Metrics of an instance.
 pub struct Metrics {
-    registry: Registry,
+    counters: Registry,
+    histograms: Registry,
+    permits: Family<PermitLabels, Counter>,
     requests: Family<RequestLabels, Counter>,
     answer_seconds: Histograms,
     added_seconds: Histograms,
@@ -65,47 +76,54 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        let mut registry = Registry::with_prefix("sniperun");
+        let mut counters = Registry::with_prefix("sniperun");
+        let mut histograms = Registry::with_prefix("sniperun");
+        let permits = Family::<PermitLabels, Counter>::default();
         let requests = Family::<RequestLabels, Counter>::default();
         let answer_seconds: Histograms = Family::new_with_constructor(answer_histogram);
         let added_seconds: Histograms = Family::new_with_constructor(added_histogram);
         let ejections = Family::<EjectionLabels, Counter>::default();
         let note_in_force = Gauge::default();
         let platform_calls = Counter::default();
-        registry.register("requests", "Requests by their end", requests.clone());
-        registry.register(
+        counters.register("requests", "Requests by their end", requests.clone());
+        counters.register(
+            "permits",
+            "Permit requests to owners of targets, by the answer",
+            permits.clone(),
+        );
+        histograms.register(
             "answer_seconds",
             "Time from request to the head of the answer",
             answer_seconds.clone(),
         );
-        registry.register(
+        histograms.register(
             "added_seconds",
             "Part of that time that the instance added",
             added_seconds.clone(),
         );
-        registry.register(
+        counters.register(
             "ejections",
             "Ejections decided here as home",
             ejections.clone(),
         );
-        registry.register(
+        counters.register(
             "note_in_force",
             "Number of the note in force",
             note_in_force.clone(),
         );
-        registry.register(
+        counters.register(
             "platform_calls",
             "Calls to the platform",
             platform_calls.clone(),
         );
         let platform_failures = Counter::default();
-        registry.register(
+        counters.register(
             "platform_failures",
             "Calls to the platform that failed",
             platform_failures.clone(),
         );
         let suspicion_changes = Counter::default();
-        registry.register(
+        counters.register(
             "target_doubts",
             "Targets taken for failing, and for good again",
             suspicion_changes.clone(),
@@ -113,7 +131,9 @@
         Self {
             platform_failures,
             suspicion_changes,
-            registry,
+            counters,
+            histograms,
+            permits,
             requests,
             answer_seconds,
             added_seconds,
@@ -131,6 +151,16 @@
         self.requests.get_or_create(labels).inc();
     }
 
+    /// Counts the answer to a permit request.
+    pub fn count_permit_answer(&self, answer: PermitAnswer) {
+        let answer = match answer {
+            PermitAnswer::Permitted { .. } => "permitted",
+            PermitAnswer::Denied { .. } => "denied",
+            PermitAnswer::Unknown => "unknown",
+        };
+        self.permits.get_or_create(&PermitLabels { answer }).inc();
+    }
+
     /// Records the time from the request to the head of its response, and the part of it that the
     /// instance added, in microseconds.
     pub fn observe_response(&self, service: &str, class: &str, answer_us: u64, added_us: u64) {
@@ -155,14 +185,12 @@
         self.ejections.get_or_create(&labels).inc();
     }
 
-    /// Returns all metrics in text format; `gauges` is inserted before the end marker.
+    /// Returns all metrics in text format, `gauges` first.
     pub fn text(&self, gauges: &str) -> String {
-        let mut text = String::new();
-        let _ = encode(&mut text, &self.registry);
-        let end = text.trim_end().trim_end_matches("# EOF").len();
-        text.truncate(end);
+        let mut text = gauges.to_owned();
+        add_encoded(&mut text, &self.counters);
         self.add_counters(&mut text);
-        text.push_str(gauges);
+        add_encoded(&mut text, &self.histograms);
         text.push_str("# EOF\n");
         text
     }
@@ -197,6 +225,14 @@
     }
 }
 
+/// Adds the metrics of a registry without the end marker.
+fn add_encoded(text: &mut String, registry: &Registry) {
+    // Encoding to a string does not fail.
+    let _ = encode(text, registry);
+    let end = text.trim_end().trim_end_matches("# EOF").len();
+    text.truncate(end);
+}
+
 const FIRST_BUCKET_S: f64 = 0.000_1;
 const BUCKET_FACTOR: f64 = 2.0;
 const BUCKETS: u16 = 18;
--- a/sniperund/tests/users/commands.rs
+++ b/sniperund/tests/users/commands.rs
@@ -179,6 +179,20 @@
     assert!(metrics.contains("code=\"303\""), "{metrics}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_list_gauges_and_counters_before_histograms() {
+    let deployment = Deployment::start(1).await;
+    let instance = &deployment.instances[0];
+    let _ = instance.send_request("POST", "/command/a", "2d02").await;
+    let metrics = instance.metrics().await;
+    let at = |name: &str| metrics.find(name).expect("metric exists");
+    let histograms = at("sniperun_answer_seconds_bucket");
+    assert!(at("sniperun_service_crowded{") < histograms, "{metrics}");
+    assert!(at("sniperun_requests_total{") < histograms, "{metrics}");
+    assert!(at("sniperun_violations_total{") < histograms, "{metrics}");
+    assert!(metrics.ends_with("# EOF\n"), "{metrics}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn metrics_report_suspect_targets_and_process_resources() {
     let deployment = Deployment::start(1).await;
