Show in the fleet model that permits are lost with their owner (red)

The overload model now restarts single instances, by plan or killed, one after the other while few healthy targets are left.

--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -225,19 +225,9 @@
             incarnation,
             ..member(number)
         };
-        let node = |number: usize| {
-            let mut settings = policy::Settings::new(own(number), self.seed + number as u64);
-            settings.evidence = EvidenceSharing::Alerts;
-            settings.source = ConfigurationSource::Registry;
-            settings.shared_retry_reserve = self.retry_reserve;
-            Node {
-                instance: Instance::new(settings),
-                follower: Follower::default(),
-                outages: Vec::new(),
-                is_dead: false,
-            }
-        };
-        self.nodes = (0..INSTANCES).map(node).collect();
+        self.nodes = (0..INSTANCES)
+            .map(|number| self.new_node(own(number)))
+            .collect();
         for number in 0..INSTANCES {
             let members: Vec<Member> = (0..INSTANCES).map(own).collect();
             for _ in 0..2 {
@@ -248,6 +238,50 @@
         }
     }
 
+    fn new_node(&self, own: Member) -> Node {
+        let number = u64::from(own.peer_address.port()) - 1_000;
+        let mut settings = policy::Settings::new(own, self.seed + number);
+        settings.evidence = EvidenceSharing::Alerts;
+        settings.source = ConfigurationSource::Registry;
+        settings.shared_retry_reserve = self.retry_reserve;
+        Node {
+            instance: Instance::new(settings),
+            follower: Follower::default(),
+            outages: Vec::new(),
+            is_dead: false,
+        }
+    }
+
+    /// Starts the planned stop of an instance.
+    pub(crate) fn drain(&mut self, number: usize) {
+        self.deliver(number, Input::Drain);
+    }
+
+    /// Ends the process of an instance.
+    pub(crate) fn stop(&mut self, number: usize) {
+        self.nodes[number].is_dead = true;
+    }
+
+    /// Starts a new process of an instance, which knows the other instances and nothing else.
+    pub(crate) fn start_again(&mut self, number: usize) {
+        let present = |node: &Node| node.instance.membership().own().clone();
+        let mut members: Vec<Member> = self.nodes.iter().map(present).collect();
+        members[number].incarnation += 1;
+        members[number].status = Status::Alive;
+        self.nodes[number] = self.new_node(members[number].clone());
+        for _ in 0..2 {
+            let members = PlatformAnswer::Instances(members.clone());
+            self.deliver(number, Input::Platform(members));
+        }
+        self.deliver(number, Input::Registry(RegistryUpdate::Release(release())));
+    }
+
+    /// Whether an instance takes requests.
+    pub(crate) fn is_ready(&self, number: usize) -> bool {
+        let node = &self.nodes[number];
+        !node.is_dead && node.instance.is_ready()
+    }
+
     /// Draws a random number below `limit`.
     pub(crate) fn draw(&mut self, limit: u64) -> u64 {
         self.rng.random_range(0..limit)
--- a/policy/tests/fleet/overload.rs
+++ b/policy/tests/fleet/overload.rs
@@ -78,6 +78,8 @@
         }],
         reset_share: 1.0,
         restart_us: None,
+        restarts_us: Vec::new(),
+        kills: false,
         normal_rate_per_s: 40.0,
         fault_period_rate_per_s: 47.0,
         short_deadline_share: 0.1,
@@ -220,8 +222,8 @@
     text.and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-/// Simulates random scenarios on four threads.
-fn run_random_scenarios() -> Vec<(u64, Evaluation)> {
+/// Simulates the random scenarios that `scenario_of` creates on four threads.
+fn run_random_scenarios(scenario_of: fn(u64) -> Scenario) -> Vec<(u64, Evaluation)> {
     let (first, count) = (
         env_number("CROWD_FROM", 0),
         env_number("CROWD_DAYS", DEFAULT_SCENARIOS),
@@ -234,7 +236,7 @@
             if seed >= first + count {
                 return results;
             }
-            let scenario = Scenario::random(seed);
+            let scenario = scenario_of(seed);
             let result = OverloadSimulation::new(seed, scenario.clone()).run();
             results.push((seed, Evaluation::of(&scenario, &result)));
         }
@@ -252,7 +254,21 @@
 
 #[test]
 fn no_crowd_at_few_targets_starves_callers_with_little_time_or_wastes_what_they_can_do() {
-    let evaluations = run_random_scenarios();
+    check_random_scenarios(Scenario::random);
+}
+
+#[test]
+fn restarts_of_owners_neither_starve_short_deadlines_nor_waste_the_few_healthy_targets() {
+    check_random_scenarios(Scenario::random_with_planned_stops);
+}
+
+#[test]
+fn kills_of_owners_neither_starve_short_deadlines_nor_waste_the_few_healthy_targets() {
+    check_random_scenarios(Scenario::random_with_kills);
+}
+
+fn check_random_scenarios(scenario_of: fn(u64) -> Scenario) {
+    let evaluations = run_random_scenarios(scenario_of);
     let seeds = |is_broken: fn(&Evaluation) -> bool| -> Vec<u64> {
         let evaluations = evaluations
             .iter()
--- a/policy/tests/fleet/overload_simulation.rs
+++ b/policy/tests/fleet/overload_simulation.rs
@@ -38,6 +38,10 @@
 /// Retries of a caller after refusals.
 const MAX_RETRIES: u32 = 3;
 const LONG_DEADLINE_US: u64 = 6 * SECOND_US;
+/// Time from the start of a planned stop to the end of the process, and from there to its next
+/// start.
+const STOP_US: u64 = 3 * SECOND_US;
+const DOWN_US: u64 = 500_000;
 /// Minimum processing time, as a share of the mean.
 const MIN_WORK_SHARE: f64 = 0.55;
 
@@ -59,6 +63,10 @@
     pub(crate) reset_share: f64,
     /// Time at which all instances restart; `None` if they do not.
     pub(crate) restart_us: Option<u64>,
+    /// Times at which single instances are restarted.
+    pub(crate) restarts_us: Vec<u64>,
+    /// Whether these instances are killed instead of stopped by plan.
+    pub(crate) kills: bool,
     pub(crate) normal_rate_per_s: f64,
     pub(crate) fault_period_rate_per_s: f64,
     /// Share of the callers that have a short deadline, and that deadline.
@@ -97,6 +105,8 @@
             fault_periods: vec![first, second],
             reset_share: 0.85,
             restart_us: rng.random_bool(0.3).then_some(restart_us),
+            restarts_us: Vec::new(),
+            kills: false,
             normal_rate_per_s: per_s,
             fault_period_rate_per_s: per_s,
             short_deadline_share: rng.random_range(0.1..0.5),
@@ -107,6 +117,29 @@
         }
     }
 
+    /// Creates a random scenario in which half of the instances are stopped by plan and started
+    /// again, one after the other, while few healthy targets are left.
+    pub(crate) fn random_with_planned_stops(seed: u64) -> Self {
+        let scenario = Self::random(seed);
+        let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+        let gap_us = rng.random_range(SECOND_US..2 * SECOND_US);
+        let first_us = scenario.fault_periods[0].from_us;
+        let restarts = 0..INSTANCES as u64 / 2;
+        Self {
+            restart_us: None,
+            restarts_us: restarts.map(|number| first_us + number * gap_us).collect(),
+            ..scenario
+        }
+    }
+
+    /// The same with instances that are killed.
+    pub(crate) fn random_with_kills(seed: u64) -> Self {
+        Self {
+            kills: true,
+            ..Self::random_with_planned_stops(seed)
+        }
+    }
+
     /// Requests per second that a number of healthy targets can serve.
     pub(crate) fn capacity_per_s(&self, healthy_targets: usize) -> f64 {
         (healthy_targets * SLOTS) as f64 / self.work_us * 1e6
@@ -145,6 +178,9 @@
     Completion(u64),
     DeadlinePassed(u64),
     PermitTimeout(u64),
+    Drain(usize),
+    Stop(usize),
+    Start(usize),
 }
 
 struct ActiveRequest {
@@ -201,6 +237,7 @@
 
     pub(crate) fn run(mut self) -> SimulationResult {
         self.generate_callers();
+        self.schedule_restarts();
         let mut restart_us = self.scenario.restart_us;
         while let Some(Reverse((at_us, ..))) = self.events.peek() {
             let at_us = restart_us.map_or(*at_us, |restart_us| restart_us.min(*at_us));
@@ -229,11 +266,47 @@
                 SimEvent::PermitTimeout(permit_number) => {
                     self.handle_permit_answer(permit_number, PermitAnswer::Unknown);
                 }
+                SimEvent::Drain(node) => self.fleet.drain(node),
+                SimEvent::Stop(node) => self.stop(node),
+                SimEvent::Start(node) => self.fleet.start_again(node),
             }
         }
         self.result
     }
 
+    fn schedule_restarts(&mut self) {
+        let restarts_us = self.scenario.restarts_us.clone();
+        let nodes = (0..INSTANCES).sample(&mut self.rng, restarts_us.len());
+        for (node, at_us) in nodes.into_iter().zip(restarts_us) {
+            let stop_us = at_us + if self.scenario.kills { 0 } else { STOP_US };
+            if !self.scenario.kills {
+                self.schedule(at_us, SimEvent::Drain(node));
+            }
+            self.schedule(stop_us, SimEvent::Stop(node));
+            self.schedule(stop_us + DOWN_US, SimEvent::Start(node));
+        }
+    }
+
+    /// Ends the process of an instance; its requests in flight are lost.
+    fn stop(&mut self, node: usize) {
+        self.fleet.stop(node);
+        let active = self.active_requests.iter();
+        let lost = active.filter(|(_, active)| active.node == node);
+        let lost: Vec<u64> = lost.map(|(id, _)| *id).collect();
+        for id in lost {
+            if let Some(active) = self.active_requests.remove(&id) {
+                self.result.callers[active.caller].is_lost = true;
+                self.leave_queue(id, &active.target);
+            }
+        }
+        let result = &mut self.result;
+        self.awaiting_permit.retain(|_, (_, active)| {
+            let is_lost = active.node == node;
+            result.callers[active.caller].is_lost |= is_lost;
+            !is_lost
+        });
+    }
+
     fn generate_callers(&mut self) {
         let mut at_us = 2 * SECOND_US;
         while at_us < self.scenario.end_us {
@@ -302,7 +375,10 @@
     }
 
     fn send_request(&mut self, caller: usize, retries: u32) {
-        let node = self.rng.random_range(0..INSTANCES);
+        let mut node = self.rng.random_range(0..INSTANCES);
+        while !self.fleet.is_ready(node) && !self.scenario.restarts_us.is_empty() {
+            node = (node + 1) % INSTANCES;
+        }
         let deadline_us = self.deadline_us(caller);
         let request = Request {
             deadline_us,
