Tell all instances when one stops by plan

Cause: a stopping instance pinged all others, but its own entry is added to the first messages only (log2 of the fleet plus 3; 7 of 17 pings, 11 of 291). The others learned of the stop by gossip, some after more than two seconds, and in the meantime two instances owned the same target and granted permits for it.

Change: the entry is broadcast along the tree that carries alerts.

--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -363,6 +363,9 @@
                 self.send_latency_profiles(now_us, &from);
             }
             Message::Suspects(suspects) => self.merge_suspects(now_us, &suspects),
+            Message::MemberChanged { member, id_range } => {
+                self.handle_member_change(now_us, &member, id_range.as_ref())
+            }
             Message::Alerts { alerts, id_range } => {
                 self.handle_alerts(now_us, &from, &alerts, id_range.as_ref())
             }
@@ -440,8 +443,8 @@
         self.has_unpublished_table = true;
         self.membership.leave();
         self.actions.push(Action::Log(LogEvent::Draining));
-        for id in self.other_ids() {
-            self.send(now_us, &id, Message::Ping { sequence: 0 });
-        }
+        let ids = self.other_ids();
+        let own = self.membership.own().clone();
+        self.broadcast_member(now_us, &own, &ids);
     }
 }
--- a/policy/src/instance/members.rs
+++ b/policy/src/instance/members.rs
@@ -10,6 +10,7 @@
 use super::Message;
 use crate::membership::Change;
 use crate::membership::Member;
+use crate::notes::IdRange;
 
 const JOIN_PERIOD_US: u64 = 1_000_000;
 const DEAD_PING_PERIOD_US: u64 = 1_000_000;
@@ -130,6 +131,30 @@
         self.drop_services_not_owned();
     }
 
+    /// Merges the entry of an instance that has started or stops, and forwards it within
+    /// `id_range`.
+    pub(super) fn handle_member_change(
+        &mut self,
+        now_us: u64,
+        member: &Member,
+        id_range: Option<&IdRange>,
+    ) {
+        if let Some(id_range) = id_range {
+            let ids = id_range.select_ids(&self.other_ids());
+            self.broadcast_member(now_us, member, &ids);
+        }
+        self.merge_members(now_us, std::slice::from_ref(member));
+    }
+
+    /// Broadcasts the entry of an instance. Gossip alone, which adds a few entries to messages
+    /// that are sent anyway, takes seconds to reach all.
+    pub(super) fn broadcast_member(&mut self, now_us: u64, member: &Member, ids: &[Arc<str>]) {
+        for (to, id_range) in crate::notes::partition_receivers(ids, &mut self.rng) {
+            let member = member.clone();
+            self.send(now_us, &to, Message::MemberChanged { member, id_range });
+        }
+    }
+
     pub(super) fn drop_services_not_owned(&mut self) {
         let own = self.membership.own().id.clone();
         let not_owned: Vec<Arc<str>> = self
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -177,6 +177,13 @@
     PullSuspects,
     /// Targets with a raised failure probability at the sender.
     Suspects(Vec<SuspectTarget>),
+    /// An instance has started or stops.
+    MemberChanged {
+        /// The instance.
+        member: Member,
+        /// Ids that the receiver forwards it to.
+        id_range: Option<IdRange>,
+    },
     /// Outcomes at targets, just observed by the instance that started the broadcast.
     Alerts {
         /// The outcomes.
--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -276,6 +276,14 @@
         self.deliver(number, Input::Registry(RegistryUpdate::Release(release())));
     }
 
+    /// Whether an instance counts another one as present.
+    pub(crate) fn sees(&self, number: usize, other: usize) -> bool {
+        let membership = self.nodes[number].instance.membership();
+        membership
+            .get(&member(other).id)
+            .is_some_and(Member::is_present)
+    }
+
     /// Whether an instance takes requests.
     pub(crate) fn is_ready(&self, number: usize) -> bool {
         let node = &self.nodes[number];
--- a/policy/tests/fleet/main.rs
+++ b/policy/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod hanging;
 mod hanging_simulation;
 mod leaving;
+mod membership;
 mod overload;
 mod overload_simulation;
 mod retry_loans;
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -658,7 +658,7 @@
 fn category_of(message: &Message) -> &'static str {
     match message {
         Message::Ping { .. } | Message::Ack { .. } | Message::PingFor { .. } => "heartbeats",
-        Message::Join | Message::Members(_) => "joining",
+        Message::Join | Message::Members(_) | Message::MemberChanged { .. } => "joining",
         Message::Reports(_)
         | Message::Latencies(_)
         | Message::LatencySamples(_)
