Announce the start of an instance while targets are suspect

Cause: an instance that starts again becomes the owner of targets, but the others learn of it by gossip within seconds; until then two owners grant permits for the same target.

Change: an instance that gets suspect targets from the peers it asks at its start broadcasts its own entry.

--- a/policy/src/instance/alerts.rs
+++ b/policy/src/instance/alerts.rs
@@ -204,6 +204,7 @@
 
     /// Raises failure probabilities to those of another instance where these are higher.
     pub(super) fn merge_suspects(&mut self, now_us: u64, suspects: &[SuspectTarget]) {
+        self.announce_start(now_us);
         for suspect in suspects {
             let known = self
                 .note_log
--- a/policy/src/instance/members.rs
+++ b/policy/src/instance/members.rs
@@ -131,6 +131,16 @@
         self.drop_services_not_owned();
     }
 
+    /// Tells all instances that this one has started: once targets are suspect, permits may be in
+    /// use, and this instance owns some of the targets.
+    pub(super) fn announce_start(&mut self, now_us: u64) {
+        if !std::mem::replace(&mut self.has_announced_start, true) {
+            let ids = self.other_ids();
+            let own = self.membership.own().clone();
+            self.broadcast_member(now_us, &own, &ids);
+        }
+    }
+
     /// Merges the entry of an instance that has started or stops, and forwards it within
     /// `id_range`.
     pub(super) fn handle_member_change(
--- a/policy/tests/fleet/membership.rs
+++ b/policy/tests/fleet/membership.rs
@@ -1,5 +1,8 @@
 //! How fast the instances learn which of them stop and start.
 
+use policy::exchange::AttemptEnd;
+use policy::exchange::Observation;
+
 use crate::fleet::Fleet;
 use crate::fleet::INSTANCES;
 use crate::fleet::SECOND_US;
@@ -14,6 +17,16 @@
     others.filter(|other| fleet.sees(*other, number)).count()
 }
 
+fn reset_of(target: usize) -> Observation {
+    Observation {
+        service: "gates".into(),
+        target: format!("t{target:03}").into(),
+        end: AttemptEnd::Cut,
+        overdue_reports: 0,
+        has_full_time: true,
+    }
+}
+
 #[test]
 fn all_instances_learn_at_once_that_one_stops() {
     for seed in 0..SEEDS {
@@ -24,3 +37,22 @@
         assert_eq!(count_informed(&fleet, 0), 0, "seed {seed}");
     }
 }
+
+#[test]
+fn all_instances_learn_at_once_that_one_has_started_while_targets_are_suspect() {
+    for seed in 0..SEEDS {
+        let mut fleet = Fleet::new(seed);
+        fleet.run(3 * SECOND_US);
+        fleet.drain(0);
+        fleet.run(6 * SECOND_US);
+        fleet.stop(0);
+        for target in 0..2 {
+            fleet.observe(1, reset_of(target));
+        }
+        fleet.run(7 * SECOND_US);
+        fleet.start_again(0);
+        // The first tick asks two peers for suspect targets, within a quarter of a second.
+        fleet.run(8 * SECOND_US + ANNOUNCEMENT_US);
+        assert_eq!(count_informed(&fleet, 0), INSTANCES - 1, "seed {seed}");
+    }
+}
