Evaluate the overload again when suspect targets are learned at a start

Cause: an instance that starts learns from two peers which targets are suspect, but decided on the overload at its next measurement only, up to half a second later; until then it sent without permits.

--- a/policy/src/instance/alerts.rs
+++ b/policy/src/instance/alerts.rs
@@ -5,6 +5,7 @@
 //! traffic, an alert is broadcast only if it changes the estimate: a failure of a target not
 //! yet considered failing, or a good response from one not yet considered healthy.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -205,6 +206,7 @@
     /// Raises failure probabilities to those of another instance where these are higher.
     pub(super) fn merge_suspects(&mut self, now_us: u64, suspects: &[SuspectTarget]) {
         self.announce_start(now_us);
+        let mut services = BTreeSet::new();
         for suspect in suspects {
             let known = self
                 .note_log
@@ -220,6 +222,10 @@
             self.table_builder
                 .load_of(&target)
                 .raise_failure_probability(now_us, level);
+            services.insert(target.service.clone());
+        }
+        for service in services {
+            self.update_overload(now_us, &service);
         }
     }
 
