Keep the permits of requests when their owner changes

Cause: the ledger of permits is lost with its owner. Permits that an earlier owner had granted counted nowhere, neither as permits nor as requests without one, and those of an instance that stops by plan were dropped although it completes its requests. A new owner admitted a full queue behind the one that was there.

Change: when the owner of a target changes, stops or has restarted, each holder registers its permits with the present owner and releases them there. An instance that stops owns nothing in its own view either. Only a dead instance's permits are dropped.

--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -38,6 +38,7 @@
 use crate::feed::KnownVersions;
 use crate::feed::Lag;
 use crate::feed::RegistryView;
+use crate::membership::Change;
 use crate::membership::Membership;
 use crate::membership::Owners;
 use crate::membership::RelayedPings;
@@ -222,7 +223,7 @@
         for probe in self.membership.tick(now_us, &mut self.rng) {
             self.send_probe(now_us, probe);
         }
-        self.apply_membership_changes();
+        self.apply_membership_changes(now_us);
         self.send_join_requests(now_us);
         self.ping_dead(now_us);
         match self.source {
@@ -296,7 +297,7 @@
         self.membership
             .record_contact(now_us, &from, envelope.incarnation);
         self.readiness.record_peer_number(&from, envelope.note);
-        self.apply_membership_changes();
+        self.apply_membership_changes(now_us);
         match envelope.message {
             Message::Ping { sequence } => self.send(now_us, &from, Message::Ack { sequence }),
             Message::Ack { sequence } => self.handle_ack(now_us, sequence, envelope.note),
@@ -346,7 +347,10 @@
                 number,
                 is_permitted,
                 in_flight,
-            } => self.handle_permit_answer(number, is_permitted, in_flight),
+            } => self.handle_permit_answer(&from, number, is_permitted, in_flight),
+            Message::RegisterPermits { target, permits } => {
+                self.handle_registered_permits(now_us, &from, target, &permits)
+            }
             Message::ReleasePermit { target, number } => {
                 self.handle_permit_release(&from, &target, number)
             }
@@ -448,5 +452,7 @@
         let ids = self.other_ids();
         let own = self.membership.own().clone();
         self.broadcast_member(now_us, &own, &ids);
+        self.owners.change(&Change::Left(own), &self.membership);
+        self.register_permits(now_us);
     }
 }
--- a/policy/src/instance/members.rs
+++ b/policy/src/instance/members.rs
@@ -10,6 +10,7 @@
 use super::Message;
 use crate::membership::Change;
 use crate::membership::Member;
+use crate::membership::Status;
 use crate::notes::IdRange;
 
 const JOIN_PERIOD_US: u64 = 1_000_000;
@@ -91,10 +92,10 @@
         for member in members {
             self.membership.merge(now_us, member);
         }
-        self.apply_membership_changes();
+        self.apply_membership_changes(now_us);
     }
 
-    pub(super) fn apply_membership_changes(&mut self) {
+    pub(super) fn apply_membership_changes(&mut self, now_us: u64) {
         let changes = self.membership.take_changes();
         if changes.is_empty() {
             return;
@@ -102,21 +103,29 @@
         for change in &changes {
             self.owners.change(change, &self.membership);
             if let Change::Left(member) = change {
-                self.permits.remove_instance(&member.id);
+                // An instance that stops by plan still completes its requests.
+                if member.status == Status::Dead {
+                    self.permits.remove_instance(&member.id);
+                }
                 for target in self.decision_table.forget_owner(&member.id) {
                     self.rebuild_service_of_target(&target);
                 }
             }
-            self.actions.push(Action::Log(match change {
+            if let Change::Renewed(member) = change {
+                self.permits.forget_owner(&member.id);
+            }
+            let event = match change {
                 Change::Joined(member) => LogEvent::Joined {
                     instance: member.id.clone(),
                 },
                 Change::Left(member) => LogEvent::Gone {
                     instance: member.id.clone(),
                 },
-            }));
+                Change::Renewed(_) => continue,
+            };
+            self.actions.push(Action::Log(event));
         }
-        self.log_changed_owners();
+        self.register_permits(now_us);
         self.peer_ids = self.membership.present_ids();
         let own = self.membership.own().id.clone();
         self.peer_ids.retain(|id| *id != own);
@@ -160,7 +169,7 @@
     /// that are sent anyway, takes seconds to reach all.
     pub(super) fn broadcast_member(&mut self, now_us: u64, member: &Member, ids: &[Arc<str>]) {
         for (to, id_range) in crate::notes::partition_receivers(ids, &mut self.rng) {
-            let member = member.clone();
+            let member = Box::new(member.clone());
             self.send(now_us, &to, Message::MemberChanged { member, id_range });
         }
     }
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -14,6 +14,7 @@
 use crate::evidence::Signal;
 use crate::feed::EntryChanges;
 use crate::feed::Release;
+use crate::limits::HeldPermit;
 use crate::limits::PermitParams;
 use crate::membership::Member;
 use crate::notes::IdRange;
@@ -180,7 +181,7 @@
     /// An instance has started or stops.
     MemberChanged {
         /// The instance.
-        member: Member,
+        member: Box<Member>,
         /// Ids that the receiver forwards it to.
         id_range: Option<IdRange>,
     },
@@ -233,6 +234,13 @@
         /// Requests in flight to the target before this one.
         in_flight: u32,
     },
+    /// Registers permits that an earlier owner of a target granted to the sender.
+    RegisterPermits {
+        /// The target's name.
+        target: Arc<str>,
+        /// The permits.
+        permits: Vec<HeldPermit>,
+    },
     /// Releases the permit of a request that has ended.
     ReleasePermit {
         /// The target's name.
--- a/policy/src/instance/permits.rs
+++ b/policy/src/instance/permits.rs
@@ -14,6 +14,7 @@
 use super::Instance;
 use super::LogEvent;
 use super::Message;
+use crate::limits::HeldPermit;
 use crate::limits::PermitLedger;
 use crate::limits::PermitParams;
 
@@ -60,8 +61,12 @@
 
 #[derive(Clone, Debug)]
 struct PendingPermit {
-    owner: Arc<str>,
+    /// The owner that was asked, or that has the permit in its ledger; `None` if it has lost the
+    /// ledger.
+    owner: Option<Arc<str>>,
     target: Arc<str>,
+    /// Deadline of the request, in microseconds.
+    expires_us: u64,
     is_answered: bool,
 }
 
@@ -76,10 +81,22 @@
 }
 
 impl Permits {
-    /// Counts the requested and granted permits for a target.
-    fn count_for_target(&self, target: &str) -> u32 {
+    /// Counts the permits for a target that were requested from an owner or are registered there.
+    fn count_for_target(&self, target: &str, owner: &Arc<str>) -> u32 {
         let pending = self.pending.values();
-        pending.filter(|pending| *pending.target == *target).count() as u32
+        let is_counted = |pending: &&PendingPermit| {
+            *pending.target == *target && pending.owner.as_ref() == Some(owner)
+        };
+        pending.filter(is_counted).count() as u32
+    }
+
+    /// Records that an owner has lost its ledgers.
+    pub(super) fn forget_owner(&mut self, owner: &str) {
+        for permit in self.pending.values_mut() {
+            if permit.owner.as_deref() == Some(owner) {
+                permit.owner = None;
+            }
+        }
     }
 
     fn is_unresponsive(&self, now_us: u64, owner: &str) -> bool {
@@ -125,7 +142,8 @@
         }
         let in_flight = self.table_builder.load_of(&configured).in_flight();
         // The request that needs the permit already counts as in flight.
-        let untracked = in_flight.saturating_sub(self.permits.count_for_target(&target) + 1);
+        let untracked =
+            in_flight.saturating_sub(self.permits.count_for_target(&target, &owner) + 1);
         let service = self.routing_table.services.get(&configured.service);
         let overload = service.map(|service| &service.load.overload);
         let ms = |time_us: u64| (time_us / 1_000) as u32;
@@ -136,8 +154,9 @@
             untracked,
         };
         let pending = PendingPermit {
-            owner: owner.clone(),
+            owner: Some(owner.clone()),
             target: target.clone(),
+            expires_us: now_us + left_us,
             is_answered: false,
         };
         self.permits.pending.insert(number, pending);
@@ -154,16 +173,19 @@
         let Some(pending) = self.permits.pending.remove(&number) else {
             return;
         };
+        let Some(owner) = pending.owner else {
+            return;
+        };
         if is_timed_out && !pending.is_answered {
             let unanswered = &mut self.permits.unanswered;
-            let (count, at_us) = unanswered.entry(pending.owner.clone()).or_default();
+            let (count, at_us) = unanswered.entry(owner.clone()).or_default();
             (*count, *at_us) = (*count + 1, now_us);
         }
         let message = Message::ReleasePermit {
             target: pending.target,
             number,
         };
-        self.send(now_us, &pending.owner, message);
+        self.send(now_us, &owner, message);
     }
 
     /// Answers a permit request as the owner of a target.
@@ -175,12 +197,7 @@
         number: u64,
         params: PermitParams,
     ) {
-        if !self.permits.ledgers.contains_key(&target) {
-            let target = target.clone();
-            self.actions
-                .push(Action::Log(LogEvent::LedgerStarted { target }));
-        }
-        let ledger = self.permits.ledgers.entry(target).or_default();
+        let ledger = self.ledger_of(target);
         let (is_permitted, in_flight) = ledger.request(now_us, (from, number), params);
         let message = Message::PermitAnswer {
             number,
@@ -190,25 +207,61 @@
         self.send(now_us, from, message);
     }
 
-    /// Logs the targets with permits of this instance that have another owner now.
-    pub(super) fn log_changed_owners(&mut self) {
-        let mut moved: BTreeMap<(Arc<str>, Arc<str>), usize> = BTreeMap::new();
-        for permit in self.permits.pending.values() {
+    /// Registers the permits of this instance with the present owners of their targets, where
+    /// these are not the instances that granted them.
+    pub(super) fn register_permits(&mut self, now_us: u64) {
+        let mut moved: BTreeMap<(Arc<str>, Arc<str>), Vec<HeldPermit>> = BTreeMap::new();
+        for (number, permit) in &mut self.permits.pending {
+            if !permit.is_answered {
+                continue;
+            }
             let owners = self.owners.of(&permit.target, &self.membership);
-            if let Some(owner) = owners.into_iter().next()
-                && owner != permit.owner
-            {
-                *moved.entry((permit.target.clone(), owner)).or_default() += 1;
+            let Some(owner) = owners.into_iter().next() else {
+                continue;
+            };
+            if permit.owner.as_ref() == Some(&owner) {
+                continue;
             }
+            permit.owner = Some(owner.clone());
+            let held = HeldPermit {
+                number: *number,
+                left_ms: (permit.expires_us.saturating_sub(now_us) / 1_000) as u32,
+            };
+            let target = permit.target.clone();
+            moved.entry((target, owner)).or_default().push(held);
+        }
+        for ((target, owner), permits) in moved {
+            self.actions.push(Action::Log(LogEvent::OwnerChanged {
+                target: target.clone(),
+                owner: owner.clone(),
+                permits: permits.len(),
+            }));
+            self.send(now_us, &owner, Message::RegisterPermits { target, permits });
         }
-        let changed = moved.into_iter().map(|((target, owner), permits)| {
-            Action::Log(LogEvent::OwnerChanged {
-                target,
-                owner,
-                permits,
-            })
-        });
-        self.actions.extend(changed);
+    }
+
+    /// Adds the permits that a holder got from an earlier owner to the ledger of their target.
+    pub(super) fn handle_registered_permits(
+        &mut self,
+        now_us: u64,
+        from: &Arc<str>,
+        target: Arc<str>,
+        permits: &[HeldPermit],
+    ) {
+        let ledger = self.ledger_of(target);
+        for permit in permits {
+            ledger.register(now_us, from, *permit);
+        }
+    }
+
+    /// The ledger of a target that this instance owns.
+    fn ledger_of(&mut self, target: Arc<str>) -> &mut PermitLedger {
+        if !self.permits.ledgers.contains_key(&target) {
+            let target = target.clone();
+            self.actions
+                .push(Action::Log(LogEvent::LedgerStarted { target }));
+        }
+        self.permits.ledgers.entry(target).or_default()
     }
 
     /// Removes a released permit from the ledger of a target that this instance owns.
@@ -219,12 +272,19 @@
     }
 
     /// Passes the owner's answer on to the waiting request.
-    pub(super) fn handle_permit_answer(&mut self, number: u64, is_permitted: bool, in_flight: u32) {
+    pub(super) fn handle_permit_answer(
+        &mut self,
+        from: &Arc<str>,
+        number: u64,
+        is_permitted: bool,
+        in_flight: u32,
+    ) {
         let Some(pending) = self.permits.pending.get_mut(&number) else {
             return;
         };
         pending.is_answered = true;
-        self.permits.unanswered.remove(&pending.owner);
+        pending.owner = Some(from.clone());
+        self.permits.unanswered.remove(from);
         let answer = match is_permitted {
             true => PermitAnswer::Permitted { in_flight },
             false => PermitAnswer::Denied { in_flight },
--- a/policy/src/limits/mod.rs
+++ b/policy/src/limits/mod.rs
@@ -18,6 +18,7 @@
 pub use fair_queue::Refusal;
 pub use load_estimate::LoadEstimate;
 pub use overload_state::OverloadState;
+pub use permit_ledger::HeldPermit;
 pub use permit_ledger::PermitLedger;
 pub use permit_ledger::PermitParams;
 pub use retry_after::RefusedRequest;
--- a/policy/src/limits/permit_ledger.rs
+++ b/policy/src/limits/permit_ledger.rs
@@ -71,6 +71,15 @@
     }
 }
 
+/// A permit as its holder knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldPermit {
+    /// Number that the holder has given it.
+    pub number: u64,
+    /// Time until the request's deadline, in milliseconds.
+    pub left_ms: u32,
+}
+
 /// Requests in flight to one target, by holder: the instance that sends them.
 #[derive(Debug, Default)]
 pub struct PermitLedger {
@@ -135,6 +144,13 @@
         current_ms.min(previous_ms)
     }
 
+    /// Adds a permit that an earlier owner of the target has granted.
+    pub fn register(&mut self, now_us: u64, holder: &Arc<str>, permit: HeldPermit) {
+        let expires_us = now_us + u64::from(permit.left_ms) * 1_000;
+        self.permits
+            .insert((holder.clone(), permit.number), expires_us);
+    }
+
     /// Releases the permit of a request that has ended.
     pub fn release(&mut self, holder: &Arc<str>, number: u64) {
         self.permits.remove(&(holder.clone(), number));
--- a/policy/src/membership/membership.rs
+++ b/policy/src/membership/membership.rs
@@ -61,6 +61,8 @@
     Joined(Member),
     /// A member ceased to be present.
     Left(Member),
+    /// A present member has a new incarnation: it has restarted, or refuted a suspicion.
+    Renewed(Member),
 }
 
 #[derive(Clone, Debug)]
@@ -202,6 +204,11 @@
         match (was_present, member.is_present()) {
             (false, true) => self.changes.push(Change::Joined(member.clone())),
             (true, false) => self.changes.push(Change::Left(member.clone())),
+            (true, true)
+                if known.is_some_and(|entry| entry.member.incarnation < member.incarnation) =>
+            {
+                self.changes.push(Change::Renewed(member.clone()));
+            }
             _ => {}
         }
         self.entries.insert(
--- a/policy/src/membership/owners.rs
+++ b/policy/src/membership/owners.rs
@@ -89,6 +89,7 @@
                         *ranking = rank_all(key, membership);
                     }
                 }
+                Change::Renewed(_) => {}
             }
         }
     }
@@ -102,7 +103,9 @@
 
 fn rank_all(key: &str, membership: &Membership) -> Ranking {
     let mut ranking = Ranking::default();
-    for member in membership.present() {
+    // The instance itself counts as present while it stops, but owns nothing.
+    let owners = membership.present().filter(|member| member.is_present());
+    for member in owners {
         let entry = (weight(&member.id, key), member.id.clone());
         ranking.insert(&member.data_centre, entry);
     }
--- a/policy/tests/fleet/main.rs
+++ b/policy/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod overload;
 mod overload_simulation;
+mod permits;
 mod retry_loans;
 #[path = "../support/mod.rs"]
 mod support;
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -670,6 +670,7 @@
         | Message::Suspects(_) => "verdicts",
         Message::RequestPermit { .. }
         | Message::PermitAnswer { .. }
+        | Message::RegisterPermits { .. }
         | Message::ReleasePermit { .. }
         | Message::BorrowRetry { .. }
         | Message::RetryAnswer { .. } => "permits",
