Send nothing without a permit after another target has denied one

Cause: while the owner of one target does not answer, a share of the requests is sent there without a permit, as many as the targets can serve. But requests that the other targets had denied were sent on to it as well, so that it got what all of them had no room for.

Test: a_request_denied_by_one_target_is_not_sent_to_another_without_a_permit, red before.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -330,7 +330,8 @@
 
     /// Sends the request if a permit was granted; otherwise requests one for another target,
     /// or refuses the request at once. Without a decision on the permit, the request counts as
-    /// permitted with the probability that the targets can serve it.
+    /// permitted with the probability that the targets can serve it, unless it was denied before:
+    /// what other targets have no room for would otherwise all go to the one without an owner.
     fn handle_permit_answer(
         &mut self,
         now_us: u64,
@@ -346,7 +347,9 @@
         let is_permitted = match answer {
             PermitAnswer::Permitted { .. } => true,
             PermitAnswer::Denied { .. } => false,
-            PermitAnswer::Unknown => rng.random_bool(self.table.load.overload.servable_share()),
+            PermitAnswer::Unknown => {
+                self.denied.is_empty() && rng.random_bool(self.table.load.overload.servable_share())
+            }
         };
         if is_permitted {
             return self.start_attempt(now_us, candidate, slot);
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -276,3 +276,18 @@
     }
     assert!(is_reply(step, ResultCode::Overloaded, Outcome::NotRun));
 }
+
+#[test]
+fn a_request_denied_by_one_target_is_not_sent_to_another_without_a_permit() {
+    for _ in 0..64 {
+        let mut run = overloaded_run(Repeat::Idempotent);
+        let overload = &run.exchange.table().load.overload;
+        overload.update(true, 1.0, 500_000);
+        run.on(Event::Begin);
+        let mut step = run.on(Event::Permit(PermitAnswer::Denied { in_flight: 9 }));
+        while let Step::RequestPermit { .. } = step {
+            step = run.on(Event::Permit(PermitAnswer::Unknown));
+        }
+        assert!(is_reply(step, ResultCode::Overloaded, Outcome::NotRun));
+    }
+}
