Leave room for requests that cannot retry after one of them was denied

Cause: requests with time left come back after a refusal and try again, so that their chance for a free slot is several times that of a request that cannot. The extra capacity for the latter does not make up for it while very few targets are left.

Change: for half a second after the denial of a request that cannot retry, though it had the time to be processed, the others leave the same share of the slots free.

Test: requests_that_can_retry_leave_room_after_the_denial_of_one_that_cannot, red before.

--- a/policy/src/limits/permit_ledger.rs
+++ b/policy/src/limits/permit_ledger.rs
@@ -3,8 +3,9 @@
 //! One instance holds the ledger of a target for all instances, so that the bound on the target's
 //! queue applies to the fleet and not to each instance. A request is permitted if the target has a
 //! free slot, or a queue short enough for the shortest deadline. A request that has no time to
-//! retry may wait slightly longer, but no request is permitted behind a queue that would make it
-//! miss its own deadline. A denied request is refused before it is sent.
+//! retry may wait slightly longer, and for a while after the denial of one the others leave it
+//! some room. No request is permitted behind a queue that would make it miss its own deadline. A
+//! denied request is refused before it is sent.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -19,6 +20,9 @@
 /// Extra capacity for requests that cannot retry, as a share of the slots, as all others can
 /// request a permit several times. It adds a wait of a third of the processing time.
 const NO_RETRY_EXTRA_SHARE: f64 = 0.34;
+/// Time for which a request that cannot retry is remembered after its denial, in microseconds:
+/// about the processing time, in which slots become free for the next ones of its kind.
+const DENIAL_MEMORY_US: u64 = 500_000;
 /// Processing time assumed while it is unknown, in milliseconds.
 const DEFAULT_WORK_MS: u32 = 500;
 /// Window over which the shortest deadline is taken, in microseconds: target faults last 5 s or
@@ -90,6 +94,8 @@
     /// Shortest deadlines of requests in the current and the previous window, in milliseconds,
     /// and the start of the current window.
     shortest_deadlines: Option<(u32, u32, u64)>,
+    /// When a request that cannot retry was last denied, in microseconds.
+    no_retry_denied_us: Option<u64>,
 }
 
 impl PermitLedger {
@@ -111,13 +117,19 @@
         let untracked: u32 = self.untracked.values().map(|(count, _)| count).sum();
         let in_flight = self.permits.len() as u32 + untracked;
         let deadline_ms = self.shortest_deadline_ms(now_us, params);
+        let reserved = NO_RETRY_EXTRA_SHARE * f64::from(params.slots);
         let extra = match params.cannot_retry() {
-            true => NO_RETRY_EXTRA_SHARE * f64::from(params.slots),
+            true => reserved,
+            false if self.has_denied_no_retry(now_us) => -reserved,
             false => 0.0,
         };
         let max_in_flight = params.max_in_flight(deadline_ms) + extra;
         let is_permitted =
             f64::from(in_flight + 1) <= max_in_flight && params.can_finish_behind(in_flight);
+        let could_be_served = params.left_ms >= params.work_ms();
+        if !is_permitted && params.cannot_retry() && could_be_served {
+            self.no_retry_denied_us = Some(now_us);
+        }
         if is_permitted {
             let expires_us = now_us + u64::from(params.left_ms) * 1_000;
             self.permits.insert((holder.clone(), number), expires_us);
@@ -125,6 +137,12 @@
         (is_permitted, in_flight)
     }
 
+    /// Whether a request that cannot retry was denied a short time ago.
+    fn has_denied_no_retry(&self, now_us: u64) -> bool {
+        self.no_retry_denied_us
+            .is_some_and(|denied_us| now_us.saturating_sub(denied_us) < DENIAL_MEMORY_US)
+    }
+
     /// Shortest deadline among recent permit requests that can be met, in milliseconds. A new
     /// ledger has no history and assumes that some requests have no time for a retry.
     fn shortest_deadline_ms(&mut self, now_us: u64, params: PermitParams) -> u32 {
--- a/policy/tests/permit_ledger.rs
+++ b/policy/tests/permit_ledger.rs
@@ -73,6 +73,18 @@
     assert!(!client.request(0, too_late));
 }
 
+#[test]
+fn requests_that_can_retry_leave_room_after_the_denial_of_one_that_cannot() {
+    let mut client = LedgerClient::default();
+    client.request_until_denied(0, SHORT_DEADLINE);
+    client.release_all();
+    let with_room = client.request_until_denied(0, LONG_DEADLINE);
+    assert!(client.request(0, SHORT_DEADLINE));
+    client.release_all();
+    let without = client.request_until_denied(SECOND_US, LONG_DEADLINE);
+    assert!(with_room < without, "{with_room} and {without} permits");
+}
+
 #[test]
 fn queue_may_be_long_while_all_deadlines_are_long() {
     let mut client = LedgerClient::default();
