Read and log the rate limits that targets name

The limit is decoded in the adapter, kept with the target's process, ended by a response that does not name it to a request sent after it was named, logged when it changes, and counted by service in a gauge. A value that cannot be read is no statement; it is logged once a process. No decision uses it yet.

--- a/border/src/header_protocol.rs
+++ b/border/src/header_protocol.rs
@@ -10,6 +10,7 @@
 use model::ResultCode;
 use model::configuration::Target;
 use policy::exchange::Reply;
+use policy::exchange::TargetNotices;
 
 /// Request parameters parsed from a caller's headers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -68,6 +69,11 @@
         headers: &HeaderMap,
     ) -> ResponseKind;
 
+    /// Parses what a target says about itself in a response; nothing by default.
+    fn parse_target_notices(&self, _headers: &HeaderMap) -> TargetNotices {
+        TargetNotices::default()
+    }
+
     /// Rewrites the headers of a target's response for the caller.
     fn prepare_response_headers(&self, headers: &mut HeaderMap);
 
--- a/policy/src/exchange/mod.rs
+++ b/policy/src/exchange/mod.rs
@@ -5,6 +5,7 @@
 mod observation;
 mod retries;
 mod silence;
+mod target_notices;
 
 pub use attempt::Failure;
 pub use exchange::Event;
@@ -21,3 +22,6 @@
 pub use silence::WaitingAttempt;
 pub use silence::is_hedge_due;
 pub use silence::overdue_after_us;
+pub use target_notices::Notice;
+pub use target_notices::NoticedTarget;
+pub use target_notices::TargetNotices;
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -167,6 +167,19 @@
         /// Service time of a request at a target without a queue, in milliseconds.
         work_ms: u64,
     },
+    /// A target has named a rate limit, changed it or ended it.
+    RateLimitChanged {
+        /// The target's name.
+        target: Arc<str>,
+        /// Requests per second that it takes from all instances together, in thousandths; `None`
+        /// if it sets no limit any more.
+        limit_milli: Option<u32>,
+    },
+    /// A target states something about itself that cannot be read; logged once per process.
+    NoticeUnreadable {
+        /// The target's name.
+        target: Arc<str>,
+    },
     /// This instance has become the owner of a target of an overloaded service and begins its
     /// ledger of permits.
     LedgerStarted {
--- a/policy/src/instance/input.rs
+++ b/policy/src/instance/input.rs
@@ -6,6 +6,7 @@
 
 use super::Envelope;
 use super::PermitRequest;
+use crate::exchange::NoticedTarget;
 use crate::exchange::Observation;
 use crate::feed::EntryChanges;
 use crate::feed::Release;
@@ -21,6 +22,8 @@
     Received(Envelope),
     /// An attempt of a request ended.
     Observed(Observation),
+    /// A target has responded, with or without notices about itself.
+    Noticed(NoticedTarget),
     /// A probe that the instance requested has ended.
     Probed {
         /// The service's name.
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -23,6 +23,7 @@
 mod settings;
 mod shared;
 mod table_builder;
+mod target_limits;
 mod view_age;
 
 pub use action::Action;
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -40,8 +40,15 @@
     failure_probability_milli: AtomicU32,
     failure_estimate_updated_us: AtomicU64,
     unreachable_until_us: AtomicU64,
+    /// Requests per second that the target takes from all instances, in thousandths.
+    rate_limit_milli: AtomicU32,
+    limit_named_us: AtomicU64,
+    has_unreadable_notice: AtomicBool,
 }
 
+/// Value of a rate limit in thousandths that stands for no limit.
+const UNLIMITED: u32 = u32::MAX;
+
 impl TargetLoad {
     /// Creates the counters of a target without load.
     pub fn new(slots: u32) -> Self {
@@ -59,7 +66,36 @@
             ),
             failure_estimate_updated_us: AtomicU64::new(0),
             unreachable_until_us: AtomicU64::new(0),
+            rate_limit_milli: AtomicU32::new(UNLIMITED),
+            limit_named_us: AtomicU64::new(0),
+            has_unreadable_notice: AtomicBool::new(false),
+        }
+    }
+
+    /// Requests per second that the target takes from all instances together, in thousandths;
+    /// `None` without a limit.
+    pub fn rate_limit_milli(&self) -> Option<u32> {
+        let limit_milli = self.rate_limit_milli.load(Ordering::Relaxed);
+        (limit_milli != UNLIMITED).then_some(limit_milli)
+    }
+
+    /// Sets the rate limit that the target has named, or ends it. Returns whether it changed.
+    pub fn set_rate_limit(&self, now_us: u64, limit_milli: Option<u32>) -> bool {
+        if limit_milli.is_some() {
+            self.limit_named_us.store(now_us, Ordering::Relaxed);
         }
+        let limit_milli = limit_milli.unwrap_or(UNLIMITED);
+        self.rate_limit_milli.swap(limit_milli, Ordering::Relaxed) != limit_milli
+    }
+
+    /// When the target was last known to name a rate limit, in microseconds.
+    pub fn limit_named_us(&self) -> u64 {
+        self.limit_named_us.load(Ordering::Relaxed)
+    }
+
+    /// Records a notice that cannot be read. Returns whether it is the first one.
+    pub fn mark_unreadable_notice(&self) -> bool {
+        !self.has_unreadable_notice.swap(true, Ordering::Relaxed)
     }
 
     /// Probability that a request to the target fails now.
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -9,6 +9,7 @@
 use futures::future::BoxFuture;
 use futures::stream::FuturesUnordered;
 use http_body_util::BodyExt;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
@@ -21,12 +22,15 @@
 use policy::exchange::AttemptEnd;
 use policy::exchange::Event;
 use policy::exchange::Failure;
+use policy::exchange::NoticedTarget;
 use policy::exchange::Observation;
 use policy::exchange::Reply;
 use policy::exchange::Step;
+use policy::exchange::TargetNotices;
 use policy::instance::PERMIT_TIMEOUT_US;
 use policy::instance::PermitAnswer;
 use policy::routing::Candidate;
+use policy::routing::TargetLoad;
 use tokio::sync::watch;
 
 use super::ProxyState;
@@ -72,6 +76,7 @@
 
 struct SentAttempt {
     target: Arc<Target>,
+    load: Arc<TargetLoad>,
     sent_us: u64,
     /// How often the attempt was reported as overdue.
     overdue_reports: u8,
@@ -213,6 +218,7 @@
         self.hedge_check_at_us = hedge_check_after_us.map(|after_us| now_us + after_us);
         self.sent.push(SentAttempt {
             target: target.clone(),
+            load: load.clone(),
             sent_us: now_us,
             overdue_reports: 0,
             overdue_at_us: overdue_after_us.map(|after_us| now_us + after_us),
@@ -320,11 +326,15 @@
         let response = &head.response;
         let status = response.status();
         let header_protocol = &self.proxy_state.header_protocol;
-        match header_protocol.classify_response(
+        let kind = header_protocol.classify_response(
             &self.request.request_params,
             status,
             response.headers(),
-        ) {
+        );
+        if matches!(kind, ResponseKind::Own | ResponseKind::NotRun) {
+            self.report_notices(attempt, response.headers());
+        }
+        match kind {
             ResponseKind::Own => {
                 self.report_attempt_end(
                     attempt,
@@ -346,6 +356,25 @@
         }
     }
 
+    /// Reports what the target of an attempt says about itself, and the end of a limit that it
+    /// does not name any more.
+    fn report_notices(&self, attempt: usize, headers: &HeaderMap) {
+        let notices = self
+            .proxy_state
+            .header_protocol
+            .parse_target_notices(headers);
+        let sent = &self.sent[attempt];
+        if notices == TargetNotices::default() && sent.load.rate_limit_milli().is_none() {
+            return;
+        }
+        self.proxy_state.control.send(Input::Noticed(NoticedTarget {
+            target: sent.target.name.clone(),
+            incarnation: sent.target.incarnation,
+            sent_us: sent.sent_us,
+            notices,
+        }));
+    }
+
     fn handle_failure(&mut self, attempt: usize, end: AttemptEnd, failure: Failure) -> Step {
         self.permit = None;
         let sent = &self.sent[attempt];
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -135,6 +135,15 @@
                     "event=targets-kept targets=\"{targets}\" stay={reason:?} for_ms={for_ms} by={by}"
                 );
             }
+            LogEvent::RateLimitChanged {
+                target,
+                limit_milli,
+            } => {
+                log::info!("event=target-limit target={target} limit_milli={limit_milli:?}");
+            }
+            LogEvent::NoticeUnreadable { target } => {
+                log::warn!("event=target-notice-unreadable target={target}");
+            }
             LogEvent::LedgerStarted { target } => {
                 log::info!("event=permit-ledger-started target={target}");
             }
--- a/sniperund/src/metrics/gauges.rs
+++ b/sniperund/src/metrics/gauges.rs
@@ -53,6 +53,12 @@
         };
         self.add_per_service("targets", table, |service| service.candidates.len());
         self.add_per_service("targets_doubted", table, suspects);
+        self.add_per_service("targets_limited", table, |service| {
+            let loads = service.candidates.iter().map(|candidate| &candidate.load);
+            loads
+                .filter(|load| load.rate_limit_milli().is_some())
+                .count()
+        });
         self.add_per_service("in_flight", table, |service| {
             let candidates = service.candidates.iter();
             candidates
