--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -11,6 +11,7 @@
 use policy::Action;
 use policy::Input;
 use policy::Instance;
+use policy::exchange::NoticedTarget;
 use policy::exchange::Observation;
 use policy::feed::EntryChanges;
 use policy::feed::Release;
@@ -93,6 +94,10 @@
     follower: Follower,
     outages: Vec<(u64, u64)>,
     is_dead: bool,
+    /// Time until which its process is suspended.
+    paused_until_us: u64,
+    /// Time until which no message passes between it and the others.
+    cut_until_us: u64,
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -249,9 +254,32 @@
             follower: Follower::default(),
             outages: Vec::new(),
             is_dead: false,
+            paused_until_us: 0,
+            cut_until_us: 0,
         }
     }
 
+    /// Suspends the process of an instance.
+    pub(crate) fn pause(&mut self, number: usize, until_us: u64) {
+        self.nodes[number].paused_until_us = until_us;
+    }
+
+    /// Time until which an instance is suspended, if it is.
+    pub(crate) fn paused_until_us(&self, number: usize) -> Option<u64> {
+        let until_us = self.nodes[number].paused_until_us;
+        (until_us > self.now_us).then_some(until_us)
+    }
+
+    /// Cuts an instance off from the others.
+    pub(crate) fn cut(&mut self, number: usize, until_us: u64) {
+        self.nodes[number].cut_until_us = until_us;
+    }
+
+    /// Passes the notices of a target's response to an instance.
+    pub(crate) fn notice(&mut self, number: usize, noticed: NoticedTarget) {
+        self.deliver(number, Input::Noticed(noticed));
+    }
+
     /// Starts the planned stop of an instance.
     pub(crate) fn drain(&mut self, number: usize) {
         self.deliver(number, Input::Drain);
@@ -423,6 +451,13 @@
             return false;
         };
         self.now_us = at_us;
+        if let Event::Tick(number) | Event::Poll(number) | Event::Deliver(number) = event
+            && let Some(until_us) = self.paused_until_us(number)
+        {
+            // In the order in which they came.
+            self.events.push(Reverse((until_us, sequence, event)));
+            return true;
+        }
         match event {
             Event::Tick(number) => {
                 self.deliver(number, Input::Tick);
@@ -503,6 +538,14 @@
 
     fn send(&mut self, to: SocketAddr, envelope: Envelope) {
         let number = usize::from(to.port()) - 1_000;
+        let from = envelope.from.trim_start_matches('i').parse::<usize>();
+        let ends = [number, from.expect("ids are numbered")];
+        if ends
+            .iter()
+            .any(|end| self.nodes[*end].cut_until_us > self.now_us)
+        {
+            return;
+        }
         let copies = match self.draw(100) {
             0 => 0,
             1 => 2,
--- a/policy/tests/fleet/main.rs
+++ b/policy/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod overload;
 mod overload_simulation;
 mod permits;
+mod rate_limits;
 mod retry_loans;
 #[path = "../support/mod.rs"]
 mod support;
--- a/policy/tests/fleet/overload.rs
+++ b/policy/tests/fleet/overload.rs
@@ -87,6 +87,8 @@
         short_deadline_retries: true,
         work_us: 630_000.0,
         end_us: END_US,
+        named_limits: Vec::new(),
+        disturbances: Vec::new(),
     }
 }
 
@@ -217,7 +219,7 @@
         .collect()
 }
 
-fn env_number(variable: &str, default: u64) -> u64 {
+pub(crate) fn env_number(variable: &str, default: u64) -> u64 {
     let text = std::env::var(variable).ok();
     text.and_then(|text| text.parse().ok()).unwrap_or(default)
 }
--- a/policy/tests/fleet/overload_simulation.rs
+++ b/policy/tests/fleet/overload_simulation.rs
@@ -16,10 +16,13 @@
 use policy::exchange::Event;
 use policy::exchange::Exchange;
 use policy::exchange::Failure;
+use policy::exchange::Notice;
+use policy::exchange::NoticedTarget;
 use policy::exchange::Observation;
 use policy::exchange::Reply;
 use policy::exchange::Request;
 use policy::exchange::Step;
+use policy::exchange::TargetNotices;
 use policy::instance::PERMIT_TIMEOUT_US;
 use policy::instance::PermitAnswer;
 use policy::instance::PermitRequest;
@@ -77,6 +80,29 @@
     /// Mean processing time of a request at a target.
     pub(crate) work_us: f64,
     pub(crate) end_us: u64,
+    /// Limits that targets name.
+    pub(crate) named_limits: Vec<NamedLimit>,
+    /// Pauses and cuts of single instances.
+    pub(crate) disturbances: Vec<Disturbance>,
+}
+
+/// A limit that a target names in its responses for a period.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NamedLimit {
+    pub(crate) target: usize,
+    pub(crate) from_us: u64,
+    pub(crate) until_us: u64,
+    pub(crate) limit_milli: u32,
+}
+
+/// A pause or a cut of an instance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Disturbance {
+    pub(crate) instance: usize,
+    pub(crate) from_us: u64,
+    pub(crate) until_us: u64,
+    /// Whether the instance is cut off from the others instead of suspended.
+    pub(crate) is_cut: bool,
 }
 
 impl Scenario {
@@ -114,9 +140,77 @@
             short_deadline_retries: false,
             work_us,
             end_us: 40 * SECOND_US,
+            named_limits: Vec::new(),
+            disturbances: Vec::new(),
+        }
+    }
+
+    /// Creates a random scenario without faulty targets in which some or all targets name limits
+    /// that rise, fall and end, while instances are stopped, killed, suspended and cut off.
+    pub(crate) fn random_with_limits(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let targets: usize = rng.random_range(4..=17);
+        let work_us = rng.random_range(0.3e6..0.63e6);
+        let rate_per_s = rng.random_range(0.2..0.6) * (targets * SLOTS) as f64 / work_us * 1e6;
+        let limited = match rng.random_bool(0.2) {
+            true => targets,
+            false => rng.random_range(1..=targets.div_ceil(2)),
+        };
+        let mut named_limits = Vec::new();
+        for target in 0..limited {
+            let mut from_us = rng.random_range(5 * SECOND_US..10 * SECOND_US);
+            while from_us < 36 * SECOND_US {
+                let until_us = from_us + rng.random_range(4 * SECOND_US..25 * SECOND_US);
+                named_limits.push(NamedLimit {
+                    target,
+                    from_us,
+                    until_us,
+                    limit_milli: rng.random_range(100..6_000),
+                });
+                let has_gap = rng.random_bool(0.5);
+                from_us = until_us + u64::from(has_gap) * rng.random_range(0..6 * SECOND_US);
+            }
+        }
+        let disturbances = (0..rng.random_range(0..5)).map(|_| {
+            let from_us = rng.random_range(8 * SECOND_US..34 * SECOND_US);
+            Disturbance {
+                instance: rng.random_range(0..INSTANCES),
+                from_us,
+                until_us: from_us + rng.random_range(500_000..8 * SECOND_US),
+                is_cut: rng.random_bool(0.5),
+            }
+        });
+        let disturbances = disturbances.collect();
+        let restarts = rng.random_range(0..8);
+        let restarts_us = (0..restarts).map(|_| rng.random_range(8 * SECOND_US..34 * SECOND_US));
+        Self {
+            targets,
+            fault_periods: Vec::new(),
+            reset_share: 0.0,
+            restart_us: None,
+            restarts_us: restarts_us.collect(),
+            kills: rng.random_bool(0.5),
+            normal_rate_per_s: rate_per_s,
+            fault_period_rate_per_s: rate_per_s,
+            short_deadline_share: 0.2,
+            short_deadline_us: 900_000,
+            short_deadline_retries: false,
+            work_us,
+            end_us: 40 * SECOND_US,
+            named_limits,
+            disturbances,
         }
     }
 
+    /// The limit that a target names, in thousandths of a request per second.
+    pub(crate) fn limit_milli(&self, target: usize, at_us: u64) -> Option<u32> {
+        let mut limits = self.named_limits.iter();
+        let named = limits.find(|limit| {
+            limit.target == target && (limit.from_us..limit.until_us).contains(&at_us)
+        });
+        named.map(|limit| limit.limit_milli)
+    }
+
     /// Creates a random scenario in which half of the instances are stopped by plan and started
     /// again, one after the other, while few healthy targets are left.
     pub(crate) fn random_with_planned_stops(seed: u64) -> Self {
@@ -170,6 +264,20 @@
     /// Requests sent to healthy targets during fault periods: the caller's first arrival, and
     /// whether the queue was already too long for the remaining time.
     pub(crate) sends: Vec<(u64, bool)>,
+    /// Requests that reached targets.
+    pub(crate) arrivals: Vec<LimitedArrival>,
+}
+
+/// A request that reached a target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LimitedArrival {
+    pub(crate) target: usize,
+    pub(crate) at_us: u64,
+    /// When the target first named its limit to the instance that sent the request, in the present
+    /// process of the instance.
+    pub(crate) told_us: Option<u64>,
+    /// Whether the instance is cut off from the others, or was until shortly before.
+    pub(crate) is_excused: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -181,6 +289,7 @@
     Drain(usize),
     Stop(usize),
     Start(usize),
+    Disturb(usize),
 }
 
 struct ActiveRequest {
@@ -195,6 +304,14 @@
     permit: Option<u64>,
 }
 
+/// Time after a cut in which it still excuses an instance.
+const EXCUSE_US: u64 = 3 * SECOND_US;
+
+fn target_number(name: &str) -> usize {
+    let digits = name.trim_start_matches('t');
+    digits.parse().expect("targets are numbered")
+}
+
 #[derive(Default)]
 struct TargetQueue {
     running: BTreeSet<u64>,
@@ -212,6 +329,8 @@
     queues: BTreeMap<Arc<str>, TargetQueue>,
     faulty_targets: BTreeSet<Arc<str>>,
     fault_period: Option<usize>,
+    /// When a target first named its limit to an instance, by target and instance.
+    told_us: BTreeMap<(usize, usize), u64>,
     next_id: u64,
     rng: ChaCha8Rng,
     result: SimulationResult,
@@ -229,6 +348,7 @@
             queues: BTreeMap::new(),
             faulty_targets: BTreeSet::new(),
             fault_period: None,
+            told_us: BTreeMap::new(),
             next_id: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             result: SimulationResult::default(),
@@ -261,11 +381,13 @@
             self.update_fault_period();
             match event {
                 SimEvent::Arrival { caller, retries } => self.send_request(caller, retries),
-                SimEvent::Completion(id) => self.complete(id),
                 SimEvent::DeadlinePassed(id) => self.end_at_deadline(id),
                 SimEvent::PermitTimeout(permit_number) => {
                     self.handle_permit_answer(permit_number, PermitAnswer::Unknown);
                 }
+                SimEvent::Completion(id) if self.is_paused(id) => self.postpone(id),
+                SimEvent::Completion(id) => self.complete(id),
+                SimEvent::Disturb(number) => self.disturb(number),
                 SimEvent::Drain(node) => self.fleet.drain(node),
                 SimEvent::Stop(node) => self.stop(node),
                 SimEvent::Start(node) => self.fleet.start_again(node),
@@ -276,6 +398,9 @@
 
     fn schedule_restarts(&mut self) {
         let restarts_us = self.scenario.restarts_us.clone();
+        for (number, disturbance) in self.scenario.disturbances.clone().iter().enumerate() {
+            self.schedule(disturbance.from_us, SimEvent::Disturb(number));
+        }
         let nodes = (0..INSTANCES).sample(&mut self.rng, restarts_us.len());
         for (node, at_us) in nodes.into_iter().zip(restarts_us) {
             let stop_us = at_us + if self.scenario.kills { 0 } else { STOP_US };
@@ -287,9 +412,78 @@
         }
     }
 
+    fn disturb(&mut self, number: usize) {
+        let disturbance = self.scenario.disturbances[number];
+        match disturbance.is_cut {
+            true => self.fleet.cut(disturbance.instance, disturbance.until_us),
+            false => self.fleet.pause(disturbance.instance, disturbance.until_us),
+        }
+    }
+
+    fn is_paused(&self, id: u64) -> bool {
+        let active = self.active_requests.get(&id);
+        active.is_some_and(|active| self.fleet.paused_until_us(active.node).is_some())
+    }
+
+    /// Postpones the completion of a request until its instance runs again.
+    fn postpone(&mut self, id: u64) {
+        let node = self.active_requests[&id].node;
+        if let Some(until_us) = self.fleet.paused_until_us(node) {
+            self.schedule(until_us, SimEvent::Completion(id));
+        }
+    }
+
+    /// Records a request that reaches its target.
+    fn record_arrival(&mut self, active: &ActiveRequest) {
+        let target = target_number(&active.target);
+        let is_cut_from = |disturbance: &&Disturbance| {
+            let until_us = disturbance.until_us + EXCUSE_US;
+            disturbance.is_cut && (disturbance.from_us..until_us).contains(&self.now_us)
+        };
+        let mut cuts = self.scenario.disturbances.iter().filter(is_cut_from);
+        let is_excused = cuts.any(|cut| cut.instance == active.node);
+        self.result.arrivals.push(LimitedArrival {
+            target,
+            at_us: self.now_us,
+            told_us: self.told_us.get(&(target, active.node)).copied(),
+            is_excused,
+        });
+    }
+
+    /// Passes on what the target says about itself in the response to a request.
+    fn report_notices(&mut self, active: &ActiveRequest) {
+        if self.scenario.named_limits.is_empty() {
+            return;
+        }
+        let target = target_number(&active.target);
+        let limit_milli = self.scenario.limit_milli(target, self.now_us);
+        if limit_milli.is_some() {
+            self.told_us
+                .entry((target, active.node))
+                .or_insert(self.now_us);
+        }
+        let notices = TargetNotices {
+            rate_limit_milli: limit_milli.map_or(Notice::Absent, Notice::Stated),
+        };
+        let table = active.exchange.table();
+        let candidates = table.candidates.iter();
+        let mut targets = candidates.map(|candidate| &candidate.target);
+        let Some(configured) = targets.find(|target| target.name == active.target) else {
+            return;
+        };
+        let noticed = NoticedTarget {
+            target: active.target.clone(),
+            incarnation: configured.incarnation,
+            sent_us: active.sent_us,
+            notices,
+        };
+        self.fleet.notice(active.node, noticed);
+    }
+
     /// Ends the process of an instance; its requests in flight are lost.
     fn stop(&mut self, node: usize) {
         self.fleet.stop(node);
+        self.told_us.retain(|(_, instance), _| *instance != node);
         let active = self.active_requests.iter();
         let lost = active.filter(|(_, active)| active.node == node);
         let lost: Vec<u64> = lost.map(|(id, _)| *id).collect();
@@ -376,7 +570,7 @@
 
     fn send_request(&mut self, caller: usize, retries: u32) {
         let mut node = self.rng.random_range(0..INSTANCES);
-        while !self.fleet.is_ready(node) && !self.scenario.restarts_us.is_empty() {
+        while !self.can_take_callers(node) {
             node = (node + 1) % INSTANCES;
         }
         let deadline_us = self.deadline_us(caller);
@@ -411,6 +605,12 @@
         self.handle_step(id, active, step);
     }
 
+    /// Whether callers reach an instance. Restarts of all instances at once are not seen here.
+    fn can_take_callers(&self, node: usize) -> bool {
+        let is_up = self.scenario.restarts_us.is_empty() || self.fleet.is_ready(node);
+        is_up && self.fleet.paused_until_us(node).is_none()
+    }
+
     fn handle_step(&mut self, id: u64, mut active: ActiveRequest, mut step: Step) {
         loop {
             step = match step {
@@ -419,6 +619,7 @@
                     active.sent_us = self.now_us;
                     let table = active.exchange.table();
                     active.target = table.candidates[candidate].target.name.clone();
+                    self.record_arrival(&active);
                     let is_faulty = self.faulty_targets.contains(&active.target);
                     if is_faulty && self.rng.random_bool(self.scenario.reset_share) {
                         self.end_failed_attempt(&mut active, AttemptEnd::Cut, Failure::Cut)
@@ -568,6 +769,7 @@
         };
         self.release_permit(&mut active);
         self.leave_queue(id, &active.target);
+        self.report_notices(&active);
         let latency_us = self.now_us - active.sent_us;
         let good = true;
         self.observe(&active, AttemptEnd::Answered { good, latency_us });
