Hold targets to the limits that they name, for all instances together

Cause: nothing read the limit; requests are spread by latency and load, and an even share of a service is over such limits. Class: a bound of the whole fleet that no instance can keep by itself.

Change: an instance that learns of a limit broadcasts it. From then on each request to that target needs a permit of its owner, which counts them for all in a token bucket beside its ledger. Without its word nothing is sent there: no answer, an owner that is none in its own view, a permit that lapsed while the process was suspended. A new owner starts with what has accrued since; one that reaches a part of the fleet grants that part. Hedges and trials are no exception. A denied instance pauses the target for as long as the bucket needs, the waiting ones after each other. If all targets are paused for longer than a request may wait, it is refused at once, with a time to come back spread over what follows the pause. Slots that limits leave unused do not count as capacity.

Ruled out: a share of the limit for each instance (at 1 a second and 32 instances one request each half minute; rounded up it is what broke the rule).

--- a/peers/tests/sizes.rs
+++ b/peers/tests/sizes.rs
@@ -67,6 +67,7 @@
         work_ms: 480,
         slots: 6,
         untracked: 1,
+        rate_limit_milli: Some(2_700),
     };
     let number = 1_000_000;
     let sizes = [
@@ -79,6 +80,7 @@
             number,
             is_permitted: true,
             in_flight: 7,
+            wait_ms: 1_500,
         }),
         bytes(Message::ReleasePermit {
             target: target.into(),
--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -21,6 +21,7 @@
 use crate::instance::PermitAnswer;
 use crate::invariant;
 use crate::invariant::Invariant;
+use crate::limits::MAX_WAIT_DIVISOR;
 use crate::limits::Refusal;
 use crate::limits::RefusedRequest;
 use crate::routing::Choice;
@@ -37,6 +38,9 @@
 /// attempt: each permit request costs a trip between data centres, and if five targets are
 /// full, the others are as well.
 const MAX_PERMIT_REQUESTS: usize = 5;
+/// Time within which a permit for a target with a rate limit is used, in microseconds: a permit
+/// request is abandoned earlier.
+const LIMITED_PERMIT_TTL_US: u64 = 250_000;
 /// Retry-after value sent while the platform is unavailable, or too many claims are in
 /// progress, in milliseconds.
 const CLAIM_RETRY_AFTER_MS: u64 = 5_000;
@@ -164,6 +168,14 @@
     Finished,
 }
 
+/// A permit that was requested.
+#[derive(Debug)]
+struct AwaitedPermit {
+    candidate: usize,
+    slot: Slot,
+    asked_us: u64,
+}
+
 /// A request in progress.
 #[derive(Debug)]
 pub struct Exchange {
@@ -172,8 +184,7 @@
     pub(super) state: State,
     pub(super) attempts: Vec<Attempt>,
     pub(super) tried: Vec<usize>,
-    /// The candidate for which a permit was requested, with its slot.
-    awaiting_permit: Option<(usize, Slot)>,
+    awaiting_permit: Option<AwaitedPermit>,
     /// Candidates for which no permit was granted since the last attempt.
     denied: Vec<usize>,
     /// Number of attempts that failed before a byte was sent.
@@ -311,6 +322,9 @@
             Choice::Target(candidate, slot) => {
                 self.request_permit_or_start(now_us, candidate, slot)
             }
+            Choice::AllBusy if self.is_paused_too_long(now_us) => {
+                self.give_up(now_us, ResultCode::Overloaded, rng)
+            }
             Choice::AllBusy => {
                 self.state = State::Queued;
                 Step::Enqueue
@@ -324,10 +338,21 @@
             return self.start_attempt(now_us, candidate, slot);
         }
         self.state = State::AwaitingPermit;
-        self.awaiting_permit = Some((candidate, slot));
+        self.awaiting_permit = Some(AwaitedPermit {
+            candidate,
+            slot,
+            asked_us: now_us,
+        });
         Step::RequestPermit { candidate }
     }
 
+    /// Whether all targets are paused for longer than a request may wait in a queue.
+    fn is_paused_too_long(&self, now_us: u64) -> bool {
+        let left_us = self.request.deadline_us.saturating_sub(now_us);
+        let pause_left_us = self.table.pause_left_us(now_us);
+        pause_left_us.is_some_and(|pause_left_us| pause_left_us > left_us / MAX_WAIT_DIVISOR)
+    }
+
     /// Sends the request if a permit was granted; otherwise requests one for another target,
     /// or refuses the request at once. Without a decision on the permit, the request counts as
     /// permitted with the probability that the targets can serve it, unless it was denied before:
@@ -338,17 +363,28 @@
         answer: PermitAnswer,
         rng: &mut impl Rng,
     ) -> Step {
-        let Some((candidate, slot)) = self.awaiting_permit.take() else {
+        let Some(AwaitedPermit {
+            candidate,
+            slot,
+            asked_us,
+        }) = self.awaiting_permit.take()
+        else {
             return Step::Continue;
         };
+        // What a limited target takes is counted when the permit is granted. A process that was
+        // suspended in the meantime must not use it later.
+        let is_limited = self.table.is_limited(candidate);
+        let is_lapsed = is_limited && now_us.saturating_sub(asked_us) > LIMITED_PERMIT_TTL_US;
         if now_us >= self.request.deadline_us {
             return self.handle_deadline(now_us, rng);
         }
         let is_permitted = match answer {
-            PermitAnswer::Permitted { .. } => true,
+            PermitAnswer::Permitted { .. } => !is_lapsed,
             PermitAnswer::Denied { .. } => false,
             PermitAnswer::Unknown => {
-                self.denied.is_empty() && rng.random_bool(self.table.load.overload.servable_share())
+                !is_limited
+                    && self.denied.is_empty()
+                    && rng.random_bool(self.table.load.overload.servable_share())
             }
         };
         if is_permitted {
@@ -375,6 +411,7 @@
             repeatable: self.request.repeatable,
             left_us: self.request.deadline_us.saturating_sub(now_us),
             tried: &self.tried,
+            only_unlimited: false,
         }
     }
 
@@ -490,6 +527,7 @@
         let refused = RefusedRequest {
             code,
             is_full: self.table.is_full(now_us),
+            pause_left_us: self.table.pause_left_us(now_us).unwrap_or(0),
             left_us: self.request.caller_deadline_us.saturating_sub(now_us),
         };
         let retry_after_ms = refused.retry_after_ms(rng);
--- a/policy/src/exchange/retries.rs
+++ b/policy/src/exchange/retries.rs
@@ -12,6 +12,7 @@
 use super::silence::WaitingAttempt;
 use super::silence::is_hedge_due;
 use crate::routing::Choice;
+use crate::routing::ChoiceParams;
 
 /// Time within which a retry borrowed from a peer has to be used, in microseconds. The peers'
 /// budgets bound the retries of a window only if none is used long after it was lent.
@@ -131,7 +132,11 @@
     }
 
     pub(super) fn send_hedge(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
-        match self.table.choose(now_us, self.choice_params(now_us), rng) {
+        let choice_params = ChoiceParams {
+            only_unlimited: true,
+            ..self.choice_params(now_us)
+        };
+        match self.table.choose(now_us, choice_params, rng) {
             Choice::Target(candidate, slot) => self.start_attempt(now_us, candidate, slot),
             Choice::AllBusy | Choice::NoTarget => {
                 self.retry_denial = Some(RetryDenial::AllBusy);
--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -253,7 +253,7 @@
             return;
         };
         let load_estimate = LoadEstimate {
-            healthy_slots: table.healthy_slots(now_us),
+            healthy_slots: table.usable_slots(now_us, demand.load_estimate.work_s),
             ..demand.load_estimate
         };
         let overload = &table.load.overload;
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -38,6 +38,7 @@
 use crate::feed::KnownVersions;
 use crate::feed::Lag;
 use crate::feed::RegistryView;
+use crate::limits::PermitDecision;
 use crate::membership::Change;
 use crate::membership::Membership;
 use crate::membership::Owners;
@@ -96,6 +97,8 @@
     pub(super) next_answer_broadcast_us: u64,
     pub(super) has_pulled_suspects: bool,
     pub(super) has_announced_start: bool,
+    /// When the instance started or the set of present instances last changed, in microseconds.
+    pub(super) members_changed_us: Option<u64>,
     pub(super) member_lists_received: u32,
     pub(super) retry_reserve_members: f64,
     pub(super) shared_retry_reserve: Option<f64>,
@@ -150,6 +153,7 @@
             next_answer_broadcast_us: 0,
             has_pulled_suspects: false,
             has_announced_start: false,
+            members_changed_us: None,
             member_lists_received: 0,
             retry_reserve_members: 0.0,
             shared_retry_reserve: settings.shared_retry_reserve,
@@ -220,6 +224,7 @@
     }
 
     fn tick(&mut self, now_us: u64) {
+        self.members_changed_us.get_or_insert(now_us);
         self.ping_after_freeze(now_us);
         for probe in self.membership.tick(now_us, &mut self.rng) {
             self.send_probe(now_us, probe);
@@ -348,7 +353,15 @@
                 number,
                 is_permitted,
                 in_flight,
-            } => self.handle_permit_answer(&from, number, is_permitted, in_flight),
+                wait_ms,
+            } => {
+                let decision = PermitDecision {
+                    is_permitted,
+                    in_flight,
+                    wait_ms,
+                };
+                self.handle_permit_answer(now_us, &from, number, decision)
+            }
             Message::RegisterPermits { target, permits } => {
                 self.handle_registered_permits(now_us, &from, target, &permits)
             }
@@ -368,8 +381,12 @@
             Message::PullSuspects => {
                 self.send_suspects(now_us, &from);
                 self.send_latency_profiles(now_us, &from);
+                self.send_rate_limits(now_us, &from);
             }
             Message::Suspects(suspects) => self.merge_suspects(now_us, &suspects),
+            Message::RateLimits { limits, id_range } => {
+                self.handle_rate_limits(now_us, &limits, id_range.as_ref())
+            }
             Message::MemberChanged { member, id_range } => {
                 self.handle_member_change(now_us, &member, id_range.as_ref())
             }
--- a/policy/src/instance/members.rs
+++ b/policy/src/instance/members.rs
@@ -100,6 +100,7 @@
         if changes.is_empty() {
             return;
         }
+        self.members_changed_us = Some(now_us);
         for change in &changes {
             self.owners.change(change, &self.membership);
             if let Change::Left(member) = change {
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -75,6 +75,18 @@
     pub failure_probability_milli: u32,
 }
 
+/// The rate limit of a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetRateLimit {
+    /// The target's name.
+    pub target: Arc<str>,
+    /// Incarnation of its process.
+    pub incarnation: u64,
+    /// Requests per second that it takes from all instances together, in thousandths; `None` if
+    /// it sets no limit any more.
+    pub limit_milli: Option<u32>,
+}
+
 /// A message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -178,6 +190,13 @@
     PullSuspects,
     /// Targets with a raised failure probability at the sender.
     Suspects(Vec<SuspectTarget>),
+    /// Rate limits that targets have named, changed or ended.
+    RateLimits {
+        /// The limits.
+        limits: Vec<TargetRateLimit>,
+        /// Ids that the receiver forwards them to.
+        id_range: Option<IdRange>,
+    },
     /// An instance has started or stops.
     MemberChanged {
         /// The instance.
@@ -233,6 +252,9 @@
         is_permitted: bool,
         /// Requests in flight to the target before this one.
         in_flight: u32,
+        /// Time after which the target's rate limit may allow a request, in milliseconds; 0 if
+        /// it is not the reason for a denial.
+        wait_ms: u32,
     },
     /// Registers permits that an earlier owner of a target granted to the sender.
     RegisterPermits {
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -44,6 +44,7 @@
 pub use message::Message;
 pub use message::ServiceLatencies;
 pub use message::SuspectTarget;
+pub use message::TargetRateLimit;
 pub use permits::PERMIT_TIMEOUT_US;
 pub use permits::PermitAnswer;
 pub use permits::PermitRequest;
--- a/policy/src/instance/permits.rs
+++ b/policy/src/instance/permits.rs
@@ -15,6 +15,8 @@
 use super::LogEvent;
 use super::Message;
 use crate::limits::HeldPermit;
+use crate::limits::Ownership;
+use crate::limits::PermitDecision;
 use crate::limits::PermitLedger;
 use crate::limits::PermitParams;
 
@@ -27,6 +29,9 @@
 const MAX_UNANSWERED: u32 = 2;
 /// Time for which an unresponsive owner is sent no permit requests, in microseconds.
 const UNRESPONSIVE_OWNER_PAUSE_US: u64 = 1_000_000;
+/// Time after which an instance asks again for a permit that it has requested from an instance
+/// that does not own the target, in milliseconds: the views of the fleet agree by then.
+const NOT_OWNER_WAIT_MS: u32 = 250;
 /// Time after which unanswered permit requests no longer count, in microseconds.
 const UNANSWERED_EXPIRY_US: u64 = 10_000_000;
 
@@ -49,10 +54,14 @@
         /// Requests in flight to the target before this one.
         in_flight: u32,
     },
-    /// The request would not complete before its deadline, or only at the expense of others.
+    /// The request would not complete before its deadline, or only at the expense of others, or
+    /// the target's rate limit does not allow it.
     Denied {
         /// Requests in flight to the target before this one.
         in_flight: u32,
+        /// Time after which the target's rate limit may allow a request, in milliseconds; 0 if it
+        /// is not the reason.
+        wait_ms: u32,
     },
     /// No decision: the owner is unresponsive or did not answer in time, or the target is not
     /// in the configuration.
@@ -140,7 +149,8 @@
             self.push_permit_answer(number, PermitAnswer::Unknown);
             return;
         }
-        let in_flight = self.table_builder.load_of(&configured).in_flight();
+        let load = self.table_builder.load_of(&configured);
+        let in_flight = load.in_flight();
         // The request that needs the permit already counts as in flight.
         let untracked =
             in_flight.saturating_sub(self.permits.count_for_target(&target, &owner) + 1);
@@ -152,6 +162,7 @@
             work_ms: overload.map_or(0, |overload| ms(overload.work_us())),
             slots: configured.slots,
             untracked,
+            rate_limit_milli: load.rate_limit_milli(),
         };
         let pending = PendingPermit {
             owner: Some(owner.clone()),
@@ -197,16 +208,46 @@
         number: u64,
         params: PermitParams,
     ) {
-        let ledger = self.ledger_of(target);
-        let (is_permitted, in_flight) = ledger.request(now_us, (from, number), params);
+        let decision = self.decide_on_permit(now_us, (from, number), target, params);
         let message = Message::PermitAnswer {
             number,
-            is_permitted,
-            in_flight,
+            is_permitted: decision.is_permitted,
+            in_flight: decision.in_flight,
+            wait_ms: decision.wait_ms,
         };
         self.send(now_us, from, message);
     }
 
+    fn decide_on_permit(
+        &mut self,
+        now_us: u64,
+        (holder, number): (&Arc<str>, u64),
+        target: Arc<str>,
+        mut params: PermitParams,
+    ) -> PermitDecision {
+        let own_limit_milli = self.rate_limit_of(&target);
+        let limits_milli = own_limit_milli.into_iter().chain(params.rate_limit_milli);
+        params.rate_limit_milli = limits_milli.min();
+        let owners = self.owners.of(&target, &self.membership);
+        let is_owner = owners.first() == Some(&self.membership.own().id);
+        if params.rate_limit_milli.is_some() && !is_owner {
+            // The requesting instance sees other instances than this one. Two that grant at the
+            // same time would exceed the limit.
+            return PermitDecision {
+                is_permitted: false,
+                in_flight: 0,
+                wait_ms: NOT_OWNER_WAIT_MS,
+            };
+        }
+        let since_us = self.members_changed_us.unwrap_or(now_us);
+        let ownership = Ownership {
+            owned_us: now_us.saturating_sub(since_us),
+            reachable_share: self.membership.reachable_share(),
+        };
+        let ledger = self.ledger_of(target);
+        ledger.request(now_us, (holder, number), params, ownership)
+    }
+
     /// Registers the permits of this instance with the present owners of their targets, where
     /// these are not the instances that granted them.
     pub(super) fn register_permits(&mut self, now_us: u64) {
@@ -274,11 +315,16 @@
     /// Passes the owner's answer on to the waiting request.
     pub(super) fn handle_permit_answer(
         &mut self,
+        now_us: u64,
         from: &Arc<str>,
         number: u64,
-        is_permitted: bool,
-        in_flight: u32,
+        decision: PermitDecision,
     ) {
+        let PermitDecision {
+            is_permitted,
+            in_flight,
+            wait_ms,
+        } = decision;
         let Some(pending) = self.permits.pending.get_mut(&number) else {
             return;
         };
@@ -287,10 +333,13 @@
         self.permits.unanswered.remove(from);
         let answer = match is_permitted {
             true => PermitAnswer::Permitted { in_flight },
-            false => PermitAnswer::Denied { in_flight },
+            false => PermitAnswer::Denied { in_flight, wait_ms },
         };
-        if !is_permitted {
-            self.permits.pending.remove(&number);
+        if !is_permitted
+            && let Some(pending) = self.permits.pending.remove(&number)
+            && wait_ms > 0
+        {
+            self.pause_limited_target(now_us, &pending.target, wait_ms);
         }
         self.push_permit_answer(number, answer);
     }
--- a/policy/src/instance/table_builder.rs
+++ b/policy/src/instance/table_builder.rs
@@ -7,6 +7,7 @@
 use model::configuration::Service;
 use model::configuration::Target;
 
+use super::TargetRateLimit;
 use super::settings::can_share_load;
 use crate::evidence::DecisionTable;
 use crate::limits::RetryBudget;
@@ -74,6 +75,18 @@
             .filter(move |(_, failure_probability)| *failure_probability > level)
     }
 
+    /// Returns the rate limits that targets have named.
+    pub(super) fn rate_limits(&self) -> impl Iterator<Item = TargetRateLimit> {
+        self.targets.values().filter_map(|(target, load)| {
+            let limit_milli = load.rate_limit_milli()?;
+            Some(TargetRateLimit {
+                target: target.name.clone(),
+                incarnation: target.incarnation,
+                limit_milli: Some(limit_milli),
+            })
+        })
+    }
+
     /// Returns the counters of a service.
     pub(super) fn service_load(&mut self, service: &Service) -> Arc<ServiceLoad> {
         let new_load = || {
--- a/policy/src/limits/fair_queue.rs
+++ b/policy/src/limits/fair_queue.rs
@@ -12,7 +12,7 @@
 const DEFAULT_DEPARTURE_INTERVAL_US: u64 = 25_000;
 /// A request may wait for at most its remaining time divided by this; the rest is for
 /// processing.
-const MAX_WAIT_DIVISOR: u64 = 8;
+pub(crate) const MAX_WAIT_DIVISOR: u64 = 8;
 const MICROS_PER_MILLI: u64 = 1_000;
 
 /// Why a request is refused, and when to retry it.
--- a/policy/src/limits/permit_ledger.rs
+++ b/policy/src/limits/permit_ledger.rs
@@ -6,6 +6,9 @@
 //! retry may wait slightly longer, and for a while after the denial of one the others leave it
 //! some room. No request is permitted behind a queue that would make it miss its own deadline. A
 //! denied request is refused before it is sent.
+//!
+//! If the target names a rate limit, the ledger also counts the requests per second of all
+//! instances against it.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -13,6 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::RateBucket;
 use super::retry_after::FULL_RETRY_AFTER_MS;
 
 /// Share of the shortest deadline that queueing and processing may take.
@@ -32,6 +36,10 @@
 /// of these requests have ended by then.
 const UNTRACKED_TTL_US: u64 = 1_000_000;
 
+/// Time after which an unused rate bucket is dropped, in microseconds. A new one starts with what
+/// accrues, so a target with few requests would otherwise begin with a denial each time.
+const BUCKET_TTL_US: u64 = 60_000_000;
+
 /// Parameters of a permit request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitParams {
@@ -43,6 +51,30 @@
     pub slots: u32,
     /// Requests that the requesting instance has at the target without a permit.
     pub untracked: u32,
+    /// Requests per second that the target takes from all instances together, in thousandths;
+    /// `None` if the requesting instance knows of no limit.
+    pub rate_limit_milli: Option<u32>,
+}
+
+/// The owner of a ledger.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ownership {
+    /// Time since which it has owned the target, at least, in microseconds.
+    pub owned_us: u64,
+    /// Share of the fleet's instances that it can reach. The others may have another owner.
+    pub reachable_share: f64,
+}
+
+/// Decision on a permit request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PermitDecision {
+    /// Whether the permit is granted.
+    pub is_permitted: bool,
+    /// Requests in flight to the target before this one.
+    pub in_flight: u32,
+    /// Time after which the target's rate limit may allow a request, in milliseconds; 0 if it is
+    /// not the reason for a denial.
+    pub wait_ms: u32,
 }
 
 impl PermitParams {
@@ -96,16 +128,19 @@
     shortest_deadlines: Option<(u32, u32, u64)>,
     /// When a request that cannot retry was last denied, in microseconds.
     no_retry_denied_us: Option<u64>,
+    /// Requests that the rate limit of the target allows.
+    rate_bucket: Option<RateBucket>,
 }
 
 impl PermitLedger {
-    /// Decides on a permit; returns whether it is granted, and the requests in flight before it.
+    /// Decides on a permit.
     pub fn request(
         &mut self,
         now_us: u64,
         (holder, number): (&Arc<str>, u64),
         params: PermitParams,
-    ) -> (bool, u32) {
+        ownership: Ownership,
+    ) -> PermitDecision {
         self.remove_expired(now_us);
         match params.untracked {
             0 => drop(self.untracked.remove(holder)),
@@ -124,8 +159,13 @@
             false => 0.0,
         };
         let max_in_flight = params.max_in_flight(deadline_ms) + extra;
-        let is_permitted =
+        let has_room =
             f64::from(in_flight + 1) <= max_in_flight && params.can_finish_behind(in_flight);
+        let wait_ms = match (has_room, params.rate_limit_milli) {
+            (true, Some(limit_milli)) => self.wait_for_rate_ms(now_us, limit_milli, ownership),
+            _ => 0,
+        };
+        let is_permitted = has_room && wait_ms == 0;
         let could_be_served = params.left_ms >= params.work_ms();
         if !is_permitted && params.cannot_retry() && could_be_served {
             self.no_retry_denied_us = Some(now_us);
@@ -134,7 +174,20 @@
             let expires_us = now_us + u64::from(params.left_ms) * 1_000;
             self.permits.insert((holder.clone(), number), expires_us);
         }
-        (is_permitted, in_flight)
+        PermitDecision {
+            is_permitted,
+            in_flight,
+            wait_ms,
+        }
+    }
+
+    /// Takes a request from what the rate limit allows; returns the time until it allows one, in
+    /// milliseconds, 0 if it does now.
+    fn wait_for_rate_ms(&mut self, now_us: u64, limit_milli: u32, ownership: Ownership) -> u32 {
+        let new_bucket = || RateBucket::new(now_us, ownership.owned_us);
+        let bucket = self.rate_bucket.get_or_insert_with(new_bucket);
+        let rate_per_s = f64::from(limit_milli) / 1e3 * ownership.reachable_share;
+        bucket.take(now_us, rate_per_s).err().unwrap_or(0)
     }
 
     /// Whether a request that cannot retry was denied a short time ago.
@@ -188,8 +241,11 @@
         let is_recent = |(_, _, window_start_us): (u32, u32, u64)| {
             now_us.saturating_sub(window_start_us) <= 2 * DEADLINE_WINDOW_US
         };
+        let bucket_since_us = now_us.saturating_sub(BUCKET_TTL_US);
+        let mut bucket = self.rate_bucket.iter();
         self.permits.is_empty()
             && self.untracked.is_empty()
+            && !bucket.any(|bucket| bucket.was_used_since(bucket_since_us))
             && !self.shortest_deadlines.is_some_and(is_recent)
     }
 }
--- a/policy/src/limits/retry_after.rs
+++ b/policy/src/limits/retry_after.rs
@@ -29,6 +29,8 @@
     pub code: ResultCode,
     /// Whether the load fills the service's healthy targets.
     pub is_full: bool,
+    /// Time for which all targets are paused, in microseconds; 0 if they are not.
+    pub pause_left_us: u64,
     /// Time until the caller's deadline, in microseconds.
     pub left_us: u64,
 }
@@ -43,7 +45,14 @@
             _ if self.is_full => FULL_RETRY_AFTER_MS,
             _ => OTHER_TARGET_RETRY_AFTER_MS,
         };
-        let jitter = rng.random_range(1.0 - JITTER..1.0 + JITTER);
+        let pause_left_ms = self.pause_left_us as f64 / MICROS_PER_MILLI;
+        let is_paused = base_ms > OTHER_INSTANCE_RETRY_AFTER_MS && pause_left_ms > base_ms;
+        // Nobody is served before the pause ends.
+        let (base_ms, earliest) = match is_paused {
+            true => (pause_left_ms, 1.0),
+            false => (base_ms, 1.0 - JITTER),
+        };
+        let jitter = rng.random_range(earliest..earliest + 2.0 * JITTER);
         let max_ms = self.left_us as f64 / MICROS_PER_MILLI * MAX_SHARE_OF_TIME_LEFT;
         (base_ms * jitter).min(max_ms).max(1.0) as u64
     }
--- a/policy/src/membership/membership.rs
+++ b/policy/src/membership/membership.rs
@@ -157,6 +157,15 @@
         unresponsive as f64 / (1 + unresponsive + alive.count()) as f64
     }
 
+    /// Share of the instances that are present, among these and those that died without having
+    /// announced that they leave. The dead may form a fleet of their own behind a network
+    /// partition.
+    pub fn reachable_share(&self) -> f64 {
+        let dead = self.entries.values().filter(|entry| entry.is_dead());
+        let present = self.present().count() as f64;
+        present / (present + dead.count() as f64)
+    }
+
     /// Picks a dead member to ping at random, as it may have restarted; `None` if there is no
     /// dead member or none is drawn. The probability is such that a dead member rarely goes
     /// without a ping for a second.
--- a/policy/src/routing/choice.rs
+++ b/policy/src/routing/choice.rs
@@ -26,6 +26,8 @@
     pub left_us: u64,
     /// Indexes of the candidates that the request was sent to already.
     pub tried: &'a [usize],
+    /// Whether only targets without a rate limit are eligible, as no permit can be requested.
+    pub only_unlimited: bool,
 }
 
 /// Result of the choice.
@@ -53,6 +55,10 @@
             .filter(untried)
             .filter(|index| !self.candidates[*index].load.is_closed())
             .filter(|index| repeatable || self.candidates[*index].health != HealthState::Trial)
+            .filter(|index| {
+                let load = &self.candidates[*index].load;
+                !choice_params.only_unlimited || load.rate_limit_milli().is_none()
+            })
             .collect();
         if open.is_empty() {
             return Choice::NoTarget;
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -43,9 +43,13 @@
     /// Requests per second that the target takes from all instances, in thousandths.
     rate_limit_milli: AtomicU32,
     limit_named_us: AtomicU64,
+    denied_until_us: AtomicU64,
     has_unreadable_notice: AtomicBool,
 }
 
+/// A limit that differs by less than the known one divided by this is the same, so that small
+/// changes are not broadcast.
+const SAME_LIMIT_DIVISOR: u32 = 20;
 /// Value of a rate limit in thousandths that stands for no limit.
 const UNLIMITED: u32 = u32::MAX;
 
@@ -68,6 +72,7 @@
             unreachable_until_us: AtomicU64::new(0),
             rate_limit_milli: AtomicU32::new(UNLIMITED),
             limit_named_us: AtomicU64::new(0),
+            denied_until_us: AtomicU64::new(0),
             has_unreadable_notice: AtomicBool::new(false),
         }
     }
@@ -79,13 +84,35 @@
         (limit_milli != UNLIMITED).then_some(limit_milli)
     }
 
-    /// Sets the rate limit that the target has named, or ends it. Returns whether it changed.
+    /// Sets the rate limit that the target has named, or ends it. A limit that is almost the
+    /// known one is left as it is. Returns whether it changed.
     pub fn set_rate_limit(&self, now_us: u64, limit_milli: Option<u32>) -> bool {
-        if limit_milli.is_some() {
-            self.limit_named_us.store(now_us, Ordering::Relaxed);
+        let known_milli = self.rate_limit_milli();
+        match limit_milli {
+            Some(_) => self.limit_named_us.store(now_us, Ordering::Relaxed),
+            None => self.denied_until_us.store(0, Ordering::Relaxed),
         }
-        let limit_milli = limit_milli.unwrap_or(UNLIMITED);
-        self.rate_limit_milli.swap(limit_milli, Ordering::Relaxed) != limit_milli
+        let is_same = match (known_milli, limit_milli) {
+            (Some(known), Some(limit)) => known.abs_diff(limit) <= known / SAME_LIMIT_DIVISOR,
+            (known, limit) => known == limit,
+        };
+        if !is_same {
+            self.rate_limit_milli
+                .store(limit_milli.unwrap_or(UNLIMITED), Ordering::Relaxed);
+        }
+        !is_same
+    }
+
+    /// Keeps requests from the target until its rate limit may allow one.
+    pub fn deny_until(&self, until_us: u64) {
+        self.denied_until_us.store(until_us, Ordering::Relaxed);
+    }
+
+    /// Time at which the target takes requests again after a pause, in microseconds; 0 if there
+    /// was none.
+    pub fn paused_until_us(&self) -> u64 {
+        let shed_until_us = self.paused_until_us.load(Ordering::Relaxed);
+        shed_until_us.max(self.denied_until_us.load(Ordering::Relaxed))
     }
 
     /// When the target was last known to name a rate limit, in microseconds.
@@ -156,7 +183,7 @@
     /// Whether the target is below its concurrency limit and not paused.
     pub fn has_room(&self, now_us: u64) -> bool {
         let limit = (self.limit_milli.load(Ordering::Relaxed) / MILLI).max(1);
-        self.in_flight() < limit && now_us >= self.paused_until_us.load(Ordering::Relaxed)
+        self.in_flight() < limit && now_us >= self.paused_until_us()
     }
 
     /// Acquires a slot, or returns `None` if the target has no room or is closed.
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -184,9 +184,12 @@
         healthy.map(|candidate| candidate.target.slots).sum()
     }
 
-    /// Whether a request to a candidate needs a permit: all do while the service is overloaded,
-    /// except trials while there are healthy targets.
+    /// Whether a request to a candidate needs a permit: all do if the target has a rate limit, or
+    /// while the service is overloaded, except trials while there are healthy targets.
     pub fn needs_permit(&self, now_us: u64, index: usize) -> bool {
+        if self.is_limited(index) {
+            return true;
+        }
         let is_trial = || {
             self.candidates[index].load.failure_probability(now_us) > MAX_HEALTHY_PROBABILITY
                 && self.healthy(now_us).next().is_some()
@@ -194,6 +197,35 @@
         self.load.overload.is_overloaded() && !is_trial()
     }
 
+    /// Whether a candidate has named a rate limit.
+    pub fn is_limited(&self, index: usize) -> bool {
+        self.candidates[index].load.rate_limit_milli().is_some()
+    }
+
+    /// Time until the first target takes requests again, in microseconds, if all are paused;
+    /// `None` otherwise.
+    pub fn pause_left_us(&self, now_us: u64) -> Option<u64> {
+        let open = self.candidates.iter();
+        let open = open.filter(|candidate| !candidate.load.is_closed());
+        let until_us = open.map(|candidate| candidate.load.paused_until_us()).min();
+        let left_us = until_us?.saturating_sub(now_us);
+        (left_us > 0).then_some(left_us)
+    }
+
+    /// Slots of the healthy targets that their rate limits allow to be used, if a request takes
+    /// `work_s` seconds.
+    pub fn usable_slots(&self, now_us: u64, work_s: f64) -> u32 {
+        let usable = |candidate: &Candidate| {
+            let slots = candidate.target.slots;
+            let limit_milli = candidate.load.rate_limit_milli();
+            limit_milli.map_or(slots, |limit_milli| {
+                let limited = f64::from(limit_milli) / 1e3 * work_s;
+                slots.min(limited.ceil() as u32)
+            })
+        };
+        self.healthy(now_us).map(usable).sum()
+    }
+
     /// Chooses another target for a request that was denied a permit: a random healthy one. If none
     /// is available, a repeatable request goes to an idle suspect target that may have recovered;
     /// any other request does so only as a trial at the bounded rate.
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -234,6 +234,11 @@
     assert!(reply.retry_after_ms.is_some());
 }
 
+const DENIED: PermitAnswer = PermitAnswer::Denied {
+    in_flight: 9,
+    wait_ms: 0,
+};
+
 fn overloaded_run(repeat: Repeat) -> Run {
     let run = Run::new(repeat, false);
     run.exchange
@@ -260,7 +265,7 @@
     let mut step = run.on(Event::Begin);
     while let Step::RequestPermit { candidate } = step {
         requested.push(candidate);
-        step = run.on(Event::Permit(PermitAnswer::Denied { in_flight: 9 }));
+        step = run.on(Event::Permit(DENIED));
     }
     requested.sort_unstable();
     assert_eq!(requested, [0, 1, 2]);
@@ -284,10 +289,55 @@
         let overload = &run.exchange.table().load.overload;
         overload.update(true, 1.0, 500_000);
         run.on(Event::Begin);
-        let mut step = run.on(Event::Permit(PermitAnswer::Denied { in_flight: 9 }));
+        let mut step = run.on(Event::Permit(DENIED));
+        while let Step::RequestPermit { .. } = step {
+            step = run.on(Event::Permit(PermitAnswer::Unknown));
+        }
+        assert!(is_reply(step, ResultCode::Overloaded, Outcome::NotRun));
+    }
+}
+
+/// A request whose targets have all named a rate limit.
+fn limited_run(repeat: Repeat) -> Run {
+    let run = Run::new(repeat, false);
+    for candidate in &run.exchange.table().candidates {
+        candidate.load.set_rate_limit(NOW_US, Some(1_000));
+    }
+    run
+}
+
+#[test]
+fn nothing_is_sent_to_a_target_with_a_limit_without_the_word_of_its_owner() {
+    for repeat in [Repeat::Idempotent, Repeat::Never] {
+        let mut run = limited_run(repeat);
+        let mut step = run.on(Event::Begin);
         while let Step::RequestPermit { .. } = step {
             step = run.on(Event::Permit(PermitAnswer::Unknown));
         }
         assert!(is_reply(step, ResultCode::Overloaded, Outcome::NotRun));
     }
 }
+
+#[test]
+fn a_permit_for_a_target_with_a_limit_lapses_while_the_process_is_suspended() {
+    let mut run = limited_run(Repeat::Idempotent);
+    assert!(matches!(run.on(Event::Begin), Step::RequestPermit { .. }));
+    let permitted = Event::Permit(PermitAnswer::Permitted { in_flight: 0 });
+    let step = run.exchange.on(NOW_US + 2_000_000, permitted, &mut run.rng);
+    assert!(matches!(step, Step::RequestPermit { .. }), "{step:?}");
+}
+
+#[test]
+fn a_request_is_refused_at_once_while_all_targets_are_paused() {
+    let mut run = limited_run(Repeat::Never);
+    for candidate in &run.exchange.table().candidates {
+        candidate.load.deny_until(NOW_US + 1_000_000);
+    }
+    let step = run.on(Event::Begin);
+    let Step::Reply(reply) = step else {
+        panic!("expected a refusal, got {step:?}");
+    };
+    assert_eq!(reply.outcome, Outcome::NotRun);
+    let retry_after_ms = reply.retry_after_ms.expect("a time to come back");
+    assert!(retry_after_ms >= 1_000, "{retry_after_ms} ms");
+}
--- a/policy/tests/permit_ledger.rs
+++ b/policy/tests/permit_ledger.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use policy::limits::Ownership;
 use policy::limits::PermitLedger;
 use policy::limits::PermitParams;
 
@@ -12,6 +13,11 @@
     work_ms: 500,
     slots: SLOTS,
     untracked: 0,
+    rate_limit_milli: None,
+};
+const OWNERSHIP: Ownership = Ownership {
+    owned_us: 10 * SECOND_US,
+    reachable_share: 1.0,
 };
 const LONG_DEADLINE: PermitParams = PermitParams {
     left_ms: 6_000,
@@ -33,8 +39,8 @@
     fn request(&mut self, now_us: u64, params: PermitParams) -> bool {
         self.requested += 1;
         self.ledger
-            .request(now_us, (&Self::holder(), self.requested), params)
-            .0
+            .request(now_us, (&Self::holder(), self.requested), params, OWNERSHIP)
+            .is_permitted
     }
 
     /// Requests permits until one is denied; returns the number granted.
@@ -119,14 +125,14 @@
     assert!(
         !client
             .ledger
-            .request(0, (&"other".into(), 1), LONG_DEADLINE)
-            .0
+            .request(0, (&"other".into(), 1), LONG_DEADLINE, OWNERSHIP)
+            .is_permitted
     );
     assert!(
         client
             .ledger
-            .request(SECOND_US, (&"other".into(), 2), LONG_DEADLINE)
-            .0
+            .request(SECOND_US, (&"other".into(), 2), LONG_DEADLINE, OWNERSHIP)
+            .is_permitted
     );
 }
 
@@ -137,3 +143,48 @@
     client.ledger.remove_holder(&LedgerClient::holder());
     assert!(client.request(0, LONG_DEADLINE));
 }
+
+const LIMIT_PER_S: u64 = 2;
+
+/// Requests that a ledger grants in some seconds, if one is made every 10 ms and ends at once.
+fn granted_over(seconds: u64, ownership: Ownership) -> usize {
+    let limited = PermitParams {
+        rate_limit_milli: Some(LIMIT_PER_S as u32 * 1_000),
+        ..LONG_DEADLINE
+    };
+    let mut ledger = PermitLedger::default();
+    let holder = LedgerClient::holder();
+    let is_granted = |number: &u64| {
+        let now_us = SECOND_US + number * 10_000;
+        let decision = ledger.request(now_us, (&holder, *number), limited, ownership);
+        ledger.release(&holder, *number);
+        decision.is_permitted
+    };
+    (0..seconds * 100).filter(is_granted).count()
+}
+
+#[test]
+fn rate_limit_of_the_target_is_granted_to_all_instances_together() {
+    let granted = granted_over(10, OWNERSHIP) as u64;
+    let named = 10 * LIMIT_PER_S;
+    assert!((named..=named + 1).contains(&granted), "{granted}");
+}
+
+#[test]
+fn new_owner_does_not_grant_what_the_one_before_it_may_have_granted() {
+    let new_owner = Ownership {
+        owned_us: 0,
+        ..OWNERSHIP
+    };
+    assert!(granted_over(1, new_owner) < granted_over(1, OWNERSHIP));
+}
+
+#[test]
+fn owner_that_reaches_half_of_the_fleet_grants_half_of_the_limit() {
+    let half = Ownership {
+        reachable_share: 0.5,
+        ..OWNERSHIP
+    };
+    let granted = granted_over(10, half) as u64;
+    assert!(granted <= 10 * LIMIT_PER_S / 2 + 1, "{granted}");
+}
--- a/policy/tests/retry_after.rs
+++ b/policy/tests/retry_after.rs
@@ -19,6 +19,7 @@
     let refused = RefusedRequest {
         code: ResultCode::TargetRefused,
         is_full: true,
+        pause_left_us: 0,
         left_us: 8_000_000,
     };
     let retry_times = retry_times(refused, 1_000);
@@ -36,6 +37,7 @@
     let refusal = |is_full| RefusedRequest {
         code: ResultCode::TargetRefused,
         is_full,
+        pause_left_us: 0,
         left_us: 8_000_000,
     };
     assert!(retry_times(refusal(true), 100)[50] > 2 * retry_times(refusal(false), 100)[50]);
@@ -46,6 +48,7 @@
     let refused = RefusedRequest {
         code: ResultCode::NoTarget,
         is_full: true,
+        pause_left_us: 0,
         left_us: 400_000,
     };
     assert!(
@@ -60,6 +63,7 @@
     let refused = RefusedRequest {
         code: ResultCode::Draining,
         is_full: true,
+        pause_left_us: 0,
         left_us: 8_000_000,
     };
     assert!(
@@ -68,3 +72,16 @@
             .all(|retry_after_ms| *retry_after_ms <= 150)
     );
 }
+
+#[test]
+fn retries_are_distributed_over_the_time_after_a_pause_of_all_targets() {
+    let refused = RefusedRequest {
+        code: ResultCode::Overloaded,
+        is_full: true,
+        pause_left_us: 1_500_000,
+        left_us: 20_000_000,
+    };
+    let retry_times = retry_times(refused, 1_000);
+    assert!(retry_times[0] >= 1_500, "{}", retry_times[0]);
+    assert!(retry_times[900] - retry_times[100] > 1_000);
+}
--- a/policy/tests/target_choice.rs
+++ b/policy/tests/target_choice.rs
@@ -59,6 +59,7 @@
         repeatable,
         left_us: 8 * SECOND_US,
         tried: &[],
+        only_unlimited: false,
     };
     choose_for(table, now_us, choice_params, rng)
 }
@@ -203,6 +204,7 @@
         repeatable: true,
         left_us: 850_000,
         tried: &[],
+        only_unlimited: false,
     };
     assert_ne!(choose_for(&table, SECOND_US, choice_params, &mut rng), 3);
     assert_eq!(
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -671,6 +671,7 @@
         Message::RequestPermit { .. }
         | Message::PermitAnswer { .. }
         | Message::RegisterPermits { .. }
+        | Message::RateLimits { .. }
         | Message::ReleasePermit { .. }
         | Message::BorrowRetry { .. }
         | Message::RetryAnswer { .. } => "permits",
--- a/sniperund/src/callers/request_log.rs
+++ b/sniperund/src/callers/request_log.rs
@@ -41,14 +41,14 @@
     answer: PermitAnswer,
     after_us: u64,
 ) {
-    let (answer, in_flight) = match answer {
-        PermitAnswer::Permitted { in_flight } => ("permitted", Some(in_flight)),
-        PermitAnswer::Denied { in_flight } => ("denied", Some(in_flight)),
-        PermitAnswer::Unknown => ("unknown", None),
+    let (answer, in_flight, wait_ms) = match answer {
+        PermitAnswer::Permitted { in_flight } => ("permitted", Some(in_flight), 0),
+        PermitAnswer::Denied { in_flight, wait_ms } => ("denied", Some(in_flight), wait_ms),
+        PermitAnswer::Unknown => ("unknown", None, 0),
     };
     let overload = &request.exchange.table().load.overload;
     log::info!(
-        "event=permit-asked id={} target={target} answer={answer} in_flight={in_flight:?} work_ms={} after_ms={}",
+        "event=permit-asked id={} target={target} answer={answer} in_flight={in_flight:?} work_ms={} wait_ms={wait_ms} after_ms={}",
         request.request_params.id(),
         overload.work_us() / MICROS_PER_MILLI,
         after_us / MICROS_PER_MILLI
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -3,6 +3,7 @@
 mod commands;
 mod deployment;
 mod endless;
+mod notices;
 mod outages;
 mod reload;
 mod requests;
--- a/standin/src/users/target.rs
+++ b/standin/src/users/target.rs
@@ -86,6 +86,7 @@
     id: String,
     script: Mutex<TargetScript>,
     work_time: Mutex<Duration>,
+    extra_headers: Mutex<String>,
     activity: Mutex<TargetActivity>,
 }
 
@@ -171,6 +172,14 @@
         *self.state.work_time.lock() = work_time;
     }
 
+    /// Sets header lines that are added to each response, whatever the script.
+    pub fn set_extra_headers(&self, lines: &[(&str, &str)]) {
+        let lines = lines
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"));
+        *self.state.extra_headers.lock() = lines.collect();
+    }
+
     /// Returns a copy of the record so far.
     pub fn observed(&self) -> TargetActivity {
         self.state.activity.lock().clone()
@@ -201,6 +210,7 @@
             activity.arrivals.push(arrival);
         }
         let script = *state.script.lock();
+        let extra = state.extra_headers.lock().clone();
         if expected.is_some_and(|expected| expected != state.id)
             || script == TargetScript::Misdirects
         {
@@ -218,7 +228,7 @@
             }
             TargetScript::Sheds => {
                 let response = format!(
-                    "HTTP/1.1 503 Service Unavailable\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+                    "HTTP/1.1 503 Service Unavailable\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\n{extra}content-length: 0\r\n\r\n"
                 );
                 stream.write_all(response.as_bytes()).await?;
                 continue;
@@ -239,7 +249,7 @@
             return Ok(());
         }
         stream
-            .write_all(&build_response(script, &id, &state.id))
+            .write_all(&build_response(script, &id, &state.id, &extra))
             .await?;
         if script == TargetScript::Cuts {
             return Ok(());
@@ -271,7 +281,7 @@
 }
 
 /// Formats the response to a request that was run.
-fn build_response(script: TargetScript, id: &str, target: &str) -> Vec<u8> {
+fn build_response(script: TargetScript, id: &str, target: &str, extra: &str) -> Vec<u8> {
     let body = format!("ran {id} at {target}");
     let status = match script {
         TargetScript::Errors => "500 Internal Server Error",
@@ -295,7 +305,7 @@
         _ => &body,
     };
     let text = format!(
-        "HTTP/1.1 {status}\r\nx-attempt-id: {echoed}\r\n{signature}{encoding}content-length: {length}\r\n\r\n{sent}"
+        "HTTP/1.1 {status}\r\nx-attempt-id: {echoed}\r\n{signature}{encoding}{extra}content-length: {length}\r\n\r\n{sent}"
     );
     match script {
         TargetScript::AnswersTwice => text.repeat(2).into_bytes(),
