Use no retry for a hedge that finds no target

What callers saw: nothing directly; a waiting read is checked for a hedge every 80 ms, and each check took a retry from the budget before it looked for a target. While all others were busy, paused or limited, five checks emptied a budget of five, and other reads of the instance were not sent again.

Change: the target is chosen first; the retry is taken only if there is one.

Test: a_hedge_that_finds_no_target_uses_no_retry and no_hedge_goes_to_a_target_with_a_rate_limit, red before.

--- a/policy/src/exchange/retries.rs
+++ b/policy/src/exchange/retries.rs
@@ -13,6 +13,7 @@
 use super::silence::is_hedge_due;
 use crate::routing::Choice;
 use crate::routing::ChoiceParams;
+use crate::routing::Slot;
 
 /// Time within which a retry borrowed from a peer has to be used, in microseconds. The peers'
 /// budgets bound the retries of a window only if none is used long after it was lent.
@@ -90,8 +91,11 @@
         if !self.has_attempt_left(now_us) {
             return Step::Continue;
         }
+        let Some((candidate, slot)) = self.choose_hedge(now_us, rng) else {
+            return Step::Continue;
+        };
         if self.table.load.retries.take() {
-            return self.send_hedge(now_us, rng);
+            return self.start_attempt(now_us, candidate, slot);
         }
         let has_asked_lately = self
             .last_loan_us
@@ -131,16 +135,24 @@
         is_hedge_due(&profile, &waiting, objective_left_us)
     }
 
-    pub(super) fn send_hedge(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
+    fn send_hedge(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
+        match self.choose_hedge(now_us, rng) {
+            Some((candidate, slot)) => self.start_attempt(now_us, candidate, slot),
+            None => Step::Continue,
+        }
+    }
+
+    /// Chooses the target of a hedge, which is sent without a permit.
+    fn choose_hedge(&mut self, now_us: u64, rng: &mut impl Rng) -> Option<(usize, Slot)> {
         let choice_params = ChoiceParams {
             only_unlimited: true,
             ..self.choice_params(now_us)
         };
         match self.table.choose(now_us, choice_params, rng) {
-            Choice::Target(candidate, slot) => self.start_attempt(now_us, candidate, slot),
+            Choice::Target(candidate, slot) => Some((candidate, slot)),
             Choice::AllBusy | Choice::NoTarget => {
                 self.retry_denial = Some(RetryDenial::AllBusy);
-                Step::Continue
+                None
             }
         }
     }
--- a/policy/tests/hedging.rs
+++ b/policy/tests/hedging.rs
@@ -194,3 +194,23 @@
     assert!(is_hedge_due(&PROFILE, &two[..1], Some(0)));
     assert!(!is_hedge_due(&PROFILE, &two, None));
 }
+
+#[test]
+fn no_hedge_goes_to_a_target_with_a_rate_limit() {
+    let mut run = Run::new(true, 5.0);
+    for candidate in &run.table.candidates {
+        candidate.load.set_rate_limit(BEGAN_US, Some(1_000));
+    }
+    assert_eq!(run.first_hedge_ms(), None);
+    assert_eq!(run.exchange.retry_denial(), Some(RetryDenial::AllBusy));
+}
+
+#[test]
+fn a_hedge_that_finds_no_target_uses_no_retry() {
+    let mut run = Run::new(true, 5.0);
+    for candidate in &run.table.candidates {
+        candidate.load.record_shed(BEGAN_US, 3_000 * MS_US);
+    }
+    assert_eq!(run.first_hedge_ms(), None);
+    assert!(run.table.load.retries.left() >= 5.0);
+}
