Revive instances marked dead or gone as soon as they are heard

Cause: a message from an instance that is marked dead or gone did not change its entry. After a partition, the others came back at one drawn ping a second; a restarted instance was missed until the list of the registry was read again.

Change: an instance that is heard although it is marked dead is pinged with that entry, which it refutes at once; for three seconds all other dead ones are pinged as well, at most 100 a second. If a message comes from a newer process than the known one, its sender is asked for the members.

--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -108,6 +108,8 @@
     pub(super) peer_ids: Vec<Arc<str>>,
     pub(super) next_flush_us: u64,
     pub(super) next_join_us: u64,
+    pub(super) next_members_request_us: u64,
+    pub(super) revival_until_us: u64,
     pub(super) next_dead_ping_us: u64,
     pub(super) last_message_us: u64,
     pub(super) has_unpublished_table: bool,
@@ -162,6 +164,8 @@
             peer_ids: Vec::new(),
             next_flush_us: 0,
             next_join_us: 0,
+            next_members_request_us: 0,
+            revival_until_us: 0,
             next_dead_ping_us: 0,
             last_message_us: 0,
             has_unpublished_table: false,
@@ -302,10 +306,17 @@
         }
         self.membership
             .record_contact(now_us, &from, envelope.incarnation);
+        if self.membership.is_dead(&from) {
+            self.ping_revived(now_us, &from);
+        }
+        if self.membership.is_outdated(&from, envelope.incarnation) {
+            // Gossip may pass by an instance, and for it the sender would stay dead or gone.
+            self.request_members(now_us, &from);
+        }
         self.readiness.record_peer_number(&from, envelope.note);
         self.apply_membership_changes(now_us);
         match envelope.message {
-            Message::Ping { sequence } => self.send(now_us, &from, Message::Ack { sequence }),
+            Message::Ping { sequence } => self.answer_ping(now_us, &from, sequence),
             Message::Ack { sequence } => self.handle_ack(now_us, sequence, envelope.note),
             Message::PingFor { to, sequence } => self.ping_for(now_us, &from, &to, sequence),
             Message::Join => self.send_members(now_us, &from),
--- a/policy/src/instance/members.rs
+++ b/policy/src/instance/members.rs
@@ -19,6 +19,11 @@
 /// versions, so that the answer needs no matching; other pings are numbered from 1.
 pub(super) const GOSSIP_PING_SEQUENCE: u64 = 0;
 const MEMBERS_PER_MESSAGE: usize = 200;
+/// Time after a message from an instance marked dead in which all such instances are pinged, in
+/// microseconds: a few pings, as some of them may get lost.
+const REVIVAL_US: u64 = 3_000_000;
+/// Instances marked dead that are pinged at once in that time.
+const MAX_REVIVED: usize = 100;
 
 impl Instance {
     pub(super) fn send_join_requests(&mut self, now_us: u64) {
@@ -43,6 +48,14 @@
         }
     }
 
+    /// Asks a peer for the members that it knows, which include itself.
+    pub(super) fn request_members(&mut self, now_us: u64, peer: &Arc<str>) {
+        if now_us >= self.next_members_request_us {
+            self.next_members_request_us = now_us + JOIN_PERIOD_US;
+            self.send(now_us, peer, Message::Join);
+        }
+    }
+
     /// Pings an instance that is marked dead: one that has restarted while the platform is
     /// unreachable has no member list.
     pub(super) fn ping_dead(&mut self, now_us: u64) {
@@ -50,19 +63,66 @@
             return;
         }
         self.next_dead_ping_us = now_us + DEAD_PING_PERIOD_US;
-        let Some(id) = self.membership.pick_dead(&mut self.rng) else {
+        let ids: Vec<Arc<str>> = match now_us < self.revival_until_us {
+            true => self
+                .membership
+                .dead_ids()
+                .take(MAX_REVIVED)
+                .cloned()
+                .collect(),
+            false => self
+                .membership
+                .pick_dead(&mut self.rng)
+                .into_iter()
+                .collect(),
+        };
+        for id in ids {
+            self.send_dead_ping(now_us, &id);
+        }
+    }
+
+    /// Answers a ping. The answer to one that looks for dead instances contains the own entry.
+    pub(super) fn answer_ping(&mut self, now_us: u64, from: &Arc<str>, sequence: u64) {
+        if sequence != GOSSIP_PING_SEQUENCE {
+            return self.send(now_us, from, Message::Ack { sequence });
+        }
+        let Some(address) = self.membership.get(from).map(|member| member.peer_address) else {
             return;
         };
-        let Some(address) = self.membership.get(&id).map(|member| member.peer_address) else {
+        let mut envelope = self.envelope(now_us, Message::Ack { sequence });
+        envelope.member_updates.push(self.membership.own().clone());
+        self.actions.push(Action::Send {
+            to: from.clone(),
+            address,
+            envelope,
+        });
+    }
+
+    /// Pings an instance that is marked dead and has sent a message, and soon all others that are:
+    /// if a network partition has ended, they are alive as well.
+    pub(super) fn ping_revived(&mut self, now_us: u64, from: &Arc<str>) {
+        if now_us >= self.revival_until_us {
+            self.next_dead_ping_us = now_us;
+        }
+        self.revival_until_us = now_us + REVIVAL_US;
+        self.send_dead_ping(now_us, from);
+    }
+
+    /// Pings an instance that is marked dead. The ping contains that entry, which a live instance
+    /// refutes at once, and the own one.
+    fn send_dead_ping(&mut self, now_us: u64, id: &Arc<str>) {
+        let Some(dead) = self.membership.get(id).cloned() else {
             return;
         };
+        let address = dead.peer_address;
         let ping = Message::Ping {
             sequence: GOSSIP_PING_SEQUENCE,
         };
         let mut envelope = self.envelope(now_us, ping);
         envelope.member_updates.push(self.membership.own().clone());
+        envelope.member_updates.push(dead);
         self.actions.push(Action::Send {
-            to: id,
+            to: id.clone(),
             address,
             envelope,
         });
--- a/policy/src/membership/membership.rs
+++ b/policy/src/membership/membership.rs
@@ -250,6 +250,23 @@
         }
     }
 
+    /// Whether a message comes from a newer process of a member than the known one.
+    pub fn is_outdated(&self, id: &str, incarnation: u64) -> bool {
+        let known = self.entries.get(id);
+        known.is_some_and(|entry| entry.member.incarnation < incarnation)
+    }
+
+    /// Whether a member is marked dead.
+    pub fn is_dead(&self, id: &str) -> bool {
+        self.entries.get(id).is_some_and(Entry::is_dead)
+    }
+
+    /// Ids of the members that are marked dead.
+    pub fn dead_ids(&self) -> impl Iterator<Item = &Arc<str>> {
+        let dead = self.entries.iter().filter(|(_, entry)| entry.is_dead());
+        dead.map(|(id, _)| id)
+    }
+
     /// Processes the answer to a ping.
     pub fn record_ack(&mut self, sequence: u64) {
         if self
--- a/policy/tests/fleet/membership.rs
+++ b/policy/tests/fleet/membership.rs
@@ -11,6 +11,8 @@
 const SEEDS: u64 = 40;
 /// Time for a broadcast and, where one of its messages is lost, for the gossip that follows.
 const ANNOUNCEMENT_US: u64 = SECOND_US;
+/// Time after a partition within which the users hold instances to their bounds again.
+const HEALING_US: u64 = 3 * SECOND_US;
 /// Time in which an instance that starts gets the first answers of its peers: a tick and a round
 /// trip. The load is measured less often.
 const FIRST_ANSWERS_US: u64 = 300_000;
@@ -85,3 +87,19 @@
         );
     }
 }
+
+#[test]
+fn all_instances_see_each_other_soon_after_one_was_cut_off() {
+    for seed in 0..SEEDS {
+        let mut fleet = Fleet::new(seed);
+        fleet.run(3 * SECOND_US);
+        // Longer than the fleet takes to declare the instance dead, and it all others.
+        fleet.cut(0, 20 * SECOND_US);
+        fleet.run(20 * SECOND_US);
+        assert_eq!(count_informed(&fleet, 0), 0, "seed {seed}");
+        fleet.run(20 * SECOND_US + HEALING_US);
+        assert_eq!(count_informed(&fleet, 0), INSTANCES - 1, "seed {seed}");
+        let seen = (1..INSTANCES).filter(|other| fleet.sees(0, *other)).count();
+        assert_eq!(seen, INSTANCES - 1, "seed {seed}");
+    }
+}
