Log which requests are at crashes of targets

After a broken connection the instance opens another one to the target: refused means that the process has ended (target-crashed). No decision uses either yet.

Ruled out: the peer address as part of the fingerprint.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -24,6 +24,7 @@
 use crate::limits::MAX_WAIT_DIVISOR;
 use crate::limits::Refusal;
 use crate::limits::RefusedRequest;
+use crate::quarantine::Fingerprint;
 use crate::routing::Choice;
 use crate::routing::ChoiceParams;
 use crate::routing::ServiceTable;
@@ -64,6 +65,8 @@
     pub objective_us: Option<u64>,
     /// Time at which the request was accepted, in microseconds.
     pub began_us: u64,
+    /// Identity of the request by its content.
+    pub fingerprint: Fingerprint,
 }
 
 /// An input of the state machine.
@@ -221,6 +224,11 @@
         &self.table
     }
 
+    /// Identity of the request by its content.
+    pub fn fingerprint(&self) -> Fingerprint {
+        self.request.fingerprint
+    }
+
     /// Whether the request has run, as far as known; final once the exchange has finished.
     pub fn outcome(&self) -> Outcome {
         self.outcome
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -12,6 +12,7 @@
 use crate::evidence::HealthState;
 use crate::evidence::Signal;
 use crate::feed::RetainReason;
+use crate::quarantine::Crash;
 
 /// An effect to carry out.
 #[derive(Clone, Debug)]
@@ -136,6 +137,8 @@
         /// Failure probability after, in thousandths.
         after_milli: u32,
     },
+    /// A target's process ended while a request was sent to it.
+    TargetCrashed(Crash),
     /// A change of targets is in force.
     TargetsInForce {
         /// Targets that were added or changed.
--- a/policy/src/instance/input.rs
+++ b/policy/src/instance/input.rs
@@ -12,6 +12,7 @@
 use crate::feed::Release;
 use crate::membership::Member;
 use crate::notes::NumberedNote;
+use crate::quarantine::Crash;
 
 /// An event that the instance handles.
 #[derive(Clone, Debug)]
@@ -22,6 +23,8 @@
     Received(Envelope),
     /// An attempt of a request ended.
     Observed(Observation),
+    /// A target's process ended while a request was sent to it.
+    Crashed(Crash),
     /// A target has responded, with or without notices about itself.
     Noticed(NoticedTarget),
     /// A probe that the instance requested has ended.
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -206,6 +206,7 @@
             Input::Tick => self.tick(now_us),
             Input::Received(envelope) => self.handle_message(now_us, envelope),
             Input::Observed(observation) => self.record_observation(now_us, &observation),
+            Input::Crashed(crash) => self.record_crash(crash),
             Input::Noticed(noticed) => self.handle_notices(now_us, &noticed),
             Input::Probed {
                 service,
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -17,6 +17,7 @@
 mod permits;
 mod platform;
 mod publishing;
+mod quarantine;
 mod readiness;
 mod registry;
 mod retry_loans;
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod limits;
 pub mod membership;
 pub mod notes;
+pub mod quarantine;
 pub mod rendezvous;
 pub mod routing;
 
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -18,6 +18,7 @@
 use policy::exchange::Request;
 use policy::exchange::Step;
 use policy::instance::PermitAnswer;
+use policy::quarantine::Fingerprint;
 use policy::routing::Candidate;
 use policy::routing::ChoiceStrategy;
 use policy::routing::ServiceLoad;
@@ -78,6 +79,7 @@
             caller_deadline_us: DEADLINE_US,
             deadline_us: DEADLINE_US,
             claims_key,
+            fingerprint: Fingerprint::default(),
             replayable: true,
             repeatable: repeat == Repeat::Idempotent,
             max_attempts: policy::exchange::MAX_ATTEMPTS,
--- a/policy/tests/fleet/hanging_simulation.rs
+++ b/policy/tests/fleet/hanging_simulation.rs
@@ -17,6 +17,7 @@
 use policy::exchange::Request;
 use policy::exchange::Step;
 use policy::exchange::overdue_after_us;
+use policy::quarantine::Fingerprint;
 use policy::routing::Candidate;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -181,6 +182,7 @@
         let request = Request {
             deadline_us,
             caller_deadline_us: deadline_us,
+            fingerprint: Fingerprint::default(),
             claims_key: false,
             replayable: true,
             repeatable: self.scenario.repeatable,
--- a/policy/tests/fleet/overload_simulation.rs
+++ b/policy/tests/fleet/overload_simulation.rs
@@ -26,6 +26,7 @@
 use policy::instance::PERMIT_TIMEOUT_US;
 use policy::instance::PermitAnswer;
 use policy::instance::PermitRequest;
+use policy::quarantine::Fingerprint;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::seq::IteratorRandom;
@@ -577,6 +578,7 @@
         let request = Request {
             deadline_us,
             caller_deadline_us: deadline_us,
+            fingerprint: Fingerprint::default(),
             claims_key: false,
             replayable: true,
             repeatable: true,
--- a/policy/tests/hedging.rs
+++ b/policy/tests/hedging.rs
@@ -18,6 +18,7 @@
 use policy::exchange::WaitingAttempt;
 use policy::exchange::is_hedge_due;
 use policy::limits::RetryBudget;
+use policy::quarantine::Fingerprint;
 use policy::routing::Candidate;
 use policy::routing::ChoiceStrategy;
 use policy::routing::ServiceLoad;
@@ -73,6 +74,7 @@
         let request = Request {
             deadline_us: BEGAN_US + 3_000 * MS_US,
             caller_deadline_us: BEGAN_US + 3_000 * MS_US,
+            fingerprint: Fingerprint::default(),
             claims_key: false,
             replayable: true,
             repeatable,
--- a/proof/examples/capacity/slopes.rs
+++ b/proof/examples/capacity/slopes.rs
@@ -25,6 +25,7 @@
 use policy::instance::PlatformAnswer;
 use policy::membership::Status;
 use policy::notes::NumberedNote;
+use policy::quarantine::Fingerprint;
 use proof::capacity::Slopes;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -386,6 +387,7 @@
     let request = Request {
         caller_deadline_us: now_us + 1_000_000,
         deadline_us: now_us + 1_000_000,
+        fingerprint: Fingerprint::default(),
         claims_key: false,
         replayable: true,
         repeatable: service.is_repeatable(),
--- a/proof/src/requests.rs
+++ b/proof/src/requests.rs
@@ -16,6 +16,7 @@
 use policy::exchange::Request;
 use policy::exchange::Step;
 use policy::instance::PermitAnswer;
+use policy::quarantine::Fingerprint;
 use rand::RngExt;
 
 use super::CommandIdentity;
@@ -194,6 +195,7 @@
         let exchange_request = Request {
             caller_deadline_us: deadline_us,
             deadline_us,
+            fingerprint: Fingerprint::default(),
             claims_key: matches!(request.identity, CommandIdentity::Key(_)),
             replayable: true,
             repeatable: service_table.is_repeatable(),
--- a/sniperund/src/callers/body.rs
+++ b/sniperund/src/callers/body.rs
@@ -55,6 +55,22 @@
         }
     }
 
+    /// Returns the body as far as it is in memory.
+    pub(super) fn buffered(&self) -> &[u8] {
+        match self {
+            Self::Buffered(bytes) => bytes,
+            Self::Stream(_) => &[],
+        }
+    }
+
+    /// Length of the body in bytes; `None` if it is not known or the body was already streamed.
+    pub(super) fn length(&self) -> Option<u64> {
+        match self {
+            Self::Buffered(bytes) => Some(bytes.len() as u64),
+            Self::Stream(body) => body.lock().as_ref()?.size_hint().exact(),
+        }
+    }
+
     /// Returns the body to send; `None` if it was already streamed.
     pub(super) fn take(&self) -> Option<OutBody> {
         match self {
--- a/sniperund/src/callers/forwarded_body.rs
+++ b/sniperund/src/callers/forwarded_body.rs
@@ -30,6 +30,7 @@
 use super::admitted_request::AdmissionGuards;
 use super::body::BoxError;
 use super::command::CommandRecord;
+use super::crash_check::CrashCheck;
 use crate::control::PermitGuard;
 use crate::metrics::RequestLabels;
 use crate::targets::Connection;
@@ -48,6 +49,7 @@
     pub(super) target: Arc<str>,
     pub(super) connection: Option<Connection>,
     pub(super) guards: AdmissionGuards,
+    pub(super) crash_check: CrashCheck,
     /// Permit under which the request was sent, held until the response ends.
     pub(super) _permit: Option<PermitGuard>,
 }
@@ -102,6 +104,7 @@
             self.proxy_state.pool.put_back(connection);
         }
         if event == Event::Cut {
+            self.crash_check.start(&self.proxy_state);
             self.proxy_state.control.send(Input::Observed(Observation {
                 service: service.name.clone(),
                 target: self.target.clone(),
--- a/sniperund/src/callers/mod.rs
+++ b/sniperund/src/callers/mod.rs
@@ -9,6 +9,7 @@
 mod body;
 mod check;
 mod command;
+mod crash_check;
 mod forwarded_body;
 mod headers;
 mod listener;
--- a/sniperund/src/callers/request_log.rs
+++ b/sniperund/src/callers/request_log.rs
@@ -64,8 +64,10 @@
     after_us: u64,
 ) {
     log::warn!(
-        "event=attempt-failed id={} attempt={attempt} target={target} end={end:?} failure={failure:?} after_ms={}",
+        "event=attempt-failed id={} request={} caller={} attempt={attempt} target={target} end={end:?} failure={failure:?} after_ms={}",
         request.request_params.id(),
+        request.exchange.fingerprint(),
+        request.customer,
         after_us / MICROS_PER_MILLI
     );
 }
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -36,6 +36,7 @@
 use super::ProxyState;
 use super::admitted_request::AdmittedRequest;
 use super::body::ResponseBody;
+use super::crash_check::CrashCheck;
 use super::forwarded_body::ForwardedBody;
 use super::forwarded_body::ForwardedResponse;
 use super::headers::remove_hop_by_hop;
@@ -387,9 +388,18 @@
             after_us,
         );
         self.report_attempt_end(attempt, end);
+        if end == AttemptEnd::Cut {
+            self.crash_check(attempt).start(&self.proxy_state);
+        }
         self.handle_event(Event::Failed { attempt, failure })
     }
 
+    fn crash_check(&self, attempt: usize) -> CrashCheck {
+        let sent = &self.sent[attempt];
+        let fingerprint = self.request.exchange.fingerprint();
+        CrashCheck::new(fingerprint, &sent.target, &sent.load)
+    }
+
     fn determine_attempt_end(&self, attempt: usize, response: &Response<Incoming>) -> AttemptEnd {
         let status = response.status().as_u16();
         let sent = &self.sent[attempt];
@@ -470,6 +480,7 @@
             );
         }
         let response = ForwardedResponse {
+            crash_check: self.crash_check(attempt),
             id: self.request.request_params.id().into(),
             class: self.request.class,
             proxy_state: self.proxy_state.clone(),
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -26,6 +26,7 @@
 use policy::command::TicketAnswer;
 use policy::exchange::Exchange;
 use policy::exchange::MAX_ATTEMPTS;
+use policy::quarantine::RequestContent;
 use policy::routing::RoutingTable;
 use policy::routing::ServiceTable;
 use rand::RngExt;
@@ -310,12 +311,22 @@
     };
     let has_id = routed.record.has_id();
     let class = class_of(&routed);
+    let host = host_of(&routed.request);
     let (parts, incoming) = routed.request.into_parts();
     let Ok(body) = CallerBody::read(incoming, proxy_state.limits.kept_body_bytes).await else {
         routed.record.finish(ResultCode::BadRequest.outcome());
         return build_refusal(&*proxy_state.header_protocol, ResultCode::BadRequest, None);
     };
+    let content = RequestContent {
+        customer: customer_header(&parts.headers),
+        method: parts.method.as_str(),
+        host: &host,
+        path: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
+        body_length: body.length(),
+        body: body.buffered(),
+    };
     let request = policy::exchange::Request {
+        fingerprint: content.fingerprint(),
         deadline_us: routed.deadline_us,
         caller_deadline_us: routed.caller_deadline_us,
         claims_key: routed.record.claims_key(),
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -120,6 +120,15 @@
                     "event=target-doubted service={service} target={target} signal={signal:?} by={by} doubt_before_milli={before_milli} doubt_milli={after_milli}"
                 );
             }
+            LogEvent::TargetCrashed(crash) => {
+                self.metrics.target_crashes.inc();
+                log::warn!(
+                    "event=target-crashed request={} target={} incarnation={}",
+                    crash.fingerprint,
+                    crash.target,
+                    crash.incarnation
+                );
+            }
             LogEvent::TargetsInForce { put, withdrawn } => {
                 let (put, withdrawn) = (put.join(","), withdrawn.join(","));
                 log::info!("event=targets-in-force put=\"{put}\" withdrawn=\"{withdrawn}\"");
--- a/sniperund/src/metrics/metrics.rs
+++ b/sniperund/src/metrics/metrics.rs
@@ -70,6 +70,8 @@
     pub platform_failures: Counter,
     /// Crossings of one half, in either direction, by targets' failure probabilities.
     pub suspicion_changes: Counter,
+    /// Processes of targets that ended under a request.
+    pub target_crashes: Counter,
     /// Counters of messages between instances.
     pub peers: Arc<Counters>,
 }
@@ -128,7 +130,14 @@
             "Targets taken for failing, and for good again",
             suspicion_changes.clone(),
         );
+        let target_crashes = Counter::default();
+        counters.register(
+            "target_crashes",
+            "Processes of targets that ended under a request of this instance",
+            target_crashes.clone(),
+        );
         Self {
+            target_crashes,
             platform_failures,
             suspicion_changes,
             counters,
