--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -26,6 +26,7 @@
 use policy::instance::RegistryUpdate;
 use policy::membership::Member;
 use policy::membership::Status;
+use policy::quarantine::Crash;
 use policy::routing::RoutingTable;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -122,6 +123,7 @@
     late_placements: Vec<LatePlacement>,
     min_targets_in_use: usize,
     next_target: u64,
+    restarted_targets: u64,
     targets: usize,
     seed: u64,
     answers: VecDeque<(u64, PermitAnswer)>,
@@ -201,6 +203,7 @@
             late_placements: Vec::new(),
             min_targets_in_use: targets,
             next_target: targets as u64,
+            restarted_targets: 0,
             targets,
             seed,
             answers: VecDeque::new(),
@@ -330,8 +333,9 @@
 
     /// Restarts the process of a target under the same name.
     pub(crate) fn restart_target(&mut self, number: u64) {
+        self.restarted_targets += 1;
         let restarted = Target {
-            incarnation: self.next_target,
+            incarnation: self.next_target + self.restarted_targets,
             ..target(number, false)
         };
         self.registry.put(TargetEntry::Present(restarted));
@@ -381,6 +385,17 @@
         self.deliver(number, Input::Observed(observation));
     }
 
+    /// Reports to an instance that a target's process ended under one of its requests.
+    pub(crate) fn report_crash(&mut self, number: usize, crash: Crash) {
+        self.deliver(number, Input::Crashed(crash));
+    }
+
+    /// Whether an instance is suspended, cut off or dead.
+    pub(crate) fn is_impaired(&self, number: usize) -> bool {
+        let node = &self.nodes[number];
+        node.is_dead || self.paused_until_us(number).is_some() || node.cut_until_us > self.now_us
+    }
+
     /// Requests a permit for a request at an instance.
     pub(crate) fn request_permit(&mut self, number: usize, request: PermitRequest) {
         self.deliver(number, Input::RequestPermit(request));
--- a/policy/tests/fleet/main.rs
+++ b/policy/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a fleet of instances in one process, without a network.
 
+mod deadly_requests;
 mod fleet;
 mod hanging;
 mod hanging_simulation;
