Try a quarantined request once before it stays in quarantine

The decision had no way to be wrong and find out: a request that is not sent gets no response that could lift it.

Two seconds after the decision the owner of the fingerprint sends it to one target. A response lifts the quarantine, a crash confirms it. Crashes are explained by confirmed quarantines only, as a deadly request could hide behind one beside it.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -196,6 +196,8 @@
     pub(super) last_loan_us: Option<u64>,
     pub(super) retry_denial: Option<RetryDenial>,
     pub(super) may_have_run: bool,
+    /// Whether the request is the trial of one in quarantine.
+    is_trial: bool,
     outcome: Outcome,
 }
 
@@ -215,6 +217,7 @@
             last_loan_us: None,
             retry_denial: None,
             may_have_run: false,
+            is_trial: false,
             outcome: Outcome::NotRun,
         }
     }
@@ -281,6 +284,11 @@
     }
 
     fn begin(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
+        if self.quarantine_left_us(now_us).is_some() {
+            let quarantine = &self.table.load.quarantine;
+            self.is_trial = quarantine.take_trial(&self.request.fingerprint);
+            self.request.max_attempts = 1;
+        }
         if let Some(left_us) = self.quarantine_left_us(now_us) {
             // Says nothing about the service, so it counts neither as begun nor as unserved.
             self.state = State::Finished;
@@ -452,7 +460,11 @@
         }
     }
 
+    /// Time until the request's quarantine ends; `None` if the request may be sent.
     fn quarantine_left_us(&self, now_us: u64) -> Option<u64> {
+        if self.is_trial {
+            return None;
+        }
         let quarantine = &self.table.load.quarantine;
         quarantine.left_us(now_us, &self.request.fingerprint)
     }
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -102,7 +102,8 @@
     pub(super) has_unsent_registry_answer: bool,
     pub(super) next_answer_broadcast_us: u64,
     pub(super) has_pulled_suspects: bool,
-    pub(super) has_pulled_crash_cases: bool,
+    /// Whether broadcasts of crashes may have been missed after the start.
+    pub(super) may_miss_crash_cases: bool,
     pub(super) has_announced_start: bool,
     /// When the instance started or the set of present instances last changed, in microseconds.
     pub(super) members_changed_us: Option<u64>,
@@ -165,7 +166,7 @@
             has_unsent_registry_answer: false,
             next_answer_broadcast_us: 0,
             has_pulled_suspects: false,
-            has_pulled_crash_cases: false,
+            may_miss_crash_cases: settings.evidence != EvidenceSharing::Alerts,
             has_announced_start: false,
             members_changed_us: None,
             member_lists_received: 0,
@@ -305,7 +306,7 @@
             for id in FreezeRecovery::peers_to_ping(&self.membership) {
                 self.send(now_us, &id, Message::Ping { sequence });
             }
-            self.has_pulled_crash_cases = false;
+            self.may_miss_crash_cases = true;
         }
         self.shared
             .table_freshness()
@@ -316,7 +317,8 @@
         let from = envelope.from;
         if from != self.membership.own().id {
             let silence_us = now_us.saturating_sub(self.last_message_us);
-            self.has_pulled_crash_cases &= silence_us < CONTACT_GAP_US;
+            let is_regained = self.last_message_us > 0 && silence_us >= CONTACT_GAP_US;
+            self.may_miss_crash_cases |= is_regained;
             self.last_message_us = now_us;
         }
         for member in &envelope.member_updates {
@@ -422,6 +424,7 @@
                 self.send_suspects(now_us, &from);
                 self.send_latency_profiles(now_us, &from);
                 self.send_rate_limits(now_us, &from);
+                self.send_crash_cases(now_us, &from);
             }
             Message::Suspects(suspects) => self.merge_suspects(now_us, &suspects),
             Message::RateLimits { limits, id_range } => {
--- a/policy/src/instance/quarantine.rs
+++ b/policy/src/instance/quarantine.rs
@@ -17,6 +17,7 @@
 use crate::quarantine::CaseReport;
 use crate::quarantine::Crash;
 use crate::quarantine::Fingerprint;
+use crate::rendezvous::weight;
 
 /// Peers from which an instance requests the cases.
 const CASE_PULL_PEERS: usize = 2;
@@ -96,7 +97,7 @@
             .sample(&mut self.rng, CASE_PULL_PEERS)
             .cloned()
             .collect();
-        self.has_pulled_crash_cases = !peers.is_empty();
+        self.may_miss_crash_cases = peers.is_empty();
         for id in peers {
             self.send(now_us, &id, Message::PullCrashCases);
         }
@@ -132,16 +133,23 @@
         self.publish_quarantine();
     }
 
-    /// Decides on quarantines and drops expired cases. Requests those of some peers after a start, a
-    /// freeze or a time without contact.
+    /// Decides on quarantines and drops expired cases. Requests those of some peers after a
+    /// freeze or a time without contact; after a start they come with the suspect targets.
     pub(super) fn tick_quarantine(&mut self, now_us: u64) {
-        if !self.has_pulled_crash_cases {
+        if self.may_miss_crash_cases {
             self.pull_crash_cases(now_us);
         }
         let decided = self.quarantine.decide(now_us);
         for fingerprint in &decided {
             self.log_quarantine(now_us, *fingerprint);
         }
+        let membership = &self.membership;
+        self.quarantine.permit_trials(now_us, |fingerprint| {
+            let name = fingerprint.to_string();
+            let present = membership.present().filter(|member| member.is_present());
+            let owner = present.max_by_key(|member| (weight(&member.id, &name), &member.id));
+            owner.is_some_and(|owner| owner.id == membership.own().id)
+        });
         let due = self.quarantine.due_reports(now_us);
         if !due.is_empty() {
             let ids = self.other_ids();
@@ -167,7 +175,7 @@
     }
 
     fn publish_quarantine(&self) {
-        self.shared.quarantine().publish(self.quarantine.ends());
+        self.shared.quarantine().publish(self.quarantine.views());
     }
 
     fn broadcast_crash(&mut self, now_us: u64, crash: &Crash, ids: &[Arc<str>]) {
--- a/policy/src/quarantine/case.rs
+++ b/policy/src/quarantine/case.rs
@@ -6,12 +6,13 @@
 use super::CRASHES_UNTIL_QUARANTINE;
 use super::EndedProcess;
 use super::Fingerprint;
+use super::trial::Trial;
 
 /// Crashes recorded for a request; more do not change the decision.
 const MAX_CRASHES: usize = 8;
 
 /// A request that was at crashes of targets.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default)]
 pub struct Case {
     crashes: Vec<EndedProcess>,
     /// Time of the last crash or change, in microseconds.
@@ -26,6 +27,7 @@
     pub(super) is_witnessed: bool,
     /// Time at which the quarantine is broadcast next, in microseconds.
     pub(super) broadcast_at_us: Option<u64>,
+    pub(super) trial: Trial,
 }
 
 /// A case as instances send it to each other.
@@ -39,6 +41,8 @@
     pub left_ms: Option<u64>,
     /// Number of quarantines so far.
     pub quarantines: u32,
+    /// Whether it has crashed a target in its trial.
+    pub is_confirmed: bool,
 }
 
 impl Case {
@@ -71,7 +75,13 @@
             self.until_us = None;
             self.crashes.clear();
         }
-        if self.crashes.contains(&process) || self.crashes.len() >= MAX_CRASHES {
+        if self.crashes.contains(&process) {
+            return;
+        }
+        if self.left_us(now_us).is_some() {
+            self.trial.record_crash(now_us, &process);
+        }
+        if self.crashes.len() >= MAX_CRASHES {
             return;
         }
         self.crashes.push(process);
@@ -83,6 +93,9 @@
 
     /// Starts a quarantine, the first or a further one.
     pub(super) fn start_quarantine(&mut self, now_us: u64, until_us: u64, quarantines: u32) {
+        if self.left_us(now_us).is_none() {
+            self.trial = Trial::new(now_us, quarantines);
+        }
         self.until_us = self.until_us.max(Some(until_us));
         self.quarantines = quarantines;
         self.changed_us = now_us;
--- a/policy/src/quarantine/quarantine.rs
+++ b/policy/src/quarantine/quarantine.rs
@@ -1,8 +1,8 @@
 //! The decision which requests to quarantine.
 //!
 //! All instances keep the same cases, so that a decision outlives any of them. A crash cuts all
-//! requests of the target, of which one is the cause. If one of them is in quarantine for more
-//! crashes, it explains the crash, which then does not count for the others.
+//! requests of the target, of which one is the cause. If the quarantine of one of them is confirmed,
+//! it explains the crash, which then does not count for the others.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -12,9 +12,12 @@
 use super::Crash;
 use super::EndedProcess;
 use super::Fingerprint;
+use super::quarantine_view::CaseView;
 
 /// Crashes without a response in between from which a request is quarantined.
 pub const CRASHES_UNTIL_QUARANTINE: usize = 3;
+/// Crashes from which a request is suspect.
+const SUSPECT_CRASHES: usize = 2;
 /// Time between the last crash needed and the decision, in microseconds. Until then the reports of
 /// all instances arrive, and responses to requests that were only beside the cause.
 const SETTLE_US: u64 = 500_000;
@@ -69,6 +72,9 @@
         if let Some(left_ms) = report.left_ms {
             let quarantines = case.quarantines.max(report.quarantines);
             case.start_quarantine(now_us, now_us + left_ms * 1_000, quarantines);
+            if report.is_confirmed {
+                case.trial.confirm();
+            }
         }
         !was_quarantined && case.left_us(now_us).is_some()
     }
@@ -153,11 +159,48 @@
             .collect()
     }
 
-    /// Returns the end of the quarantine of each request with a case.
-    pub(crate) fn ends(&self) -> HashMap<Fingerprint, Option<u64>> {
+    /// Confirms quarantines by the crashes of their trials. A crash at which another suspect request
+    /// was, one with several crashes, is no proof.
+    fn confirm_by_trials(&mut self, now_us: u64) {
+        let settled = self.cases.iter().filter_map(|(fingerprint, case)| {
+            let (process, at_us) = case.trial.crash.as_ref()?;
+            let is_proof = !self.cases.iter().any(|(other, suspect)| {
+                other != fingerprint
+                    && suspect.crashes().len() >= SUSPECT_CRASHES
+                    && suspect.crashes().contains(process)
+            });
+            (at_us + SETTLE_US <= now_us).then_some((*fingerprint, is_proof))
+        });
+        let settled: Vec<(Fingerprint, bool)> = settled.collect();
+        for (fingerprint, is_proof) in settled {
+            if let Some(case) = self.cases.get_mut(&fingerprint) {
+                match is_proof {
+                    true => case.trial.confirm(),
+                    false => case.trial.repeat(now_us),
+                }
+            }
+        }
+    }
+
+    /// Permits the trials that are due of requests in quarantine that this instance owns.
+    pub fn permit_trials(&mut self, now_us: u64, is_owner: impl Fn(&Fingerprint) -> bool) {
+        self.confirm_by_trials(now_us);
+        for (fingerprint, case) in &mut self.cases {
+            if case.left_us(now_us).is_some() {
+                case.trial.tick(now_us, is_owner(fingerprint));
+            }
+        }
+    }
+
+    /// Returns the cases for the request path.
+    pub fn views(&self) -> HashMap<Fingerprint, CaseView> {
+        let view = |case: &Case| CaseView {
+            until_us: case.until_us,
+            trial: case.trial.permit.clone(),
+        };
         let cases = self.cases.iter();
         cases
-            .map(|(fingerprint, case)| (*fingerprint, case.until_us))
+            .map(|(fingerprint, case)| (*fingerprint, view(case)))
             .collect()
     }
 
@@ -171,7 +214,8 @@
         let cases = self.cases.iter().filter(|(_, case)| is_settled(case));
         let counted = cases.map(|(fingerprint, case)| {
             let crashes = case.crashes().iter();
-            let unexplained = crashes.filter(|process| !self.is_explained(now_us, case, process));
+            let unexplained =
+                crashes.filter(|process| !self.is_explained(now_us, fingerprint, process));
             (case, *fingerprint, unexplained.count())
         });
         counted
@@ -180,12 +224,13 @@
             .collect()
     }
 
-    /// Whether a request in quarantine with more crashes was sent to the process as well.
-    fn is_explained(&self, now_us: u64, case: &Case, process: &EndedProcess) -> bool {
-        self.cases.values().any(|other| {
-            other.crashes().len() > case.crashes().len()
-                && other.left_us(now_us).is_some()
-                && other.crashes().contains(process)
+    /// Whether another request, whose quarantine is confirmed, was sent to the process as well.
+    fn is_explained(&self, now_us: u64, fingerprint: &Fingerprint, process: &EndedProcess) -> bool {
+        self.cases.iter().any(|(other, case)| {
+            other != fingerprint
+                && case.trial.is_confirmed
+                && case.left_us(now_us).is_some()
+                && case.crashes().contains(process)
         })
     }
 
@@ -213,5 +258,6 @@
         },
         left_ms: case.left_us(now_us).map(|left_us| left_us.div_ceil(1_000)),
         quarantines: case.quarantines,
+        is_confirmed: case.trial.is_confirmed,
     }
 }
