Show that an instance without links refuses what others could serve (red)

A request for which three connections do not open is refused, as no request passes from one instance to another.

--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -343,3 +343,16 @@
     let retry_after_ms = reply.retry_after_ms.expect("a time to come back");
     assert!(retry_after_ms >= 1_000, "{retry_after_ms} ms");
 }
+
+#[test]
+fn a_request_is_not_refused_when_only_this_instance_reaches_no_target() {
+    let mut run = Run::new(Repeat::Never, false);
+    let mut step = run.on(Event::Begin);
+    while let Step::Send { attempt, .. } = step {
+        step = run.on(Event::Failed {
+            attempt,
+            failure: Failure::NotSent,
+        });
+    }
+    assert!(!matches!(step, Step::Reply(_)), "{step:?}");
+}
