Hand requests to another instance where this one reaches no target

What callers saw: at instances cut off from all targets 13 of 313 first tries were served, 207 of 213 at the others. Each request waited 0.9 s for three connections that did not open and got a 301.

Cause: an instance had nowhere to send a request but to targets, though it reached instances that reached them. Its readiness decides little: most of a zone may be cut, and open connections stay.

From three targets in a row to which no connection opens, a service counts as unreachable from here. Its requests go to another instance, over one hop, which treats them as a caller's; a request whose connections all failed goes there too. What another instance may have taken is not sent to a third if it may not be repeated, and never called not run.

Ruled out: that cut instances put out targets for the others, who served as before.

--- a/border/src/header_protocol.rs
+++ b/border/src/header_protocol.rs
@@ -61,6 +61,9 @@
         headers: &mut HeaderMap,
     );
 
+    /// Sets the time left for the response in the headers of a request to another instance.
+    fn set_time_left(&self, left_ms: u64, headers: &mut HeaderMap);
+
     /// Classifies a target's response by its status and headers.
     fn classify_response(
         &self,
--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -67,6 +67,8 @@
     pub began_us: u64,
     /// Identity of the request by its content.
     pub fingerprint: Fingerprint,
+    /// Whether another instance may be asked to serve the request.
+    pub may_hand_over: bool,
 }
 
 /// An input of the state machine.
@@ -103,6 +105,12 @@
         /// Whether a peer lends one.
         is_lent: bool,
     },
+    /// Another instance has responded, and its response is forwarded.
+    HandedOver,
+    /// No other instance has taken the request.
+    HandOverRefused,
+    /// Another instance may have taken the request, and does not respond.
+    HandOverLost,
     /// The complete response was forwarded.
     Ended,
     /// The target's response broke off while it was forwarded.
@@ -148,6 +156,8 @@
         /// The attempt's number.
         attempt: usize,
     },
+    /// Hand the request to another instance.
+    HandOver,
     /// Wait for the next event.
     Continue,
     /// Ask the peers to lend a retry, and wait for the next event.
@@ -166,6 +176,7 @@
     Claiming,
     Queued,
     AwaitingPermit,
+    HandingOver,
     Sent,
     Forwarding,
     Finished,
@@ -198,6 +209,7 @@
     pub(super) may_have_run: bool,
     /// Whether the request is the trial of one in quarantine.
     is_trial: bool,
+    has_handed_over: bool,
     outcome: Outcome,
 }
 
@@ -218,6 +230,7 @@
             retry_denial: None,
             may_have_run: false,
             is_trial: false,
+            has_handed_over: false,
             outcome: Outcome::NotRun,
         }
     }
@@ -262,6 +275,14 @@
             (State::AwaitingPermit, Event::Permit(answer)) => {
                 self.handle_permit_answer(now_us, answer, rng)
             }
+            (State::HandingOver, Event::HandedOver) => self.finish(Outcome::Ran),
+            (State::HandingOver, Event::HandOverRefused) => {
+                self.handle_refused_hand_over(now_us, rng)
+            }
+            (State::HandingOver, Event::HandOverLost) => {
+                self.may_have_run = true;
+                self.give_up(now_us, ResultCode::TargetTruncated, rng)
+            }
             (State::Sent, Event::Failed { attempt, failure }) => {
                 self.handle_failure(now_us, attempt, failure, rng)
             }
@@ -342,6 +363,9 @@
         if let Some(left_us) = self.quarantine_left_us(now_us) {
             return self.refuse_quarantined(left_us);
         }
+        if self.table.load.reachability.is_lost() && self.can_hand_over() {
+            return self.hand_over();
+        }
         match self.table.choose(now_us, self.choice_params(now_us), rng) {
             Choice::Target(candidate, slot) => {
                 self.request_permit_or_start(now_us, candidate, slot)
@@ -489,6 +513,9 @@
             return Step::Continue;
         }
         if !self.has_attempt_left(now_us) {
+            if failure == Failure::NotSent && self.can_hand_over() {
+                return self.hand_over();
+            }
             return self.give_up(now_us, failure.into(), rng);
         }
         if failure == Failure::NotSent {
@@ -508,6 +535,29 @@
         self.borrow_retry(now_us, Some(failure))
     }
 
+    /// Whether the request may still be handed to another instance: once, and only if it has not run.
+    fn can_hand_over(&self) -> bool {
+        self.request.may_hand_over
+            && self.request.replayable
+            && !self.has_handed_over
+            && !self.is_trial
+            && !self.may_have_run
+            && self.in_flight() == 0
+    }
+
+    fn hand_over(&mut self) -> Step {
+        self.has_handed_over = true;
+        self.state = State::HandingOver;
+        Step::HandOver
+    }
+
+    fn handle_refused_hand_over(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
+        match self.has_attempt_left(now_us) {
+            true => self.choose_and_send(now_us, rng),
+            false => self.give_up(now_us, ResultCode::ConnectFailed, rng),
+        }
+    }
+
     fn handle_head(
         &mut self,
         now_us: u64,
@@ -548,7 +598,7 @@
     }
 
     fn handle_deadline(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
-        if self.in_flight() > 0 {
+        if self.in_flight() > 0 || self.state == State::HandingOver {
             self.may_have_run = true;
             return self.give_up(now_us, ResultCode::TargetTimeout, rng);
         }
@@ -556,7 +606,7 @@
     }
 
     fn handle_caller_disconnected(&mut self) -> Step {
-        if self.in_flight() > 0 {
+        if self.in_flight() > 0 || self.state == State::HandingOver {
             self.may_have_run = true;
         }
         let outcome = self.reportable_outcome(Outcome::NotRun);
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use super::Reachability;
 use super::TableFreshness;
 use crate::evidence::BASE_FAILURE_PROBABILITY;
 use crate::evidence::FailureEstimate;
@@ -289,6 +290,8 @@
     pub table_freshness: Arc<TableFreshness>,
     /// The requests that crash targets.
     pub quarantine: Arc<QuarantineView>,
+    /// Whether the instance reaches the targets.
+    pub reachability: Reachability,
     /// Requests started.
     pub begun: AtomicU64,
     /// Requests that ended without a response from a target.
@@ -316,6 +319,7 @@
         Self {
             table_freshness,
             quarantine: Arc::default(),
+            reachability: Reachability::default(),
             retries,
             begun: AtomicU64::new(0),
             unserved: AtomicU64::new(0),
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -21,6 +21,7 @@
 use policy::quarantine::Fingerprint;
 use policy::routing::Candidate;
 use policy::routing::ChoiceStrategy;
+use policy::routing::Reachability;
 use policy::routing::ServiceLoad;
 use policy::routing::ServiceTable;
 use policy::routing::TargetLoad;
@@ -75,11 +76,16 @@
 
 impl Run {
     fn new(repeat: Repeat, claims_key: bool) -> Self {
+        Self::with_peers(repeat, claims_key, false)
+    }
+
+    fn with_peers(repeat: Repeat, claims_key: bool, may_hand_over: bool) -> Self {
         let request = Request {
             caller_deadline_us: DEADLINE_US,
             deadline_us: DEADLINE_US,
             claims_key,
             fingerprint: Fingerprint::default(),
+            may_hand_over,
             replayable: true,
             repeatable: repeat == Repeat::Idempotent,
             max_attempts: policy::exchange::MAX_ATTEMPTS,
@@ -344,9 +350,9 @@
     assert!(retry_after_ms >= 1_000, "{retry_after_ms} ms");
 }
 
-#[test]
-fn a_request_is_not_refused_when_only_this_instance_reaches_no_target() {
-    let mut run = Run::new(Repeat::Never, false);
+/// A request of an instance that knows others, after no connection to a target could be opened.
+fn run_without_links(repeat: Repeat) -> (Run, Step) {
+    let mut run = Run::with_peers(repeat, false, true);
     let mut step = run.on(Event::Begin);
     while let Step::Send { attempt, .. } = step {
         step = run.on(Event::Failed {
@@ -354,5 +360,75 @@
             failure: Failure::NotSent,
         });
     }
+    (run, step)
+}
+
+#[test]
+fn a_request_is_not_refused_when_only_this_instance_reaches_no_target() {
+    let (mut run, step) = run_without_links(Repeat::Never);
     assert!(!matches!(step, Step::Reply(_)), "{step:?}");
+    assert_eq!(step, Step::HandOver);
+    assert_eq!(run.on(Event::HandedOver), Step::Finish(Outcome::Ran));
+}
+
+#[test]
+fn a_request_that_no_other_instance_takes_is_refused_as_not_run_and_not_handed_over_again() {
+    let (mut run, _) = run_without_links(Repeat::Never);
+    let step = run.on(Event::HandOverRefused);
+    assert!(is_reply(step, ResultCode::ConnectFailed, Outcome::NotRun));
+}
+
+#[test]
+fn a_request_that_another_instance_may_have_taken_is_not_reported_as_not_run() {
+    let lost = [
+        (Event::HandOverLost, ResultCode::TargetTruncated),
+        (Event::Deadline, ResultCode::TargetTimeout),
+    ];
+    for (event, code) in lost {
+        let (mut run, _) = run_without_links(Repeat::Never);
+        assert!(is_reply(run.on(event), code, Outcome::Unknown), "{event:?}");
+    }
+    let (mut run, _) = run_without_links(Repeat::Never);
+    run.on(Event::CallerDisconnected);
+    assert_eq!(run.exchange.outcome(), Outcome::Unknown);
+}
+
+#[test]
+fn a_request_is_handed_over_at_once_while_the_service_is_unreachable() {
+    let mut run = Run::with_peers(Repeat::Never, false, true);
+    let reachability = &run.exchange.table().clone().load.reachability;
+    for target in ["t0", "t1", "t2"] {
+        reachability.record_unreachable(&target.into(), 3);
+    }
+    assert_eq!(run.on(Event::Begin), Step::HandOver);
+}
+
+#[test]
+fn a_command_that_may_have_run_is_not_handed_over() {
+    let mut run = Run::with_peers(Repeat::Never, false, true);
+    let Step::Send { attempt, .. } = run.on(Event::Begin) else {
+        panic!("not sent");
+    };
+    let step = run.fail(attempt, Failure::Cut);
+    assert!(is_reply(
+        step,
+        ResultCode::TargetTruncated,
+        Outcome::Unknown
+    ));
+}
+
+#[test]
+fn a_service_is_unreachable_after_several_targets_and_until_one_is_reached() {
+    let reachability = Reachability::default();
+    for _ in 0..5 {
+        assert!(!reachability.record_unreachable(&"t1".into(), 10));
+    }
+    assert!(!reachability.record_unreachable(&"t2".into(), 10));
+    assert!(reachability.record_unreachable(&"t3".into(), 10));
+    assert!(reachability.is_lost());
+    assert!(reachability.take_probe(NOW_US));
+    assert!(!reachability.take_probe(NOW_US + 1));
+    assert!(reachability.record_reached());
+    assert!(!reachability.is_lost());
+    assert!(!reachability.record_unreachable(&"t1".into(), 10));
 }
--- a/policy/tests/fleet/deadly_requests.rs
+++ b/policy/tests/fleet/deadly_requests.rs
@@ -357,6 +357,7 @@
             objective_us: None,
             began_us: now_us,
             fingerprint: fingerprint(&name),
+            may_hand_over: false,
         };
         let mut exchange = Exchange::new(request, table);
         let step = exchange.on(now_us, Event::Begin, &mut self.rng);
--- a/policy/tests/fleet/hanging_simulation.rs
+++ b/policy/tests/fleet/hanging_simulation.rs
@@ -183,6 +183,7 @@
             deadline_us,
             caller_deadline_us: deadline_us,
             fingerprint: Fingerprint::default(),
+            may_hand_over: false,
             claims_key: false,
             replayable: true,
             repeatable: self.scenario.repeatable,
--- a/policy/tests/fleet/overload_simulation.rs
+++ b/policy/tests/fleet/overload_simulation.rs
@@ -579,6 +579,7 @@
             deadline_us,
             caller_deadline_us: deadline_us,
             fingerprint: Fingerprint::default(),
+            may_hand_over: false,
             claims_key: false,
             replayable: true,
             repeatable: true,
--- a/policy/tests/hedging.rs
+++ b/policy/tests/hedging.rs
@@ -75,6 +75,7 @@
             deadline_us: BEGAN_US + 3_000 * MS_US,
             caller_deadline_us: BEGAN_US + 3_000 * MS_US,
             fingerprint: Fingerprint::default(),
+            may_hand_over: false,
             claims_key: false,
             replayable: true,
             repeatable,
--- a/proof/examples/capacity/slopes.rs
+++ b/proof/examples/capacity/slopes.rs
@@ -388,6 +388,7 @@
         caller_deadline_us: now_us + 1_000_000,
         deadline_us: now_us + 1_000_000,
         fingerprint: Fingerprint::default(),
+        may_hand_over: false,
         claims_key: false,
         replayable: true,
         repeatable: service.is_repeatable(),
--- a/proof/src/requests.rs
+++ b/proof/src/requests.rs
@@ -196,6 +196,7 @@
             caller_deadline_us: deadline_us,
             deadline_us,
             fingerprint: Fingerprint::default(),
+            may_hand_over: false,
             claims_key: matches!(request.identity, CommandIdentity::Key(_)),
             replayable: true,
             repeatable: service_table.is_repeatable(),
@@ -237,6 +238,8 @@
             Step::BorrowRetry => {
                 self.handle_exchange_event(id, ExchangeEvent::RetryAnswered { is_lent: false })
             }
+            // The simulated requests are not handed over.
+            Step::HandOver => self.handle_exchange_event(id, ExchangeEvent::HandOverRefused),
             Step::Enqueue => self.enqueue(id),
             Step::Send { attempt, candidate } => self.send_attempt(id, attempt, candidate),
             Step::Continue => {}
--- a/sniperund/src/callers/admitted_request.rs
+++ b/sniperund/src/callers/admitted_request.rs
@@ -41,7 +41,8 @@
     pub(super) repeatable: bool,
     pub(super) exchange: Exchange,
     pub(super) record: CommandRecord,
-    pub(super) guards: AdmissionGuards,
+    /// Released with the response.
+    pub(super) guards: Option<AdmissionGuards>,
     pub(super) customer: Arc<str>,
     pub(super) deadline_us: u64,
     pub(super) began_us: u64,
--- a/sniperund/src/callers/forwarded_body.rs
+++ b/sniperund/src/callers/forwarded_body.rs
@@ -48,7 +48,7 @@
     pub(super) record: CommandRecord,
     pub(super) target: Arc<str>,
     pub(super) connection: Option<Connection>,
-    pub(super) guards: AdmissionGuards,
+    pub(super) guards: Option<AdmissionGuards>,
     pub(super) crash_check: CrashCheck,
     /// Permit under which the request was sent, held until the response ends.
     pub(super) _permit: Option<PermitGuard>,
--- /dev/null
+++ b/sniperund/src/callers/hand_over.rs
@@ -0,0 +1,190 @@
+//! Hands a request to another instance when this one reaches no target of its service.
+//!
+//! The other instance treats it as a caller's request and does not hand it on. A request is handed
+//! to the next instance only if it cannot have run, or may run again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http_body_util::BodyExt;
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
+use model::ResultCode;
+use policy::exchange::Event;
+use policy::exchange::Step;
+use rand::seq::IndexedRandom;
+use rand::seq::IteratorRandom;
+
+use super::body::BoxError;
+use super::body::ResponseBody;
+use super::headers::names;
+use super::headers::remove_hop_by_hop;
+use super::reachability_log::record_connection;
+use super::relayed_body::RelayedBody;
+use super::runner::Runner;
+use super::runner::wait_until_given_up;
+use super::sending::build_request;
+use crate::targets::Connection;
+use crate::targets::SendFailure;
+
+const MICROS_PER_MILLI: u64 = 1_000;
+/// Instances to which a request is handed, one after the other.
+const MAX_HELPERS: usize = 3;
+
+/// What became of a request that was handed to other instances.
+pub(super) enum HandOverResult {
+    /// An instance has responded.
+    Response(Response<ResponseBody>),
+    /// None has.
+    Step(Step),
+}
+
+/// Another instance.
+struct Helper {
+    id: Arc<str>,
+    address: SocketAddr,
+}
+
+enum HelperAnswer {
+    Response(Box<Response<Incoming>>, Connection),
+    /// The request has not run.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+impl Runner {
+    /// Hands the request to other instances until one responds.
+    pub(super) async fn hand_over(&mut self) -> HandOverResult {
+        self.probe_target();
+        let deadline = self.proxy_state.clock.instant(self.request.deadline_us);
+        let mut gives_up_waiting = self.gives_up_waiting.clone();
+        let event = tokio::select! {
+            result = self.ask_helpers() => match result {
+                Ok((response, connection)) => {
+                    return HandOverResult::Response(self.forward_relayed(response, connection));
+                }
+                Err(event) => event,
+            },
+            () = tokio::time::sleep_until(deadline) => Event::Deadline,
+            () = wait_until_given_up(&mut gives_up_waiting) => Event::Deadline,
+        };
+        HandOverResult::Step(self.handle_event(event))
+    }
+
+    async fn ask_helpers(&mut self) -> Result<(Response<Incoming>, Connection), Event> {
+        let helpers = self.pick_helpers();
+        let last = helpers.len().saturating_sub(1);
+        for (index, helper) in helpers.into_iter().enumerate() {
+            let answer = self.ask_helper(&helper).await;
+            self.log_answer(&helper, &answer);
+            match answer {
+                HelperAnswer::Response(response, _)
+                    if index < last && reaches_no_target(response.headers()) => {}
+                HelperAnswer::Response(response, connection) => return Ok((*response, connection)),
+                HelperAnswer::NotRun => {}
+                HelperAnswer::Unknown if self.request.repeatable => {}
+                HelperAnswer::Unknown => return Err(Event::HandOverLost),
+            }
+        }
+        Err(Event::HandOverRefused)
+    }
+
+    fn pick_helpers(&self) -> Vec<Helper> {
+        let directory = self.proxy_state.control.shared().directory();
+        let others = directory
+            .values()
+            .filter(|member| member.id != self.proxy_state.id && member.is_present());
+        let helpers = others.map(|member| Helper {
+            id: member.id.clone(),
+            address: member.caller_address,
+        });
+        helpers.sample(&mut rand::rng(), MAX_HELPERS)
+    }
+
+    async fn ask_helper(&mut self, helper: &Helper) -> HelperAnswer {
+        let Ok(mut connection) = Connection::open(helper.address).await else {
+            return HelperAnswer::NotRun;
+        };
+        let Some(body) = self.request.body.take() else {
+            return HelperAnswer::NotRun;
+        };
+        let now_us = self.proxy_state.clock.now_us();
+        let left_ms = self.request.deadline_us.saturating_sub(now_us) / MICROS_PER_MILLI;
+        let mut request = build_request(&self.request.parts).map(|()| body);
+        let headers = request.headers_mut();
+        self.proxy_state
+            .header_protocol
+            .set_time_left(left_ms, headers);
+        headers.insert(names::RELAYED, HeaderValue::from_static("1"));
+        match connection.send(request).await {
+            Ok(response) => HelperAnswer::Response(response.into(), connection),
+            Err(SendFailure::NotSent | SendFailure::Unreachable) => HelperAnswer::NotRun,
+            Err(_) => HelperAnswer::Unknown,
+        }
+    }
+
+    fn log_answer(&self, helper: &Helper, answer: &HelperAnswer) {
+        let answer = match answer {
+            HelperAnswer::Response(response, _) => response.status().as_u16().to_string(),
+            HelperAnswer::NotRun => "not-run".to_owned(),
+            HelperAnswer::Unknown => "unknown".to_owned(),
+        };
+        let now_us = self.proxy_state.clock.now_us();
+        self.proxy_state.metrics.handed_over.inc();
+        log::info!(
+            "event=request-handed-over id={} service={} to={} answer={answer} after_ms={}",
+            self.request.request_params.id(),
+            self.request.exchange.table().service.name,
+            helper.id,
+            now_us.saturating_sub(self.request.began_us) / MICROS_PER_MILLI
+        );
+    }
+
+    fn forward_relayed(
+        &mut self,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> Response<ResponseBody> {
+        let _ = self.handle_event(Event::HandedOver);
+        let (mut parts, incoming) = response.into_parts();
+        remove_hop_by_hop(&mut parts.headers);
+        if self.proxy_state.control.shared().table().draining {
+            let close = HeaderValue::from_static("close");
+            parts.headers.insert(CONNECTION, close);
+        }
+        let body = incoming.map_err(BoxError::from);
+        let guards = self.request.guards.take();
+        Response::from_parts(parts, RelayedBody::new(body, connection, guards).boxed())
+    }
+
+    /// Connects to a target from time to time, to find out when the link is back.
+    fn probe_target(&self) {
+        let now_us = self.proxy_state.clock.now_us();
+        let table = self.request.exchange.table().clone();
+        if !table.load.reachability.take_probe(now_us) {
+            return;
+        }
+        let Some(candidate) = table.candidates.choose(&mut rand::rng()).cloned() else {
+            return;
+        };
+        let proxy_state = self.proxy_state.clone();
+        tokio::spawn(async move {
+            let opened = Connection::open(candidate.target.address).await;
+            record_connection(&table, &candidate.target.name, opened.is_ok());
+            if let Ok(connection) = opened {
+                proxy_state.pool.put_back(connection);
+            }
+        });
+    }
+}
+
+/// Whether a response is that of an instance that reaches no target either.
+fn reaches_no_target(headers: &HeaderMap) -> bool {
+    let codes = [ResultCode::ConnectFailed, ResultCode::NoTarget];
+    let code = headers.get(names::CODE).and_then(|code| code.to_str().ok());
+    code.is_some_and(|code| codes.iter().any(|known| known.number().to_string() == code))
+}
--- a/sniperund/src/callers/native_header_protocol.rs
+++ b/sniperund/src/callers/native_header_protocol.rs
@@ -50,6 +50,10 @@
         headers.insert(names::DEADLINE_MS, left_ms.into());
     }
 
+    fn set_time_left(&self, left_ms: u64, headers: &mut HeaderMap) {
+        headers.insert(names::DEADLINE_MS, left_ms.into());
+    }
+
     fn classify_response(
         &self,
         _request_params: &RequestParams,
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -39,6 +39,7 @@
 use super::crash_check::CrashCheck;
 use super::forwarded_body::ForwardedBody;
 use super::forwarded_body::ForwardedResponse;
+use super::hand_over::HandOverResult;
 use super::headers::remove_hop_by_hop;
 use super::reply::build_response;
 use super::request_log;
@@ -60,8 +61,8 @@
 
 /// An exchange in progress.
 pub(super) struct Runner {
-    proxy_state: Arc<ProxyState>,
-    request: AdmittedRequest,
+    pub(super) proxy_state: Arc<ProxyState>,
+    pub(super) request: AdmittedRequest,
     attempts: FuturesUnordered<BoxFuture<'static, FinishedAttempt>>,
     sent: Vec<SentAttempt>,
     head: Option<ResponseHead>,
@@ -71,8 +72,8 @@
     hedge_check_at_us: Option<u64>,
     /// Pending answer to a request to borrow a retry.
     retry_loan: Option<BoxFuture<'static, bool>>,
-    gives_up_waiting: watch::Receiver<bool>,
-    is_logged: bool,
+    pub(super) gives_up_waiting: watch::Receiver<bool>,
+    pub(super) is_logged: bool,
 }
 
 struct SentAttempt {
@@ -124,6 +125,10 @@
                     self.borrow_retry();
                     self.next_event().await
                 }
+                Step::HandOver => match self.hand_over().await {
+                    HandOverResult::Response(response) => return response,
+                    HandOverResult::Step(step) => step,
+                },
                 Step::Forward { attempt } => return self.forward_response(attempt),
                 Step::Reply(reply) => return self.finish_with_reply(reply),
                 Step::Finish(outcome) => {
@@ -136,7 +141,7 @@
         }
     }
 
-    fn handle_event(&mut self, event: Event) -> Step {
+    pub(super) fn handle_event(&mut self, event: Event) -> Step {
         let now_us = self.proxy_state.clock.now_us();
         let step = self.request.exchange.on(now_us, event, &mut rand::rng());
         if matches!(
@@ -240,11 +245,12 @@
         );
         let body = self.request.body.clone();
         let proxy_state = self.proxy_state.clone();
+        let table = self.request.exchange.table().clone();
         let sending = async move {
             let result = send_attempt(
                 &proxy_state,
-                &target,
-                &load,
+                (&target, &load),
+                &table,
                 needs_new_connection,
                 request_head,
                 &body,
@@ -425,6 +431,12 @@
     }
 
     fn report_attempt_end(&mut self, attempt: usize, end: AttemptEnd) {
+        let is_lost = self.request.exchange.table().load.reachability.is_lost();
+        let end = match end {
+            // The fault of the instance's own link is no evidence against targets.
+            AttemptEnd::NotSent if is_lost => AttemptEnd::Unreachable,
+            end => end,
+        };
         let sent = &mut self.sent[attempt];
         let observation = Observation {
             service: sent.target.service.clone(),
@@ -539,7 +551,7 @@
 }
 
 /// Waits until the instance gives up waiting for responses, shortly before it exits.
-async fn wait_until_given_up(gives_up_waiting: &mut watch::Receiver<bool>) {
+pub(super) async fn wait_until_given_up(gives_up_waiting: &mut watch::Receiver<bool>) {
     let is_closed = gives_up_waiting
         .wait_for(|gives_up| *gives_up)
         .await
--- a/sniperund/src/callers/sending.rs
+++ b/sniperund/src/callers/sending.rs
@@ -9,11 +9,14 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use model::configuration::Target;
+use policy::routing::ServiceTable;
 use policy::routing::TargetLoad;
 
 use super::ProxyState;
 use super::body::CallerBody;
+use super::headers::names;
 use super::headers::remove_hop_by_hop;
+use super::reachability_log::record_connection;
 use crate::targets::Connection;
 use crate::targets::SendFailure;
 
@@ -36,6 +39,7 @@
         headers.insert("host", host);
     }
     remove_hop_by_hop(headers);
+    headers.remove(names::RELAYED);
     request
 }
 
@@ -51,16 +55,23 @@
 /// whether the request has run.
 pub(super) async fn send_attempt(
     proxy_state: &ProxyState,
-    target: &Target,
-    load: &TargetLoad,
+    (target, load): (&Target, &TargetLoad),
+    table: &ServiceTable,
     needs_new_connection: bool,
     request_head: Request<()>,
     body: &CallerBody,
 ) -> Result<ResponseHead, SendFailure> {
-    let opened = if needs_new_connection {
-        Connection::open(target.address).await
-    } else {
-        proxy_state.pool.take(target.address).await
+    let idle = match needs_new_connection {
+        true => None,
+        false => proxy_state.pool.take_idle(target.address),
+    };
+    let opened = match idle {
+        Some(connection) => Ok(connection),
+        None => {
+            let opened = Connection::open(target.address).await;
+            record_connection(table, &target.name, opened.is_ok());
+            opened
+        }
     };
     let mut connection = opened.map_err(|error| match error.kind() {
         ErrorKind::TimedOut => SendFailure::Unreachable,
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -327,6 +327,7 @@
     };
     let request = policy::exchange::Request {
         fingerprint: content.fingerprint(),
+        may_hand_over: !has_id && !parts.headers.contains_key(names::RELAYED),
         deadline_us: routed.deadline_us,
         caller_deadline_us: routed.caller_deadline_us,
         claims_key: routed.record.claims_key(),
@@ -356,7 +357,7 @@
             repeatable: request.repeatable,
             exchange: Exchange::new(request, routed.service),
             record: routed.record,
-            guards,
+            guards: Some(guards),
             customer,
             deadline_us: routed.deadline_us,
             began_us: routed.began_us,
--- a/sniperund/src/callers/ticket_relay.rs
+++ b/sniperund/src/callers/ticket_relay.rs
@@ -18,6 +18,7 @@
 use super::body::ResponseBody;
 use super::headers::names;
 use super::headers::remove_hop_by_hop;
+use super::relayed_body::RelayedBody;
 use super::reply::build_refusal;
 use crate::targets::Connection;
 use crate::targets::SendFailure;
@@ -49,14 +50,7 @@
             let (mut parts, incoming) = response.into_parts();
             remove_hop_by_hop(&mut parts.headers);
             let body = incoming.map_err(BoxError::from);
-            Response::from_parts(
-                parts,
-                RelayedBody {
-                    body,
-                    _connection: connection,
-                }
-                .boxed(),
-            )
+            Response::from_parts(parts, RelayedBody::new(body, connection, None).boxed())
         }
         Err(SendFailure::NotSent | SendFailure::Unreachable) => {
             build_refusal(&*proxy_state.header_protocol, ResultCode::TicketLost, None)
@@ -68,29 +62,3 @@
         ),
     }
 }
-
-/// A body that holds its connection open until it ends.
-struct RelayedBody<B> {
-    body: B,
-    _connection: Connection,
-}
-
-impl<B: hyper::body::Body + Unpin> hyper::body::Body for RelayedBody<B> {
-    type Data = B::Data;
-    type Error = B::Error;
-
-    fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<hyper::body::Frame<B::Data>, B::Error>>> {
-        std::pin::Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> hyper::body::SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/sniperund/src/metrics/metrics.rs
+++ b/sniperund/src/metrics/metrics.rs
@@ -72,6 +72,8 @@
     pub suspicion_changes: Counter,
     /// Processes of targets that ended under a request.
     pub target_crashes: Counter,
+    /// Requests handed to other instances.
+    pub handed_over: Counter,
     /// Counters of messages between instances.
     pub peers: Arc<Counters>,
 }
@@ -136,7 +138,14 @@
             "Processes of targets that ended under a request of this instance",
             target_crashes.clone(),
         );
+        let handed_over = Counter::default();
+        counters.register(
+            "handed_over",
+            "Requests handed to other instances, as no target was reached",
+            handed_over.clone(),
+        );
         Self {
+            handed_over,
             target_crashes,
             platform_failures,
             suspicion_changes,
--- a/sniperund/src/targets/pool.rs
+++ b/sniperund/src/targets/pool.rs
@@ -1,7 +1,6 @@
 //! Pool of idle connections to targets.
 
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -29,18 +28,6 @@
         }
     }
 
-    /// Takes an idle connection to `address`, or opens a new one.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of connecting.
-    pub async fn take(&self, address: SocketAddr) -> io::Result<Connection> {
-        match self.take_idle(address) {
-            Some(connection) => Ok(connection),
-            None => Connection::open(address).await,
-        }
-    }
-
     /// Returns a connection to the pool after its exchange is complete; closes it if the pool is
     /// full for its address.
     pub fn put_back(&self, connection: Connection) {
@@ -60,7 +47,8 @@
         });
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes an idle connection to `address`, if there is one.
+    pub fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock();
         let entries = idle.get_mut(&address)?;
         while let Some((since, connection)) = entries.pop() {
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -8,3 +8,4 @@
 mod outages;
 mod reload;
 mod requests;
+mod unreachable;
