Give up waiting for responses only in the last sixth of any grace period

Report of a planned stop: requests taken late in the grace were cut at its end. What callers would see here: with a grace of 4 s a request sent 0.5 s after the signal was broken off with a 504 after 3.16 s, while its target was at work and 0.17 s before the last sixth, in which alone that is excused.

Cause: the time kept back before the forced kill was 0.85 s for any grace, tuned to 6 s.

It is now at most what the last sixth leaves. Shown with processes: 60 kept connections, one request at each tenth of a second after the signal, work of 0.2 s and of 2.7 s, graces of 6 s and 4 s. Red for 4 s before, green now. With 6 s nothing was cut before either: idle connections are closed after 2.7 s, and no request sent later than 3 s reaches a target, so the report itself does not happen on the sites.

--- a/sniperund/src/app/app.rs
+++ b/sniperund/src/app/app.rs
@@ -50,7 +50,7 @@
 use crate::targets::Prober;
 
 /// Time before the stop limit at which requests that wait for a response are answered.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
+pub(super) const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
 
 /// Path of the readiness check on the administrative listener.
 const ADMIN_READY_PATH: &str = "/ready";
--- a/sniperund/src/app/environment.rs
+++ b/sniperund/src/app/environment.rs
@@ -16,6 +16,7 @@
 use platform::UsersRegistry;
 use policy::instance::RetryLimits;
 
+use super::app::LAST_ANSWERS_TIME;
 use crate::Settings;
 use crate::callers::NativeHeaderProtocol;
 use crate::settings::Limits;
@@ -30,10 +31,14 @@
 /// Fraction of the users' retry bound that instances use. The margin is needed because each
 /// instance counts only its own requests and the bound applies to sliding windows.
 const RETRY_BOUND_FRACTION: f64 = 0.95;
-/// Time before the platform's forced kill at which an instance exits by itself, in milliseconds.
-/// The margin is needed because an instance that has used up its CPU quota is suspended for a
-/// tenth of a second.
-const STOP_MARGIN_MS: u64 = 700;
+/// Longest time before the platform's forced kill at which an instance exits by itself, in
+/// milliseconds. The margin is needed because an instance that has used up its CPU quota is suspended
+/// for a tenth of a second.
+const MAX_STOP_MARGIN_MS: u64 = 700;
+/// Part of the grace period, as a divisor, in which work of targets may be broken off.
+const LAST_PART_DIVISOR: u64 = 6;
+/// Time by which timers may be early, in milliseconds.
+const TIMER_SLACK_MS: u64 = 20;
 /// Maximum number of requests in flight on the users' small machines.
 const USERS_IN_FLIGHT: u32 = 1_024;
 /// Maximum number of caller connections on the users' small machines.
@@ -117,8 +122,15 @@
 
 /// Returns the time limit for shutdown on the users' machines, in milliseconds from the stop
 /// signal.
+///
+/// Requests that wait for a response are given up [`LAST_ANSWERS_TIME`] earlier. Their targets' work
+/// may be broken off only in the last part of the grace period.
 pub(super) fn users_stop_limit_ms(boot: &BootSettings) -> u64 {
-    boot.stop_limit_ms.saturating_sub(STOP_MARGIN_MS)
+    let last_part_ms = boot.stop_limit_ms / LAST_PART_DIVISOR;
+    let last_answers_ms = LAST_ANSWERS_TIME.as_millis() as u64 + TIMER_SLACK_MS;
+    let margin_ms = last_part_ms.saturating_sub(last_answers_ms);
+    boot.stop_limit_ms
+        .saturating_sub(margin_ms.min(MAX_STOP_MARGIN_MS))
 }
 
 /// Converts the users' boot settings to instance settings.
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -8,4 +8,5 @@
 mod outages;
 mod reload;
 mod requests;
+mod stopping;
 mod unreachable;
