Show that three faults reported by other operators do not happen here

None happens: an entry that cannot be read names no target and the next ones are followed; a connection on which a target has refused is closed; a head that breaks off is a 502. Shown by tests with processes; no code changed but the stand-in, so they were green at once.

--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -4,6 +4,7 @@
 mod deadly;
 mod deployment;
 mod endless;
+mod faulty_targets;
 mod notices;
 mod outages;
 mod reload;
--- a/standin/src/users/target.rs
+++ b/standin/src/users/target.rs
@@ -41,6 +41,10 @@
     LosesAnswers,
     /// Rejects each request with status 503 and `x-not-executed`.
     Sheds,
+    /// Rejects each request like [`TargetScript::Sheds`], and writes the rejection once more.
+    ShedsTwice,
+    /// Stops in the middle of the response head and closes the connection.
+    CutsHead,
     /// Responds 421, as if the request was meant for another target at its address.
     Misdirects,
     /// Runs each request and responds 500.
@@ -251,6 +255,16 @@
                 stream.write_all(response.as_bytes()).await?;
                 continue;
             }
+            TargetScript::ShedsTwice => {
+                let response = "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+                stream.write_all(response.repeat(2).as_bytes()).await?;
+                continue;
+            }
+            TargetScript::CutsHead => {
+                let head = format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-sig");
+                stream.write_all(head.as_bytes()).await?;
+                return Ok(());
+            }
             TargetScript::Hangs => std::future::pending().await,
             _ => {}
         }
