Refuse a handed-over request at once where no target is reached either

An instance that was cut off as well tried three targets for 0.9 s before it refused a request that another had handed to it, though it knew already that it reaches none. Now it refuses at once, and the first instance asks another one. The test failed before.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -69,6 +69,8 @@
     pub fingerprint: Fingerprint,
     /// Whether another instance may be asked to serve the request.
     pub may_hand_over: bool,
+    /// Whether another instance has handed the request to this one.
+    pub is_handed_over: bool,
 }
 
 /// An input of the state machine.
@@ -363,8 +365,13 @@
         if let Some(left_us) = self.quarantine_left_us(now_us) {
             return self.refuse_quarantined(left_us);
         }
-        if self.table.load.reachability.is_lost() && self.can_hand_over() {
-            return self.hand_over();
+        if self.table.load.reachability.is_lost() {
+            if self.can_hand_over() {
+                return self.hand_over();
+            }
+            if self.request.is_handed_over && self.in_flight() == 0 {
+                return self.give_up(now_us, ResultCode::ConnectFailed, rng);
+            }
         }
         match self.table.choose(now_us, self.choice_params(now_us), rng) {
             Choice::Target(candidate, slot) => {
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -80,12 +80,21 @@
     }
 
     fn with_peers(repeat: Repeat, claims_key: bool, may_hand_over: bool) -> Self {
+        Self::with_origin(repeat, claims_key, (may_hand_over, false))
+    }
+
+    fn with_origin(
+        repeat: Repeat,
+        claims_key: bool,
+        (may_hand_over, is_handed_over): (bool, bool),
+    ) -> Self {
         let request = Request {
             caller_deadline_us: DEADLINE_US,
             deadline_us: DEADLINE_US,
             claims_key,
             fingerprint: Fingerprint::default(),
             may_hand_over,
+            is_handed_over,
             replayable: true,
             repeatable: repeat == Repeat::Idempotent,
             max_attempts: policy::exchange::MAX_ATTEMPTS,
@@ -403,6 +412,17 @@
     assert_eq!(run.on(Event::Begin), Step::HandOver);
 }
 
+#[test]
+fn a_request_handed_over_to_an_instance_that_reaches_no_target_is_refused_at_once() {
+    let mut run = Run::with_origin(Repeat::Never, false, (false, true));
+    let reachability = &run.exchange.table().clone().load.reachability;
+    for target in ["t0", "t1", "t2"] {
+        reachability.record_unreachable(&target.into(), 3);
+    }
+    let step = run.on(Event::Begin);
+    assert!(is_reply(step, ResultCode::ConnectFailed, Outcome::NotRun));
+}
+
 #[test]
 fn a_command_that_may_have_run_is_not_handed_over() {
     let mut run = Run::with_peers(Repeat::Never, false, true);
--- a/policy/tests/fleet/deadly_requests.rs
+++ b/policy/tests/fleet/deadly_requests.rs
@@ -358,6 +358,7 @@
             began_us: now_us,
             fingerprint: fingerprint(&name),
             may_hand_over: false,
+            is_handed_over: false,
         };
         let mut exchange = Exchange::new(request, table);
         let step = exchange.on(now_us, Event::Begin, &mut self.rng);
--- a/policy/tests/fleet/hanging_simulation.rs
+++ b/policy/tests/fleet/hanging_simulation.rs
@@ -184,6 +184,7 @@
             caller_deadline_us: deadline_us,
             fingerprint: Fingerprint::default(),
             may_hand_over: false,
+            is_handed_over: false,
             claims_key: false,
             replayable: true,
             repeatable: self.scenario.repeatable,
--- a/policy/tests/fleet/overload_simulation.rs
+++ b/policy/tests/fleet/overload_simulation.rs
@@ -580,6 +580,7 @@
             caller_deadline_us: deadline_us,
             fingerprint: Fingerprint::default(),
             may_hand_over: false,
+            is_handed_over: false,
             claims_key: false,
             replayable: true,
             repeatable: true,
--- a/policy/tests/hedging.rs
+++ b/policy/tests/hedging.rs
@@ -76,6 +76,7 @@
             caller_deadline_us: BEGAN_US + 3_000 * MS_US,
             fingerprint: Fingerprint::default(),
             may_hand_over: false,
+            is_handed_over: false,
             claims_key: false,
             replayable: true,
             repeatable,
--- a/proof/examples/capacity/slopes.rs
+++ b/proof/examples/capacity/slopes.rs
@@ -389,6 +389,7 @@
         deadline_us: now_us + 1_000_000,
         fingerprint: Fingerprint::default(),
         may_hand_over: false,
+        is_handed_over: false,
         claims_key: false,
         replayable: true,
         repeatable: service.is_repeatable(),
--- a/proof/src/requests.rs
+++ b/proof/src/requests.rs
@@ -197,6 +197,7 @@
             deadline_us,
             fingerprint: Fingerprint::default(),
             may_hand_over: false,
+            is_handed_over: false,
             claims_key: matches!(request.identity, CommandIdentity::Key(_)),
             replayable: true,
             repeatable: service_table.is_repeatable(),
--- a/sniperund/src/callers/hand_over.rs
+++ b/sniperund/src/callers/hand_over.rs
@@ -162,7 +162,7 @@
     }
 
     /// Connects to a target from time to time, to find out when the link is back.
-    fn probe_target(&self) {
+    pub(super) fn probe_target(&self) {
         let now_us = self.proxy_state.clock.now_us();
         let table = self.request.exchange.table().clone();
         if !table.load.reachability.take_probe(now_us) {
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -528,6 +528,9 @@
     }
 
     fn finish_with_reply(mut self, reply: Reply) -> Response<ResponseBody> {
+        if reply.code == ResultCode::ConnectFailed {
+            self.probe_target();
+        }
         self.request.record.finish(reply.outcome);
         let service = &self.request.exchange.table().service;
         self.proxy_state.metrics.count_request(&RequestLabels {
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -317,6 +317,7 @@
         routed.record.finish(ResultCode::BadRequest.outcome());
         return build_refusal(&*proxy_state.header_protocol, ResultCode::BadRequest, None);
     };
+    let is_handed_over = parts.headers.contains_key(names::RELAYED);
     let content = RequestContent {
         customer: customer_header(&parts.headers),
         method: parts.method.as_str(),
@@ -327,7 +328,8 @@
     };
     let request = policy::exchange::Request {
         fingerprint: content.fingerprint(),
-        may_hand_over: !has_id && !parts.headers.contains_key(names::RELAYED),
+        may_hand_over: !has_id && !is_handed_over,
+        is_handed_over,
         deadline_us: routed.deadline_us,
         caller_deadline_us: routed.caller_deadline_us,
         claims_key: routed.record.claims_key(),
