Let the permit for a trial of a quarantined request lapse

Found in reading the change: the permit had no end, so an owner that was suspended with it could send a request in quarantine long after another instance had tried it; and each instance ranked all members for each quarantined request on each tick, also when no trial was due.

A test shows the lapse.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -309,7 +309,7 @@
     fn begin(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
         if self.quarantine_left_us(now_us).is_some() {
             let quarantine = &self.table.load.quarantine;
-            self.is_trial = quarantine.take_trial(&self.request.fingerprint);
+            self.is_trial = quarantine.take_trial(now_us, &self.request.fingerprint);
             self.request.max_attempts = 1;
         }
         if let Some(left_us) = self.quarantine_left_us(now_us) {
--- a/policy/src/quarantine/quarantine.rs
+++ b/policy/src/quarantine/quarantine.rs
@@ -23,13 +23,13 @@
 const SETTLE_US: u64 = 500_000;
 /// Duration of the first quarantine, in microseconds; each further one is twice as long.
 const FIRST_QUARANTINE_US: u64 = 600 * 1_000_000;
+/// Doublings of that duration at most.
+const MAX_DOUBLINGS: u32 = 7;
 /// Time after which the decision to quarantine a request is broadcast again, in microseconds.
 const REPEAT_US: u64 = 1_000_000;
 /// Time for which reports of other instances on a cleared request are ignored, in microseconds: they
 /// may be older than the response that cleared it.
 const CLEARED_US: u64 = 3 * REPEAT_US;
-/// Doublings of that duration at most.
-const MAX_DOUBLINGS: u32 = 7;
 /// Time after which a case without quarantine is dropped, in microseconds.
 const CASE_EXPIRY_US: u64 = 600 * 1_000_000;
 /// Bound on the memory that callers with ever new requests can use.
@@ -187,7 +187,7 @@
         self.confirm_by_trials(now_us);
         for (fingerprint, case) in &mut self.cases {
             if case.left_us(now_us).is_some() {
-                case.trial.tick(now_us, is_owner(fingerprint));
+                case.trial.tick(now_us, || is_owner(fingerprint));
             }
         }
     }
--- a/policy/src/quarantine/quarantine_view.rs
+++ b/policy/src/quarantine/quarantine_view.rs
@@ -29,10 +29,10 @@
     }
 
     /// Takes the permit for the trial of a request in quarantine; `false` if there is none.
-    pub fn take_trial(&self, fingerprint: &Fingerprint) -> bool {
+    pub fn take_trial(&self, now_us: u64, fingerprint: &Fingerprint) -> bool {
         let cases = self.cases.load();
         let case = cases.get(fingerprint);
-        case.is_some_and(|case| case.trial.take())
+        case.is_some_and(|case| case.trial.take(now_us))
     }
 
     /// Whether the request has a case, so that a response to it has to be reported.
--- a/policy/tests/quarantine.rs
+++ b/policy/tests/quarantine.rs
@@ -145,29 +145,41 @@
     (quarantine, now_us)
 }
 
-fn has_trial(quarantine: &Quarantine) -> bool {
+fn has_trial(quarantine: &Quarantine, now_us: u64) -> bool {
     let view = QuarantineView::default();
     view.publish(quarantine.views());
-    view.take_trial(&fingerprint("/deadly"))
+    view.take_trial(now_us, &fingerprint("/deadly"))
+}
+
+#[test]
+fn the_permit_for_a_trial_lapses_while_the_owner_is_suspended() {
+    let (quarantine, trial_us) = with_trial(true);
+    assert!(!has_trial(&quarantine, trial_us + 60 * SECOND_US));
 }
 
 #[test]
 fn only_the_owner_tries_a_quarantined_request_and_once() {
-    let (quarantine, _) = with_trial(true);
-    assert!(has_trial(&quarantine));
-    assert!(!has_trial(&quarantine));
-    let (quarantine, _) = with_trial(false);
-    assert!(!has_trial(&quarantine));
+    let (quarantine, trial_us) = with_trial(true);
+    assert!(has_trial(&quarantine, trial_us));
+    assert!(!has_trial(&quarantine, trial_us));
+    let (quarantine, trial_us) = with_trial(false);
+    assert!(!has_trial(&quarantine, trial_us));
 }
 
 #[test]
 fn a_crash_in_the_trial_confirms_the_quarantine() {
-    let (mut quarantine, now_us) = with_crashed_trial();
-    for report in quarantine.reports(now_us) {
-        assert!(report.is_confirmed);
+    for is_owner in [true, false] {
+        let (mut quarantine, trial_us) = with_trial(is_owner);
+        quarantine.record(trial_us, crash("/deadly", 30), is_owner);
+        let now_us = trial_us + SETTLED_US;
+        quarantine.permit_trials(now_us, |_| true);
+        for report in quarantine.reports(now_us) {
+            assert!(report.is_confirmed);
+        }
+        let later_us = now_us + 60 * SECOND_US;
+        quarantine.permit_trials(later_us, |_| true);
+        assert!(!has_trial(&quarantine, later_us));
     }
-    quarantine.permit_trials(now_us + 60 * SECOND_US, |_| true);
-    assert!(!has_trial(&quarantine));
 }
 
 #[test]
@@ -180,11 +192,12 @@
     quarantine.permit_trials(trial_us + SETTLED_US, |_| true);
     let again_us = trial_us + 4 * SECOND_US;
     quarantine.permit_trials(again_us, |_| true);
-    assert!(has_trial(&quarantine));
+    assert!(has_trial(&quarantine, again_us));
     quarantine.record(again_us, crash("/deadly", 31), true);
     quarantine.permit_trials(again_us + SETTLED_US, |_| true);
-    quarantine.permit_trials(again_us + 60 * SECOND_US, |_| true);
-    assert!(!has_trial(&quarantine));
+    let later_us = again_us + 60 * SECOND_US;
+    quarantine.permit_trials(later_us, |_| true);
+    assert!(!has_trial(&quarantine, later_us));
 }
 
 #[test]
