Pass no refusal on after another instance may have taken a handed-over request

Found in reading the change: a request that may be repeated goes to a second instance after the first took it and did not respond. A refusal of the second, or that no other took it, was passed on as 503, not run, though the first may have run it. Callers would be told what is not known.

The decision moves from the runner to policy/src/exchange/hand_over.rs, without I/O. Once an instance may have taken the request only a response of a target is passed on, otherwise the outcome is unknown. Three tests of the decisions; the old code had none and passed on the last answer whatever it was.

--- a/policy/src/exchange/mod.rs
+++ b/policy/src/exchange/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod exchange;
+mod hand_over;
 mod observation;
 mod retries;
 mod silence;
@@ -14,6 +15,9 @@
 pub use exchange::Reply;
 pub use exchange::Request;
 pub use exchange::Step;
+pub use hand_over::HandOver;
+pub use hand_over::HandOverStep;
+pub use hand_over::HelperOutcome;
 pub use observation::AttemptEnd;
 pub use observation::Observation;
 pub use retries::RETRY_LOAN_TIMEOUT_US;
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -14,6 +14,9 @@
 use policy::exchange::Event;
 use policy::exchange::Exchange;
 use policy::exchange::Failure;
+use policy::exchange::HandOver;
+use policy::exchange::HandOverStep;
+use policy::exchange::HelperOutcome;
 use policy::exchange::Reply;
 use policy::exchange::Request;
 use policy::exchange::Step;
@@ -452,3 +455,42 @@
     assert!(!reachability.is_lost());
     assert!(!reachability.record_unreachable(&"t1".into(), 10));
 }
+
+#[test]
+fn no_refusal_is_passed_on_after_an_instance_may_have_taken_the_request() {
+    let refusals = [
+        HelperOutcome::Refused,
+        HelperOutcome::ReachesNoTarget,
+        HelperOutcome::NotSent,
+    ];
+    for refusal in refusals {
+        let mut hand_over = HandOver::new(true);
+        let step = hand_over.record(HelperOutcome::Unknown, true);
+        assert_eq!(step, HandOverStep::AskNext);
+        let step = hand_over.record(refusal, false);
+        assert_eq!(step, HandOverStep::End(Event::HandOverLost), "{refusal:?}");
+    }
+    let mut hand_over = HandOver::new(true);
+    hand_over.record(HelperOutcome::Unknown, true);
+    let step = hand_over.record(HelperOutcome::Answered, false);
+    assert_eq!(step, HandOverStep::Forward);
+}
+
+#[test]
+fn a_command_that_an_instance_may_have_taken_goes_to_no_other() {
+    let mut hand_over = HandOver::new(false);
+    let step = hand_over.record(HelperOutcome::Unknown, true);
+    assert_eq!(step, HandOverStep::End(Event::HandOverLost));
+}
+
+#[test]
+fn a_request_goes_on_to_an_instance_that_reaches_targets() {
+    let mut hand_over = HandOver::new(false);
+    for outcome in [HelperOutcome::NotSent, HelperOutcome::ReachesNoTarget] {
+        assert_eq!(hand_over.record(outcome, true), HandOverStep::AskNext);
+    }
+    let step = hand_over.record(HelperOutcome::Refused, true);
+    assert_eq!(step, HandOverStep::Forward);
+    let step = HandOver::new(false).record(HelperOutcome::NotSent, false);
+    assert_eq!(step, HandOverStep::End(Event::HandOverRefused));
+}
--- a/sniperund/src/callers/hand_over.rs
+++ b/sniperund/src/callers/hand_over.rs
@@ -7,13 +7,16 @@
 use std::sync::Arc;
 
 use http_body_util::BodyExt;
-use hyper::HeaderMap;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use model::ResultCode;
 use policy::exchange::Event;
+use policy::exchange::HandOver;
+use policy::exchange::HandOverStep;
+use policy::exchange::HelperOutcome;
 use policy::exchange::Step;
 use rand::seq::IndexedRandom;
 use rand::seq::IteratorRandom;
@@ -76,21 +79,21 @@
     }
 
     async fn ask_helpers(&mut self) -> Result<(Response<Incoming>, Connection), Event> {
-        let helpers = self.pick_helpers();
-        let last = helpers.len().saturating_sub(1);
-        for (index, helper) in helpers.into_iter().enumerate() {
+        let mut helpers = self.pick_helpers().into_iter().peekable();
+        let mut hand_over = HandOver::new(self.request.repeatable);
+        while let Some(helper) = helpers.next() {
             let answer = self.ask_helper(&helper).await;
             self.log_answer(&helper, &answer);
-            match answer {
-                HelperAnswer::Response(response, _)
-                    if index < last && reaches_no_target(response.headers()) => {}
-                HelperAnswer::Response(response, connection) => return Ok((*response, connection)),
-                HelperAnswer::NotRun => {}
-                HelperAnswer::Unknown if self.request.repeatable => {}
-                HelperAnswer::Unknown => return Err(Event::HandOverLost),
+            let step = hand_over.record(answer.outcome(), helpers.peek().is_some());
+            match (step, answer) {
+                (HandOverStep::Forward, HelperAnswer::Response(response, connection)) => {
+                    return Ok((*response, connection));
+                }
+                (HandOverStep::End(event), _) => return Err(event),
+                _ => {}
             }
         }
-        Err(Event::HandOverRefused)
+        Err(hand_over.end())
     }
 
     fn pick_helpers(&self) -> Vec<Helper> {
@@ -182,9 +185,30 @@
     }
 }
 
-/// Whether a response is that of an instance that reaches no target either.
-fn reaches_no_target(headers: &HeaderMap) -> bool {
-    let codes = [ResultCode::ConnectFailed, ResultCode::NoTarget];
-    let code = headers.get(names::CODE).and_then(|code| code.to_str().ok());
-    code.is_some_and(|code| codes.iter().any(|known| known.number().to_string() == code))
+impl HelperAnswer {
+    fn outcome(&self) -> HelperOutcome {
+        match self {
+            Self::Response(response, _) => response_outcome(response),
+            Self::NotRun => HelperOutcome::NotSent,
+            Self::Unknown => HelperOutcome::Unknown,
+        }
+    }
+}
+
+/// Tells refusals of the other instance, which have a result code, from responses of targets.
+fn response_outcome(response: &Response<Incoming>) -> HelperOutcome {
+    let code = response.headers().get(names::CODE);
+    let code = code.and_then(|code| code.to_str().ok()?.parse().ok());
+    let has_not_run = matches!(
+        response.status(),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    let is_code = |known: ResultCode| code == Some(known.number());
+    match code {
+        Some(_) if is_code(ResultCode::ConnectFailed) || is_code(ResultCode::NoTarget) => {
+            HelperOutcome::ReachesNoTarget
+        }
+        Some(_) if has_not_run => HelperOutcome::Refused,
+        _ => HelperOutcome::Answered,
+    }
 }
