Read and log when targets say that they leave

Cause: no log line could tell whether an instance knew that a target leaves when it sent a request there. Change: the sign in a response is decoded in platform/, kept with the process of the target and logged once a process; the log of a sent attempt has the age of the sign. TargetProcess is the former EndedProcess of the quarantine, used for notices and rate limits too. No decision changes. Ruled out: nothing. Conclusion: the hypotheses can be told apart.

--- a/policy/src/exchange/target_notices.rs
+++ b/policy/src/exchange/target_notices.rs
@@ -1,6 +1,6 @@
 //! What a target says about itself in its responses, whatever they respond to.
 
-use std::sync::Arc;
+use crate::routing::TargetProcess;
 
 /// A value that a target may state in a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -20,15 +20,22 @@
     /// Requests per second that the target takes from all instances together, in thousandths;
     /// absent if it sets no limit.
     pub rate_limit_milli: Notice<u32>,
+    /// Whether the target leaves; its process does not take that back.
+    pub is_leaving: Notice<bool>,
+}
+
+impl TargetNotices {
+    /// Whether any of them cannot be read.
+    pub fn has_unreadable(&self) -> bool {
+        self.rate_limit_milli == Notice::Unreadable || self.is_leaving == Notice::Unreadable
+    }
 }
 
 /// The notices of a target's response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NoticedTarget {
-    /// The target's name.
-    pub target: Arc<str>,
-    /// Incarnation of the process that responded.
-    pub incarnation: u64,
+    /// The process that responded.
+    pub process: TargetProcess,
     /// When the request was sent, in microseconds.
     pub sent_us: u64,
     /// Its notices.
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -14,6 +14,7 @@
 use crate::feed::RetainReason;
 use crate::quarantine::Crash;
 use crate::quarantine::Fingerprint;
+use crate::routing::TargetProcess;
 
 /// An effect to carry out.
 #[derive(Clone, Debug)]
@@ -193,6 +194,13 @@
         /// if it sets no limit any more.
         limit_milli: Option<u32>,
     },
+    /// A target has said for the first time that it leaves, to this instance or to another.
+    DepartureStated {
+        /// The target's process.
+        process: TargetProcess,
+        /// Id of the instance that it has said so to, or that forwards its broadcast.
+        by: Arc<str>,
+    },
     /// A target states something about itself that cannot be read; logged once per process.
     NoticeUnreadable {
         /// The target's name.
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -22,6 +22,7 @@
 use super::Settings;
 use super::Shared;
 use super::demand::Demand;
+use super::departures::Departures;
 use super::fleet_load::FleetLoad;
 use super::freeze_recovery::FreezeRecovery;
 use super::latency_sharing::LatencySharing;
@@ -93,6 +94,7 @@
     pub(super) latency_sharing: LatencySharing,
     pub(super) retry_loans: RetryLoans,
     pub(super) quarantine: Quarantine,
+    pub(super) departures: Departures,
     pub(super) lag: Lag,
     /// The last peer that sent newer versions than this instance has, and these versions.
     pub(super) peer_ahead: Option<(Arc<str>, KnownVersions)>,
@@ -160,6 +162,7 @@
             latency_sharing: LatencySharing::default(),
             retry_loans: RetryLoans::default(),
             quarantine: Quarantine::default(),
+            departures: Departures::default(),
             lag: Lag::default(),
             peer_ahead: None,
             logged_invalid_release: 0,
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -22,6 +22,7 @@
 use crate::quarantine::CaseReport;
 use crate::quarantine::Crash;
 use crate::quarantine::Fingerprint;
+use crate::routing::TargetProcess;
 
 /// A message with the metadata that every message carries.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -81,10 +82,8 @@
 /// The rate limit of a target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetRateLimit {
-    /// The target's name.
-    pub target: Arc<str>,
-    /// Incarnation of its process.
-    pub incarnation: u64,
+    /// The target's process.
+    pub process: TargetProcess,
     /// Requests per second that it takes from all instances together, in thousandths; `None` if
     /// it sets no limit any more.
     pub limit_milli: Option<u32>,
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -3,6 +3,7 @@
 mod action;
 mod alerts;
 mod demand;
+mod departures;
 mod evidence;
 mod fleet_load;
 mod freeze_recovery;
@@ -14,6 +15,7 @@
 mod message;
 mod messages;
 mod notes;
+mod notices;
 mod permits;
 mod platform;
 mod publishing;
--- a/policy/src/instance/table_builder.rs
+++ b/policy/src/instance/table_builder.rs
@@ -18,6 +18,7 @@
 use crate::routing::ServiceTable;
 use crate::routing::TableFreshness;
 use crate::routing::TargetLoad;
+use crate::routing::TargetProcess;
 use crate::routing::enforce_floor;
 
 /// Builder of service tables, and owner of the load counters, which outlive the tables that
@@ -86,8 +87,7 @@
         self.targets.values().filter_map(|(target, load)| {
             let limit_milli = load.rate_limit_milli()?;
             Some(TargetRateLimit {
-                target: target.name.clone(),
-                incarnation: target.incarnation,
+                process: TargetProcess::of(target),
                 limit_milli: Some(limit_milli),
             })
         })
--- a/policy/src/instance/target_limits.rs
+++ b/policy/src/instance/target_limits.rs
@@ -19,14 +19,15 @@
 use crate::exchange::Notice;
 use crate::exchange::NoticedTarget;
 use crate::notes::IdRange;
+use crate::routing::TargetProcess;
 
 /// Largest part of the time after which a denied instance asks again that is added at random.
 const WAIT_JITTER: f64 = 0.5;
 
 impl Instance {
-    /// Applies the notices of a response.
-    pub(super) fn handle_notices(&mut self, now_us: u64, noticed: &NoticedTarget) {
-        let Some(target) = self.target_of(&noticed.target, noticed.incarnation) else {
+    /// Applies the rate limit that a response names, or its end.
+    pub(super) fn apply_rate_limit_notice(&mut self, now_us: u64, noticed: &NoticedTarget) {
+        let Some(target) = self.target_of(&noticed.process) else {
             return;
         };
         let load = self.table_builder.load_of(&target);
@@ -35,20 +36,11 @@
             // A response to a request that was sent before the limit was named says nothing
             // about its end.
             Notice::Absent if noticed.sent_us > load.limit_named_us() => None,
-            Notice::Absent => return,
-            Notice::Unreadable => {
-                if load.mark_unreadable_notice() {
-                    self.actions.push(Action::Log(LogEvent::NoticeUnreadable {
-                        target: target.name.clone(),
-                    }));
-                }
-                return;
-            }
+            Notice::Absent | Notice::Unreadable => return,
         };
         if load.set_rate_limit(now_us, limit_milli) {
             let limit = TargetRateLimit {
-                target: target.name.clone(),
-                incarnation: target.incarnation,
+                process: noticed.process.clone(),
                 limit_milli,
             };
             self.log_rate_limit(&limit);
@@ -71,7 +63,7 @@
             self.broadcast_rate_limits(now_us, limits, &ids);
         }
         for limit in limits {
-            let Some(target) = self.target_of(&limit.target, limit.incarnation) else {
+            let Some(target) = self.target_of(&limit.process) else {
                 continue;
             };
             let load = self.table_builder.load_of(&target);
@@ -109,15 +101,15 @@
         }
     }
 
-    /// A target of the configuration, if its process is the one of this incarnation.
-    fn target_of(&self, name: &Arc<str>, incarnation: u64) -> Option<Arc<Target>> {
-        let configured = self.note_log.configuration().targets.get(name)?;
-        (configured.incarnation == incarnation).then(|| configured.clone())
+    /// The target of the configuration that a process stands behind.
+    pub(super) fn target_of(&self, process: &TargetProcess) -> Option<Arc<Target>> {
+        let configured = self.note_log.configuration().targets.get(&process.target)?;
+        (configured.incarnation == process.incarnation).then(|| configured.clone())
     }
 
     fn log_rate_limit(&mut self, limit: &TargetRateLimit) {
         self.actions.push(Action::Log(LogEvent::RateLimitChanged {
-            target: limit.target.clone(),
+            target: limit.process.target.clone(),
             limit_milli: limit.limit_milli,
         }));
     }
--- a/policy/src/quarantine/case.rs
+++ b/policy/src/quarantine/case.rs
@@ -4,9 +4,9 @@
 use serde::Serialize;
 
 use super::CRASHES_UNTIL_QUARANTINE;
-use super::EndedProcess;
 use super::Fingerprint;
 use super::trial::Trial;
+use crate::routing::TargetProcess;
 
 /// Crashes recorded for a request; more do not change the decision.
 const MAX_CRASHES: usize = 8;
@@ -14,7 +14,7 @@
 /// A request that was at crashes of targets.
 #[derive(Clone, Debug, Default)]
 pub struct Case {
-    crashes: Vec<EndedProcess>,
+    crashes: Vec<TargetProcess>,
     /// Time of the last crash or change, in microseconds.
     pub(super) changed_us: u64,
     /// End of the quarantine, in microseconds; `None` if there is none now.
@@ -36,7 +36,7 @@
     /// The request.
     pub fingerprint: Fingerprint,
     /// Processes that ended while it was sent to them.
-    pub crashes: Vec<EndedProcess>,
+    pub crashes: Vec<TargetProcess>,
     /// Time until its quarantine ends, in milliseconds; `None` if it is not quarantined.
     pub left_ms: Option<u64>,
     /// Number of quarantines so far.
@@ -47,7 +47,7 @@
 
 impl Case {
     /// Processes that ended while the request was sent to them.
-    pub fn crashes(&self) -> &[EndedProcess] {
+    pub fn crashes(&self) -> &[TargetProcess] {
         &self.crashes
     }
 
@@ -70,7 +70,7 @@
     }
 
     /// Adds a crash, unless it is known. After the end of a quarantine only new crashes count.
-    pub(super) fn add_crash(&mut self, now_us: u64, process: EndedProcess) {
+    pub(super) fn add_crash(&mut self, now_us: u64, process: TargetProcess) {
         if self.is_on_probation(now_us) {
             self.until_us = None;
             self.crashes.clear();
--- a/policy/src/quarantine/mod.rs
+++ b/policy/src/quarantine/mod.rs
@@ -16,7 +16,6 @@
 pub use case::Case;
 pub use case::CaseReport;
 pub use crash::Crash;
-pub use crash::EndedProcess;
 pub use fingerprint::Fingerprint;
 pub use fingerprint::RequestContent;
 pub use quarantine::CRASHES_UNTIL_QUARANTINE;
--- a/policy/src/quarantine/quarantine.rs
+++ b/policy/src/quarantine/quarantine.rs
@@ -10,9 +10,9 @@
 use super::Case;
 use super::CaseReport;
 use super::Crash;
-use super::EndedProcess;
 use super::Fingerprint;
 use super::quarantine_view::CaseView;
+use crate::routing::TargetProcess;
 
 /// Crashes without a response in between from which a request is quarantined.
 pub const CRASHES_UNTIL_QUARANTINE: usize = 3;
@@ -225,7 +225,12 @@
     }
 
     /// Whether another request, whose quarantine is confirmed, was sent to the process as well.
-    fn is_explained(&self, now_us: u64, fingerprint: &Fingerprint, process: &EndedProcess) -> bool {
+    fn is_explained(
+        &self,
+        now_us: u64,
+        fingerprint: &Fingerprint,
+        process: &TargetProcess,
+    ) -> bool {
         self.cases.iter().any(|(other, case)| {
             other != fingerprint
                 && case.trial.is_confirmed
--- a/policy/src/quarantine/trial.rs
+++ b/policy/src/quarantine/trial.rs
@@ -4,12 +4,11 @@
 //! the owner of its fingerprint sends it to one target. A response lifts the quarantine; another
 //! crash confirms it, unless it is as likely that of another request.
 
+use crate::routing::TargetProcess;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-use super::EndedProcess;
-
 /// Time from the decision to the trial, in microseconds.
 const TRIAL_AFTER_US: u64 = 2_000_000;
 /// Time for which the permit for a trial holds, and after which a trial without a result is repeated,
@@ -44,7 +43,7 @@
     due_us: Option<u64>,
     permitted: u32,
     /// The crash that may be its result, and when it was recorded, in microseconds.
-    pub(super) crash: Option<(EndedProcess, u64)>,
+    pub(super) crash: Option<(TargetProcess, u64)>,
     /// Crashes in trials that had other causes.
     crashes: u32,
     pub(super) is_confirmed: bool,
@@ -66,7 +65,7 @@
 
     /// Records a crash as the result. Attempts from before the quarantine may crash targets until the
     /// trial is due.
-    pub(super) fn record_crash(&mut self, now_us: u64, process: &EndedProcess) {
+    pub(super) fn record_crash(&mut self, now_us: u64, process: &TargetProcess) {
         if now_us >= self.from_us && !self.is_confirmed {
             self.due_us = None;
             self.permit.grant(0);
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -47,8 +47,13 @@
     limit_named_us: AtomicU64,
     denied_until_us: AtomicU64,
     has_unreadable_notice: AtomicBool,
+    /// When the target first said to this instance that it leaves; [`NEVER_US`] if it has not.
+    departure_stated_us: AtomicU64,
 }
 
+/// Stands for a time that has not come, in microseconds.
+const NEVER_US: u64 = u64::MAX;
+
 /// A limit that differs by less than the known one divided by this is the same, so that small
 /// changes are not broadcast.
 const SAME_LIMIT_DIVISOR: u32 = 20;
@@ -76,9 +81,23 @@
             limit_named_us: AtomicU64::new(0),
             denied_until_us: AtomicU64::new(0),
             has_unreadable_notice: AtomicBool::new(false),
+            departure_stated_us: AtomicU64::new(NEVER_US),
         }
     }
 
+    /// Records that the target has said to this instance that it leaves.
+    pub fn record_departure(&self, stated_us: u64) {
+        self.departure_stated_us
+            .fetch_min(stated_us, Ordering::AcqRel);
+    }
+
+    /// Time since the target first said to this instance that it leaves, in microseconds; `None`
+    /// if it has not.
+    pub fn leaving_for_us(&self, now_us: u64) -> Option<u64> {
+        let stated_us = self.departure_stated_us.load(Ordering::Acquire);
+        (stated_us != NEVER_US).then(|| now_us.saturating_sub(stated_us))
+    }
+
     /// Requests per second that the target takes from all instances together, in thousandths;
     /// `None` without a limit.
     pub fn rate_limit_milli(&self) -> Option<u32> {
--- a/policy/src/routing/mod.rs
+++ b/policy/src/routing/mod.rs
@@ -8,6 +8,7 @@
 mod routing_table;
 mod service_table;
 mod table_freshness;
+mod target_process;
 mod working_set;
 
 pub use candidate::Candidate;
@@ -24,3 +25,4 @@
 pub use service_table::ServiceTable;
 pub use table_freshness::FREEZE_THRESHOLD_US;
 pub use table_freshness::TableFreshness;
+pub use target_process::TargetProcess;
--- a/policy/tests/fleet/deadly_requests.rs
+++ b/policy/tests/fleet/deadly_requests.rs
@@ -14,9 +14,9 @@
 use policy::exchange::Step;
 use policy::instance::PermitAnswer;
 use policy::quarantine::Crash;
-use policy::quarantine::EndedProcess;
 use policy::quarantine::Fingerprint;
 use policy::quarantine::RequestContent;
+use policy::routing::TargetProcess;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -278,7 +278,7 @@
         let check_us = self.rng.random_range(0..CRASH_CHECK_US);
         let crash = Crash {
             fingerprint: running.exchange.fingerprint(),
-            process: EndedProcess {
+            process: TargetProcess {
                 target: target_name(running.target),
                 incarnation: running.incarnation,
             },
--- a/policy/tests/fleet/overload_simulation.rs
+++ b/policy/tests/fleet/overload_simulation.rs
@@ -27,6 +27,7 @@
 use policy::instance::PermitAnswer;
 use policy::instance::PermitRequest;
 use policy::quarantine::Fingerprint;
+use policy::routing::TargetProcess;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::seq::IteratorRandom;
@@ -465,6 +466,7 @@
         }
         let notices = TargetNotices {
             rate_limit_milli: limit_milli.map_or(Notice::Absent, Notice::Stated),
+            ..TargetNotices::default()
         };
         let table = active.exchange.table();
         let candidates = table.candidates.iter();
@@ -473,8 +475,7 @@
             return;
         };
         let noticed = NoticedTarget {
-            target: active.target.clone(),
-            incarnation: configured.incarnation,
+            process: TargetProcess::of(configured),
             sent_us: active.sent_us,
             notices,
         };
--- a/policy/tests/quarantine.rs
+++ b/policy/tests/quarantine.rs
@@ -2,11 +2,11 @@
 
 use policy::quarantine::CRASHES_UNTIL_QUARANTINE;
 use policy::quarantine::Crash;
-use policy::quarantine::EndedProcess;
 use policy::quarantine::Fingerprint;
 use policy::quarantine::Quarantine;
 use policy::quarantine::QuarantineView;
 use policy::quarantine::RequestContent;
+use policy::routing::TargetProcess;
 
 const SECOND_US: u64 = 1_000_000;
 /// Longer than a decision waits for reports.
@@ -31,7 +31,7 @@
 fn crash(path: &str, incarnation: u64) -> Crash {
     Crash {
         fingerprint: fingerprint(path),
-        process: EndedProcess {
+        process: TargetProcess {
             target: "t1".into(),
             incarnation,
         },
--- a/sniperund/src/callers/crash_check.rs
+++ b/sniperund/src/callers/crash_check.rs
@@ -10,9 +10,9 @@
 use model::configuration::Target;
 use policy::Input;
 use policy::quarantine::Crash;
-use policy::quarantine::EndedProcess;
 use policy::quarantine::Fingerprint;
 use policy::routing::TargetLoad;
+use policy::routing::TargetProcess;
 
 use super::ProxyState;
 use crate::targets::Connection;
@@ -30,7 +30,7 @@
         Self {
             crash: Crash {
                 fingerprint,
-                process: EndedProcess {
+                process: TargetProcess {
                     target: target.name.clone(),
                     incarnation: target.incarnation,
                 },
--- a/sniperund/src/callers/request_log.rs
+++ b/sniperund/src/callers/request_log.rs
@@ -22,7 +22,7 @@
     let table = request.exchange.table();
     let chosen = &table.candidates[candidate];
     log::info!(
-        "event=request-sent id={} route={} note={} service={} attempt={attempt} target={} doubt_milli={} in_flight={} needed_slots={} left_ms={left_ms}",
+        "event=request-sent id={} route={} note={} service={} attempt={attempt} target={} doubt_milli={} in_flight={} needed_slots={} left_ms={left_ms} leaving_ms={:?}",
         request.request_params.id(),
         request.route.name,
         request.note,
@@ -31,6 +31,10 @@
         (chosen.load.failure_probability(now_us) * 1e3) as u32,
         chosen.load.in_flight(),
         table.load.needed_slots.load(Ordering::Relaxed),
+        chosen
+            .load
+            .leaving_for_us(now_us)
+            .map(|time_us| time_us / MICROS_PER_MILLI),
     );
 }
 
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -22,6 +22,7 @@
 use policy::exchange::AttemptEnd;
 use policy::exchange::Event;
 use policy::exchange::Failure;
+use policy::exchange::Notice;
 use policy::exchange::NoticedTarget;
 use policy::exchange::Observation;
 use policy::exchange::Reply;
@@ -31,6 +32,7 @@
 use policy::instance::PermitAnswer;
 use policy::routing::Candidate;
 use policy::routing::TargetLoad;
+use policy::routing::TargetProcess;
 use tokio::sync::watch;
 
 use super::ProxyState;
@@ -232,7 +234,7 @@
             is_finished: false,
         });
         let needs_new_connection = !self.request.repeatable;
-        if self.is_logged || attempt > 0 {
+        if self.is_logged || attempt > 0 || load.leaving_for_us(now_us).is_some() {
             request_log::log_sent_attempt(&self.request, now_us, attempt, candidate, left_ms);
         }
         let mut request_head = build_request(&self.request.parts);
@@ -375,9 +377,11 @@
         if notices == TargetNotices::default() && sent.load.rate_limit_milli().is_none() {
             return;
         }
+        if notices.is_leaving == Notice::Stated(true) {
+            sent.load.record_departure(self.proxy_state.clock.now_us());
+        }
         self.proxy_state.control.send(Input::Noticed(NoticedTarget {
-            target: sent.target.name.clone(),
-            incarnation: sent.target.incarnation,
+            process: TargetProcess::of(&sent.target),
             sent_us: sent.sent_us,
             notices,
         }));
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -163,6 +163,14 @@
             } => {
                 log::info!("event=target-limit target={target} limit_milli={limit_milli:?}");
             }
+            LogEvent::DepartureStated { process, by } => {
+                self.metrics.stated_departures.inc();
+                log::info!(
+                    "event=target-leaves target={} incarnation={} by={by}",
+                    process.target,
+                    process.incarnation
+                );
+            }
             LogEvent::NoticeUnreadable { target } => {
                 log::warn!("event=target-notice-unreadable target={target}");
             }
--- a/sniperund/src/metrics/metrics.rs
+++ b/sniperund/src/metrics/metrics.rs
@@ -72,6 +72,8 @@
     pub suspicion_changes: Counter,
     /// Processes of targets that ended under a request.
     pub target_crashes: Counter,
+    /// Processes of targets that have said that they leave.
+    pub stated_departures: Counter,
     /// Requests handed to other instances.
     pub handed_over: Counter,
     /// Counters of messages between instances.
@@ -138,6 +140,12 @@
             "Processes of targets that ended under a request of this instance",
             target_crashes.clone(),
         );
+        let stated_departures = Counter::default();
+        counters.register(
+            "stated_departures",
+            "Processes of targets that have said that they leave",
+            stated_departures.clone(),
+        );
         let handed_over = Counter::default();
         counters.register(
             "handed_over",
@@ -147,6 +155,7 @@
         Self {
             handed_over,
             target_crashes,
+            stated_departures,
             platform_failures,
             suspicion_changes,
             counters,
