Show that targets which say they leave get requests later than they allow (red)

Callers saw nothing: the targets served what they got until their end. Change: a test with processes, and random scenarios of the fleet model in which targets leave by their own word beside outages of the registry, lapsed and changed entries, restarts, freezes and cuts.

--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -342,6 +342,22 @@
         self.registry.put(TargetEntry::Present(restarted));
     }
 
+    /// Writes the entry of a target.
+    pub(crate) fn put_entry(&mut self, number: u64, incarnation: u64, slots: u32, leaving: bool) {
+        let entry = Target {
+            incarnation,
+            slots,
+            ..target(number, leaving)
+        };
+        self.registry.put(TargetEntry::Present(entry));
+    }
+
+    /// Removes the entry of a target.
+    pub(crate) fn remove_entry(&mut self, number: u64) {
+        let name = target(number, false).name;
+        self.registry.put(TargetEntry::Removed(name));
+    }
+
     /// Makes the registry unreachable for a period for `count` random instances.
     pub(crate) fn block_registry(&mut self, count: usize, from_us: u64, until_us: u64) {
         let mut numbers: Vec<usize> = (0..INSTANCES).collect();
--- a/policy/tests/fleet/main.rs
+++ b/policy/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a fleet of instances in one process, without a network.
 
 mod deadly_requests;
+mod departures;
 mod fleet;
 mod hanging;
 mod hanging_simulation;
--- a/policy/tests/fleet/overload.rs
+++ b/policy/tests/fleet/overload.rs
@@ -89,6 +89,9 @@
         end_us: END_US,
         named_limits: Vec::new(),
         disturbances: Vec::new(),
+        departures: Vec::new(),
+        entry_changes: Vec::new(),
+        registry_outages: Vec::new(),
     }
 }
 
--- a/policy/tests/fleet/overload_simulation.rs
+++ b/policy/tests/fleet/overload_simulation.rs
@@ -86,6 +86,42 @@
     pub(crate) named_limits: Vec<NamedLimit>,
     /// Pauses and cuts of single instances.
     pub(crate) disturbances: Vec<Disturbance>,
+    /// Processes of targets that end, each with the next one under its name.
+    pub(crate) departures: Vec<StatedDeparture>,
+    /// Changes of entries in the registry.
+    pub(crate) entry_changes: Vec<EntryChange>,
+    /// Periods in which the registry is away for a number of instances.
+    pub(crate) registry_outages: Vec<(usize, u64, u64)>,
+}
+
+/// The departure of a target's process, which says in its responses that it leaves.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StatedDeparture {
+    pub(crate) target: usize,
+    /// Since when it says so.
+    pub(crate) from_us: u64,
+    /// When it ends.
+    pub(crate) ends_us: u64,
+    /// When the next process under its name starts, and its incarnation.
+    pub(crate) next_us: u64,
+    pub(crate) next_incarnation: u64,
+}
+
+/// A change of the entry of a target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EntryChange {
+    pub(crate) target: usize,
+    pub(crate) at_us: u64,
+    pub(crate) entry: Entry,
+}
+
+/// What the registry says of a target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Entry {
+    /// Nothing.
+    Removed,
+    /// A process, its slots, and whether it leaves.
+    Present(u64, u32, bool),
 }
 
 /// A limit that a target names in its responses for a period.
@@ -144,6 +180,9 @@
             end_us: 40 * SECOND_US,
             named_limits: Vec::new(),
             disturbances: Vec::new(),
+            departures: Vec::new(),
+            entry_changes: Vec::new(),
+            registry_outages: Vec::new(),
         }
     }
 
@@ -201,7 +240,84 @@
             end_us: 40 * SECOND_US,
             named_limits,
             disturbances,
+            departures: Vec::new(),
+            entry_changes: Vec::new(),
+            registry_outages: Vec::new(),
+        }
+    }
+
+    /// Creates a random scenario in which some or all targets leave by their own word and start
+    /// again under their names, while the registry says so, is silent, says otherwise, or loses and
+    /// regains the entries, and is away for some instances. Some targets name limits.
+    pub(crate) fn random_with_departures(seed: u64) -> Self {
+        let scenario = Self::random_with_limits(seed);
+        let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+        let leaving = match rng.random_bool(0.2) {
+            true => scenario.targets,
+            false => rng.random_range(1..=scenario.targets.div_ceil(2)),
+        };
+        let mut departures = Vec::new();
+        let mut entry_changes = Vec::new();
+        for target in 0..leaving {
+            let mut at_us = rng.random_range(6 * SECOND_US..20 * SECOND_US);
+            let mut incarnation = target as u64;
+            for _ in 0..rng.random_range(1..3) {
+                let ends_us = at_us + rng.random_range(2 * SECOND_US..14 * SECOND_US);
+                let departure = StatedDeparture {
+                    target,
+                    from_us: at_us,
+                    ends_us,
+                    next_us: ends_us + rng.random_range(200_000..3 * SECOND_US),
+                    next_incarnation: incarnation + 100,
+                };
+                entry_changes.extend(random_entry_changes(&mut rng, &departure, incarnation));
+                departures.push(departure);
+                incarnation = departure.next_incarnation;
+                at_us = departure.next_us + rng.random_range(5 * SECOND_US..10 * SECOND_US);
+            }
+        }
+        let registry_outages = (0..rng.random_range(0..4)).map(|_| {
+            let from_us = rng.random_range(5 * SECOND_US..30 * SECOND_US);
+            let instances = match rng.random_bool(0.5) {
+                true => INSTANCES,
+                false => rng.random_range(1..INSTANCES),
+            };
+            let for_us = rng.random_range(SECOND_US..12 * SECOND_US);
+            (instances, from_us, from_us + for_us)
+        });
+        let registry_outages = registry_outages.collect();
+        let named_limits = match rng.random_bool(0.3) {
+            true => scenario.named_limits.clone(),
+            false => Vec::new(),
+        };
+        Self {
+            normal_rate_per_s: scenario.normal_rate_per_s * rng.random_range(1.0..3.0),
+            departures,
+            entry_changes,
+            registry_outages,
+            named_limits,
+            ..scenario
+        }
+    }
+
+    /// The process behind a target's name, and since when it says that it leaves; `None` if there
+    /// is none at that time.
+    fn process(&self, target: usize, at_us: u64) -> Option<(u64, Option<u64>)> {
+        let mut incarnation = target as u64;
+        for departure in &self.departures {
+            if departure.target != target {
+                continue;
+            }
+            if at_us < departure.ends_us {
+                let stated_us = Some(departure.from_us).filter(|from_us| at_us >= *from_us);
+                return Some((incarnation, stated_us));
+            }
+            if at_us < departure.next_us {
+                return None;
+            }
+            incarnation = departure.next_incarnation;
         }
+        Some((incarnation, None))
     }
 
     /// The limit that a target names, in thousandths of a request per second.
@@ -249,6 +365,37 @@
     }
 }
 
+/// What the registry says of a target that leaves.
+fn random_entry_changes(
+    rng: &mut ChaCha8Rng,
+    departure: &StatedDeparture,
+    incarnation: u64,
+) -> Vec<EntryChange> {
+    let target = departure.target;
+    let change = |at_us: u64, entry: Entry| EntryChange {
+        target,
+        at_us,
+        entry,
+    };
+    let mut changes = Vec::new();
+    for _ in 0..rng.random_range(0..4) {
+        let at_us = rng.random_range(departure.from_us..departure.ends_us);
+        let entry = match rng.random_range(0..4) {
+            0 => Entry::Removed,
+            1 => Entry::Present(incarnation, SLOTS as u32, true),
+            2 => Entry::Present(incarnation, SLOTS as u32 - 1, false),
+            _ => Entry::Present(incarnation, SLOTS as u32, false),
+        };
+        changes.push(change(at_us, entry));
+    }
+    if rng.random_bool(0.5) {
+        changes.push(change(departure.ends_us, Entry::Removed));
+    }
+    let next = Entry::Present(departure.next_incarnation, SLOTS as u32, false);
+    changes.push(change(departure.next_us, next));
+    changes
+}
+
 /// One caller, and whether it was served.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CallerRecord {
@@ -268,6 +415,22 @@
     pub(crate) sends: Vec<(u64, bool)>,
     /// Requests that reached targets.
     pub(crate) arrivals: Vec<LimitedArrival>,
+    /// Requests that reached targets whose process had told the instance that it leaves.
+    pub(crate) leaving_arrivals: Vec<LeavingArrival>,
+}
+
+/// A request that reached a target after its process had told the instance that it leaves.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeavingArrival {
+    pub(crate) target: usize,
+    pub(crate) node: usize,
+    pub(crate) at_us: u64,
+    /// When the caller sent the request.
+    pub(crate) sent_us: u64,
+    /// When the instance had first passed on a response that said so.
+    pub(crate) told_us: u64,
+    /// Whether the instance was suspended since.
+    pub(crate) is_excused: bool,
 }
 
 /// A request that reached a target.
@@ -292,10 +455,15 @@
     Stop(usize),
     Start(usize),
     Disturb(usize),
+    ChangeEntry(usize),
 }
 
 struct ActiveRequest {
     node: usize,
+    /// When the caller sent it.
+    began_us: u64,
+    /// Incarnation of the target's process that it has reached.
+    incarnation: Option<u64>,
     exchange: Exchange,
     attempt: usize,
     target: Arc<str>,
@@ -333,6 +501,8 @@
     fault_period: Option<usize>,
     /// When a target first named its limit to an instance, by target and instance.
     told_us: BTreeMap<(usize, usize), u64>,
+    /// When an instance first passed on that a process leaves, by target, incarnation and instance.
+    departure_told_us: BTreeMap<(usize, u64, usize), u64>,
     next_id: u64,
     rng: ChaCha8Rng,
     result: SimulationResult,
@@ -351,6 +521,7 @@
             faulty_targets: BTreeSet::new(),
             fault_period: None,
             told_us: BTreeMap::new(),
+            departure_told_us: BTreeMap::new(),
             next_id: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             result: SimulationResult::default(),
@@ -390,6 +561,7 @@
                 SimEvent::Completion(id) if self.is_paused(id) => self.postpone(id),
                 SimEvent::Completion(id) => self.complete(id),
                 SimEvent::Disturb(number) => self.disturb(number),
+                SimEvent::ChangeEntry(number) => self.change_entry(number),
                 SimEvent::Drain(node) => self.fleet.drain(node),
                 SimEvent::Stop(node) => self.stop(node),
                 SimEvent::Start(node) => self.fleet.start_again(node),
@@ -403,6 +575,12 @@
         for (number, disturbance) in self.scenario.disturbances.clone().iter().enumerate() {
             self.schedule(disturbance.from_us, SimEvent::Disturb(number));
         }
+        for (number, change) in self.scenario.entry_changes.clone().iter().enumerate() {
+            self.schedule(change.at_us, SimEvent::ChangeEntry(number));
+        }
+        for (instances, from_us, until_us) in self.scenario.registry_outages.clone() {
+            self.fleet.block_registry(instances, from_us, until_us);
+        }
         let nodes = (0..INSTANCES).sample(&mut self.rng, restarts_us.len());
         for (node, at_us) in nodes.into_iter().zip(restarts_us) {
             let stop_us = at_us + if self.scenario.kills { 0 } else { STOP_US };
@@ -422,6 +600,17 @@
         }
     }
 
+    fn change_entry(&mut self, number: usize) {
+        let EntryChange { target, entry, .. } = self.scenario.entry_changes[number];
+        match entry {
+            Entry::Removed => self.fleet.remove_entry(target as u64),
+            Entry::Present(incarnation, slots, leaving) => {
+                self.fleet
+                    .put_entry(target as u64, incarnation, slots, leaving)
+            }
+        }
+    }
+
     fn is_paused(&self, id: u64) -> bool {
         let active = self.active_requests.get(&id);
         active.is_some_and(|active| self.fleet.paused_until_us(active.node).is_some())
@@ -450,14 +639,50 @@
             told_us: self.told_us.get(&(target, active.node)).copied(),
             is_excused,
         });
+        let Some(incarnation) = active.incarnation else {
+            return;
+        };
+        let told_us = self
+            .departure_told_us
+            .get(&(target, incarnation, active.node));
+        if let Some(told_us) = told_us {
+            let is_pause = |disturbance: &&Disturbance| {
+                !disturbance.is_cut
+                    && disturbance.instance == active.node
+                    && disturbance.until_us > *told_us
+                    && disturbance.from_us < self.now_us
+            };
+            self.result.leaving_arrivals.push(LeavingArrival {
+                target,
+                node: active.node,
+                at_us: self.now_us,
+                sent_us: active.began_us,
+                told_us: *told_us,
+                is_excused: self.scenario.disturbances.iter().any(|one| is_pause(&one)),
+            });
+        }
+    }
+
+    /// The process behind the target that a request is sent to.
+    fn process_of(&self, target: &str) -> Option<(u64, Option<u64>)> {
+        self.scenario.process(target_number(target), self.now_us)
     }
 
     /// Passes on what the target says about itself in the response to a request.
     fn report_notices(&mut self, active: &ActiveRequest) {
-        if self.scenario.named_limits.is_empty() {
+        let target = target_number(&active.target);
+        let is_leaving = match self.process_of(&active.target) {
+            Some((incarnation, Some(_))) => {
+                self.departure_told_us
+                    .entry((target, incarnation, active.node))
+                    .or_insert(self.now_us);
+                Notice::Stated(true)
+            }
+            _ => Notice::Absent,
+        };
+        if self.scenario.named_limits.is_empty() && is_leaving == Notice::Absent {
             return;
         }
-        let target = target_number(&active.target);
         let limit_milli = self.scenario.limit_milli(target, self.now_us);
         if limit_milli.is_some() {
             self.told_us
@@ -466,7 +691,7 @@
         }
         let notices = TargetNotices {
             rate_limit_milli: limit_milli.map_or(Notice::Absent, Notice::Stated),
-            ..TargetNotices::default()
+            is_leaving,
         };
         let table = active.exchange.table();
         let candidates = table.candidates.iter();
@@ -486,6 +711,8 @@
     fn stop(&mut self, node: usize) {
         self.fleet.stop(node);
         self.told_us.retain(|(_, instance), _| *instance != node);
+        self.departure_told_us
+            .retain(|(_, _, instance), _| *instance != node);
         let active = self.active_requests.iter();
         let lost = active.filter(|(_, active)| active.node == node);
         let lost: Vec<u64> = lost.map(|(id, _)| *id).collect();
@@ -525,6 +752,7 @@
     /// Restarts all instances; their requests in flight are lost.
     fn restart(&mut self) {
         self.fleet.restart();
+        self.departure_told_us.clear();
         for (id, active) in std::mem::take(&mut self.active_requests) {
             self.result.callers[active.caller].is_lost = true;
             self.leave_queue(id, &active.target);
@@ -594,6 +822,8 @@
         };
         let mut active = ActiveRequest {
             node,
+            began_us: self.now_us,
+            incarnation: None,
             exchange: Exchange::new(request, table),
             attempt: 0,
             target: "".into(),
@@ -624,7 +854,18 @@
                     active.sent_us = self.now_us;
                     let table = active.exchange.table();
                     active.target = table.candidates[candidate].target.name.clone();
+                    active.incarnation = self
+                        .process_of(&active.target)
+                        .map(|(incarnation, _)| incarnation);
                     self.record_arrival(&active);
+                    if active.incarnation.is_none() {
+                        step = self.end_failed_attempt(
+                            &mut active,
+                            AttemptEnd::NotSent,
+                            Failure::NotSent,
+                        );
+                        continue;
+                    }
                     let is_faulty = self.faulty_targets.contains(&active.target);
                     if is_faulty && self.rng.random_bool(self.scenario.reset_share) {
                         self.end_failed_attempt(&mut active, AttemptEnd::Cut, Failure::Cut)
@@ -772,8 +1013,13 @@
         let Some(mut active) = self.active_requests.remove(&id) else {
             return;
         };
-        self.release_permit(&mut active);
         self.leave_queue(id, &active.target);
+        let present = self.process_of(&active.target);
+        if present.map(|(incarnation, _)| incarnation) != active.incarnation {
+            let step = self.end_failed_attempt(&mut active, AttemptEnd::Cut, Failure::Cut);
+            return self.handle_step(id, active, step);
+        }
+        self.release_permit(&mut active);
         self.report_notices(&active);
         let latency_us = self.now_us - active.sent_us;
         let good = true;
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod endless;
 mod faulty_targets;
+mod leaving;
 mod notices;
 mod outages;
 mod reload;
