Send nothing to targets that have said that they leave, whatever the registry says

What callers saw: nothing; targets that had said in their responses that they leave got requests until the registry said so too, or for good where it never did. Cause: the sign was not read, and a target was closed by the state of its entry alone. The class: a fact that the counterpart states itself, and that an older word of the registry overrules or forgets. Change: the statement is kept with the process of the target (name and incarnation), apart from its entry and its load counters, so that it outlives both, and is marked on the request path as soon as the response is read. One function judges before each send whether a target is usable (first attempts, retries, hedges, trials, after a permit, once more after the connection is open): nothing goes to a target that leaves while a healthy one stays; if none does, it is used for three quarters of the users' bound and then no more. The first instance that hears it broadcasts it; a new one is told. What others have heard closes nothing. The slots of leaving targets leave capacity, overload and floor; their failures are no evidence. Requests that wait in a queue are refused at once when no target is left to wait for. An instance that relays the response of another learns the target's process from it. Ruled out: closing at the first word of a peer, which would let one wrong word empty a service.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -242,6 +242,11 @@
         &self.table
     }
 
+    /// Whether another instance has handed the request to this one.
+    pub fn is_handed_over(&self) -> bool {
+        self.request.is_handed_over
+    }
+
     /// Identity of the request by its content.
     pub fn fingerprint(&self) -> Fingerprint {
         self.request.fingerprint
@@ -434,10 +439,11 @@
             return self.handle_deadline(now_us, rng);
         }
         let is_permitted = match answer {
-            PermitAnswer::Permitted { .. } => !is_lapsed,
+            PermitAnswer::Permitted { .. } => !is_lapsed && self.table.is_usable(now_us, candidate),
             PermitAnswer::Denied { .. } => false,
             PermitAnswer::Unknown => {
                 !is_limited
+                    && self.table.is_usable(now_us, candidate)
                     && self.denied.is_empty()
                     && rng.random_bool(self.table.load.overload.servable_share())
             }
--- a/policy/src/exchange/retries.rs
+++ b/policy/src/exchange/retries.rs
@@ -168,7 +168,10 @@
         let is_left = self.attempts.len() - self.unsent_attempts < self.request.max_attempts
             && self.unsent_attempts < MAX_UNSENT_ATTEMPTS
             && now_us < self.request.deadline_us
-            && self.tried.len() < self.table.candidates.len();
+            && self
+                .table
+                .usable(now_us)
+                .any(|(index, _)| !self.tried.contains(&index));
         if !is_left {
             self.retry_denial = Some(RetryDenial::NoAttemptLeft);
         }
--- a/policy/src/instance/alerts.rs
+++ b/policy/src/instance/alerts.rs
@@ -104,6 +104,11 @@
         else {
             return;
         };
+        if load.is_leaving() {
+            // What fails at a target that leaves tells nothing about its service.
+            load.record_signal(now_us, signal);
+            return;
+        }
         let alert = |signal| Alert {
             target: target.name.clone(),
             incarnation: target.incarnation,
@@ -275,7 +280,7 @@
             return false;
         };
         let healthy_slots = f64::from(table.healthy_slots(now_us));
-        healthy_slots > MIN_HEALTHY_SHARE_FOR_SILENCE * f64::from(table.slots())
+        healthy_slots > MIN_HEALTHY_SHARE_FOR_SILENCE * f64::from(table.slots(now_us))
     }
 
     fn broadcast_alerts(&mut self, now_us: u64, alerts: &[Alert], ids: &[Arc<str>]) {
--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -235,7 +235,7 @@
             load.local_slots.store(local_slots, Ordering::Relaxed);
             let was_overloaded = load.overload.is_overloaded();
             demand.load_estimate =
-                demand.load_estimate(mean, members, table.slots(), was_overloaded);
+                demand.load_estimate(mean, members, table.slots(now_us), was_overloaded);
             services.push(name.clone());
         }
         for service in services {
--- a/policy/src/instance/evidence.rs
+++ b/policy/src/instance/evidence.rs
@@ -49,6 +49,9 @@
         if self.evidence == EvidenceSharing::Alerts {
             return self.record_attempt_end(now_us, &service, &load, observation);
         }
+        if load.is_leaving() {
+            return;
+        }
         let tally = match observation.end {
             AttemptEnd::Answered { good, latency_us } => {
                 let tally = self.observer.classify(&service.name, good, latency_us);
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -22,7 +22,6 @@
 use super::Settings;
 use super::Shared;
 use super::demand::Demand;
-use super::departures::Departures;
 use super::fleet_load::FleetLoad;
 use super::freeze_recovery::FreezeRecovery;
 use super::latency_sharing::LatencySharing;
@@ -94,7 +93,6 @@
     pub(super) latency_sharing: LatencySharing,
     pub(super) retry_loans: RetryLoans,
     pub(super) quarantine: Quarantine,
-    pub(super) departures: Departures,
     pub(super) lag: Lag,
     /// The last peer that sent newer versions than this instance has, and these versions.
     pub(super) peer_ahead: Option<(Arc<str>, KnownVersions)>,
@@ -147,6 +145,7 @@
             table_builder: TableBuilder::new(
                 shared.table_freshness().clone(),
                 shared.quarantine().clone(),
+                settings.departure_limit_us,
             ),
             routing_table: RoutingTable::default(),
             shared,
@@ -162,7 +161,6 @@
             latency_sharing: LatencySharing::default(),
             retry_loans: RetryLoans::default(),
             quarantine: Quarantine::default(),
-            departures: Departures::default(),
             lag: Lag::default(),
             peer_ahead: None,
             logged_invalid_release: 0,
@@ -268,6 +266,7 @@
             self.tick_evidence(now_us);
         }
         self.tick_quarantine(now_us);
+        self.forget_old_departures(now_us);
         self.update_readiness();
     }
 
@@ -427,12 +426,17 @@
                 self.send_suspects(now_us, &from);
                 self.send_latency_profiles(now_us, &from);
                 self.send_rate_limits(now_us, &from);
+                self.send_departures(now_us, &from);
                 self.send_crash_cases(now_us, &from);
             }
             Message::Suspects(suspects) => self.merge_suspects(now_us, &suspects),
             Message::RateLimits { limits, id_range } => {
                 self.handle_rate_limits(now_us, &limits, id_range.as_ref())
             }
+            Message::Departures {
+                processes,
+                id_range,
+            } => self.handle_departures(now_us, &from, &processes, id_range.as_ref()),
             Message::MemberChanged { member, id_range } => {
                 self.handle_member_change(now_us, &member, id_range.as_ref())
             }
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -192,6 +192,13 @@
     PullSuspects,
     /// Targets with a raised failure probability at the sender.
     Suspects(Vec<SuspectTarget>),
+    /// Targets have said that they leave.
+    Departures {
+        /// Their processes.
+        processes: Vec<TargetProcess>,
+        /// Ids to which the receiver forwards the message.
+        id_range: Option<IdRange>,
+    },
     /// Rate limits that targets have named, changed or ended.
     RateLimits {
         /// The limits.
--- a/policy/src/instance/notices.rs
+++ b/policy/src/instance/notices.rs
@@ -11,7 +11,7 @@
     pub(super) fn handle_notices(&mut self, now_us: u64, noticed: &NoticedTarget) {
         let notices = noticed.notices;
         if notices.is_leaving == Notice::Stated(true) {
-            self.record_stated_departure(&noticed.process);
+            self.record_stated_departure(now_us, &noticed.process);
         }
         self.apply_rate_limit_notice(now_us, noticed);
         if notices.has_unreadable() {
--- a/policy/src/instance/settings.rs
+++ b/policy/src/instance/settings.rs
@@ -5,6 +5,7 @@
 use model::configuration::Target;
 
 use crate::membership::Member;
+use crate::routing::DEFAULT_DEPARTURE_LIMIT_US;
 
 /// Identity and modes of an instance.
 #[derive(Clone, Debug)]
@@ -22,6 +23,8 @@
     /// Retries to a service that all instances together may make in ten seconds in addition
     /// to the share of first attempts; if `None`, each instance has its own reserve.
     pub shared_retry_reserve: Option<f64>,
+    /// Time for which a target takes requests after it has said that it leaves, in microseconds.
+    pub departure_limit_us: u64,
 }
 
 /// How instances learn which targets fail.
@@ -55,6 +58,7 @@
             evidence: EvidenceSharing::Owners,
             source: ConfigurationSource::Notes,
             shared_retry_reserve: None,
+            departure_limit_us: DEFAULT_DEPARTURE_LIMIT_US,
         }
     }
 }
--- a/policy/src/instance/table_builder.rs
+++ b/policy/src/instance/table_builder.rs
@@ -8,6 +8,7 @@
 use model::configuration::Target;
 
 use super::TargetRateLimit;
+use super::departures::Departures;
 use super::settings::can_share_load;
 use crate::evidence::DecisionTable;
 use crate::limits::RetryBudget;
@@ -29,6 +30,9 @@
     services: BTreeMap<Arc<str>, Arc<ServiceLoad>>,
     table_freshness: Arc<TableFreshness>,
     quarantine: Arc<QuarantineView>,
+    /// The processes that leave by their own word.
+    pub(super) departures: Departures,
+    departure_limit_us: u64,
     /// Maximum retries to a service that this instance accumulates.
     pub(super) retry_reserve: Option<f64>,
     pub(super) choice_strategy: ChoiceStrategy,
@@ -39,10 +43,12 @@
     pub(super) fn new(
         table_freshness: Arc<TableFreshness>,
         quarantine: Arc<QuarantineView>,
+        departure_limit_us: u64,
     ) -> Self {
         Self {
             table_freshness,
             quarantine,
+            departure_limit_us,
             ..Self::default()
         }
     }
@@ -58,10 +64,16 @@
             Some((old, load)) if can_share_load(old, target) => load.clone(),
             replaced => {
                 // Tables still in use may refer to the target's former address or process.
-                if let Some((_, load)) = replaced {
+                if let Some((former, load)) = replaced {
                     load.close();
+                    if former.address != target.address {
+                        self.departures.forget_unknown(&TargetProcess::of(target));
+                    }
                 }
-                Arc::new(TargetLoad::new(target.slots))
+                let load = TargetLoad::new(target.slots);
+                let load = load.with_departure_limit(self.departure_limit_us);
+                self.departures.apply(&TargetProcess::of(target), &load);
+                Arc::new(load)
             }
         };
         if target.leaving {
@@ -125,18 +137,25 @@
         own_data_centre: &str,
     ) -> Arc<ServiceTable> {
         let targets: Vec<Arc<Target>> = configuration.targets_of(&service.name).cloned().collect();
-        let targets_with_health = targets
-            .iter()
-            .map(|target| {
-                let health = decision_table.health(&target.name);
-                let local_evidence = self.load_of(target).local_evidence();
-                (target.clone(), health, local_evidence)
-            })
-            .collect();
-        let set = enforce_floor(service, targets_with_health);
+        let targets_with_health = targets.iter().map(|target| {
+            let health = decision_table.health(&target.name);
+            let local_evidence = self.load_of(target).local_evidence();
+            (target.clone(), health, local_evidence)
+        });
+        let targets_with_health: Vec<_> = targets_with_health.collect();
+        // Targets that leave by their own word are candidates for the case that no other is left,
+        // but count for no floor.
+        let (leaving, staying) = targets_with_health
+            .into_iter()
+            .partition(|(target, _, _)| self.load_of(target).is_leaving());
+        let leaving: Vec<_> = leaving;
+        let leaving = leaving.into_iter().filter(|(target, _, _)| !target.leaving);
+        let leaving = leaving.map(|(target, health, _)| (target, health));
+        let set = enforce_floor(service, staying);
         let candidates = set
             .members
             .into_iter()
+            .chain(leaving)
             .map(|(target, health)| Candidate {
                 load: self.load_of(&target),
                 is_local: *target.data_centre == *own_data_centre,
--- a/policy/src/routing/candidate.rs
+++ b/policy/src/routing/candidate.rs
@@ -45,6 +45,12 @@
         base * (1.0 - LOCAL_EVIDENCE_WEIGHT * self.load.local_evidence())
     }
 
+    /// Whether the target is good enough for any request.
+    pub fn is_healthy(&self, now_us: u64) -> bool {
+        !matches!(self.health, HealthState::Ejected | HealthState::Trial)
+            && self.load.is_healthy(now_us)
+    }
+
     /// Rank for requests that may not be repeated; 0 is best.
     pub fn rank(&self) -> u8 {
         match self.health {
--- a/policy/src/routing/choice.rs
+++ b/policy/src/routing/choice.rs
@@ -51,9 +51,9 @@
     ) -> Choice {
         let repeatable = choice_params.repeatable;
         let untried = |index: &usize| !choice_params.tried.contains(index);
-        let open: Vec<usize> = (0..self.candidates.len())
+        let usable = self.usable(now_us).map(|(index, _)| index);
+        let open: Vec<usize> = usable
             .filter(untried)
-            .filter(|index| !self.candidates[*index].load.is_closed())
             .filter(|index| repeatable || self.candidates[*index].health != HealthState::Trial)
             .filter(|index| {
                 let load = &self.candidates[*index].load;
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -49,8 +49,16 @@
     has_unreadable_notice: AtomicBool,
     /// When the target first said to this instance that it leaves; [`NEVER_US`] if it has not.
     departure_stated_us: AtomicU64,
+    /// Whether another instance has heard so.
+    is_departure_reported: AtomicBool,
+    /// Time for which the target takes requests after it has said so, in microseconds.
+    departure_limit_us: u64,
 }
 
+/// Time for which a target takes requests after it has said that it leaves, unless set otherwise,
+/// in microseconds.
+pub const DEFAULT_DEPARTURE_LIMIT_US: u64 = 1_500_000;
+
 /// Stands for a time that has not come, in microseconds.
 const NEVER_US: u64 = u64::MAX;
 
@@ -82,6 +90,16 @@
             denied_until_us: AtomicU64::new(0),
             has_unreadable_notice: AtomicBool::new(false),
             departure_stated_us: AtomicU64::new(NEVER_US),
+            is_departure_reported: AtomicBool::new(false),
+            departure_limit_us: DEFAULT_DEPARTURE_LIMIT_US,
+        }
+    }
+
+    /// Sets the time for which the target takes requests after it has said that it leaves.
+    pub fn with_departure_limit(self, departure_limit_us: u64) -> Self {
+        Self {
+            departure_limit_us,
+            ..self
         }
     }
 
@@ -91,6 +109,17 @@
             .fetch_min(stated_us, Ordering::AcqRel);
     }
 
+    /// Records that another instance has heard that the target leaves.
+    pub fn report_departure(&self) {
+        self.is_departure_reported.store(true, Ordering::Release);
+    }
+
+    /// Whether the target leaves by its own word, heard here or by another instance.
+    pub fn is_leaving(&self) -> bool {
+        self.is_departure_reported.load(Ordering::Acquire)
+            || self.departure_stated_us.load(Ordering::Acquire) != NEVER_US
+    }
+
     /// Time since the target first said to this instance that it leaves, in microseconds; `None`
     /// if it has not.
     pub fn leaving_for_us(&self, now_us: u64) -> Option<u64> {
@@ -209,7 +238,7 @@
 
     /// Acquires a slot, or returns `None` if the target has no room or is closed.
     pub fn take(self: &Arc<Self>, now_us: u64) -> Option<Slot> {
-        if !self.has_room(now_us) || self.closed.load(Ordering::Acquire) {
+        if !self.has_room(now_us) || self.is_closed(now_us) {
             return None;
         }
         let limit = (self.limit_milli.load(Ordering::Relaxed) / MILLI).max(1);
@@ -220,7 +249,7 @@
         Some(Slot { load: self.clone() })
     }
 
-    /// Stops new requests to the target, as it is leaving.
+    /// Stops new requests to the target, as the registry says that it leaves or is gone.
     pub fn close(&self) {
         self.closed.store(true, Ordering::Release);
     }
@@ -230,9 +259,12 @@
         self.closed.store(false, Ordering::Release);
     }
 
-    /// Whether the target is leaving.
-    pub fn is_closed(&self) -> bool {
-        self.closed.load(Ordering::Acquire)
+    /// Whether the target takes no new requests: the registry says so, or it has said itself that
+    /// it leaves and the time for last requests has passed. What other instances have heard closes
+    /// no target.
+    pub fn is_closed(&self, now_us: u64) -> bool {
+        let departed = |leaving_us| leaving_us >= self.departure_limit_us;
+        self.closed.load(Ordering::Acquire) || self.leaving_for_us(now_us).is_some_and(departed)
     }
 
     /// Records the latency of a response, and raises the concurrency limit.
--- a/policy/src/routing/mod.rs
+++ b/policy/src/routing/mod.rs
@@ -16,6 +16,7 @@
 pub use choice::ChoiceParams;
 pub use floor::RoutingSet;
 pub use floor::enforce_floor;
+pub use load::DEFAULT_DEPARTURE_LIMIT_US;
 pub use load::ServiceLoad;
 pub use load::Slot;
 pub use load::TargetLoad;
--- a/policy/src/routing/service_table.rs
+++ b/policy/src/routing/service_table.rs
@@ -65,11 +65,45 @@
         self.choice_strategy == ChoiceStrategy::FailureProbability
     }
 
-    /// Slots of all candidates.
-    pub fn slots(&self) -> u32 {
-        self.candidates
-            .iter()
-            .map(|candidate| candidate.target.slots)
+    /// The candidates that requests may be sent to, each with its index. Targets that leave by their
+    /// own word are among them only while no healthy one stays.
+    pub fn usable(&self, now_us: u64) -> impl Iterator<Item = (usize, &Candidate)> {
+        let avoids_leaving = self.candidates.iter().any(|candidate| {
+            let stays = !candidate.load.is_leaving() && !candidate.load.is_closed(now_us);
+            stays && candidate.is_healthy(now_us)
+        });
+        let candidates = self.candidates.iter().enumerate();
+        candidates.filter(move |(_, candidate)| {
+            let is_avoided = avoids_leaving && candidate.load.is_leaving();
+            !is_avoided && !candidate.load.is_closed(now_us)
+        })
+    }
+
+    /// Whether requests may be sent to a candidate.
+    pub fn is_usable(&self, now_us: u64, index: usize) -> bool {
+        let load = &self.candidates[index].load;
+        match load.is_leaving() {
+            true => self.usable(now_us).any(|(usable, _)| usable == index),
+            false => !load.is_closed(now_us),
+        }
+    }
+
+    /// Number of waiting requests that can be sent or refused now: one for each target with room,
+    /// or all if there is no target to wait for.
+    pub fn decidable(&self, now_us: u64, waiting: usize) -> usize {
+        let mut usable = self.usable(now_us).peekable();
+        if usable.peek().is_none() {
+            return waiting;
+        }
+        usable
+            .filter(|(_, candidate)| candidate.load.has_room(now_us))
+            .count()
+    }
+
+    /// Slots of the candidates that requests may be sent to.
+    pub fn slots(&self, now_us: u64) -> u32 {
+        self.usable(now_us)
+            .map(|(_, candidate)| candidate.target.slots)
             .sum()
     }
 }
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -83,7 +83,7 @@
             })
             .collect();
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let (healthy, suspect) = ranked.split_at(self.working_set_len(&ranked));
+        let (healthy, suspect) = ranked.split_at(self.working_set_len(now_us, &ranked));
         // During an overload, permits limit the queues, so a healthy target is tried first.
         if choice_params.repeatable
             && choice_params.tried.is_empty()
@@ -152,13 +152,13 @@
     }
 
     /// Number of targets in the working set; `ranked` is sorted by failure probability.
-    fn working_set_len(&self, ranked: &[(f64, usize)]) -> usize {
+    fn working_set_len(&self, now_us: u64, ranked: &[(f64, usize)]) -> usize {
         let is_any_healthy = ranked.first().is_some_and(|(failure_probability, _)| {
             *failure_probability <= MAX_HEALTHY_PROBABILITY
         });
         let min_slots = match is_any_healthy {
             true => 0,
-            false => (f64::from(self.slots()) * MIN_WORKING_SHARE) as u32,
+            false => (f64::from(self.slots(now_us)) * MIN_WORKING_SHARE) as u32,
         };
         let mut slots = 0;
         let mut len = 0;
@@ -205,9 +205,10 @@
     /// Time until the first target takes requests again, in microseconds, if all are paused;
     /// `None` otherwise.
     pub fn pause_left_us(&self, now_us: u64) -> Option<u64> {
-        let open = self.candidates.iter();
-        let open = open.filter(|candidate| !candidate.load.is_closed());
-        let until_us = open.map(|candidate| candidate.load.paused_until_us()).min();
+        let usable = self.usable(now_us);
+        let until_us = usable
+            .map(|(_, candidate)| candidate.load.paused_until_us())
+            .min();
         let left_us = until_us?.saturating_sub(now_us);
         (left_us > 0).then_some(left_us)
     }
@@ -236,20 +237,14 @@
         denied: &[usize],
         rng: &mut impl Rng,
     ) -> Option<(usize, Slot)> {
-        let is_available = |index: &usize| {
-            let load = &self.candidates[*index].load;
+        let is_available = |(index, candidate): &(usize, &Candidate)| {
             !denied.contains(index)
                 && !choice_params.tried.contains(index)
-                && !load.is_closed()
-                && load.has_room(now_us)
+                && candidate.load.has_room(now_us)
         };
-        let available = (0..self.candidates.len()).filter(is_available);
-        let available = available.map(|index| {
-            (
-                self.candidates[index].load.failure_probability(now_us),
-                index,
-            )
-        });
+        let available = self.usable(now_us).filter(is_available);
+        let available =
+            available.map(|(index, candidate)| (candidate.load.failure_probability(now_us), index));
         let (mut suspect, healthy): (Vec<_>, Vec<_>) = available
             .partition(|(failure_probability, _)| *failure_probability > MAX_HEALTHY_PROBABILITY);
         suspect.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -264,10 +259,8 @@
 
     /// The healthy targets.
     fn healthy(&self, now_us: u64) -> impl Iterator<Item = &Candidate> {
-        let candidates = self.candidates.iter();
-        candidates.filter(move |candidate| {
-            !candidate.load.is_closed() && candidate.load.is_healthy(now_us)
-        })
+        let usable = self.usable(now_us).map(|(_, candidate)| candidate);
+        usable.filter(move |candidate| candidate.load.is_healthy(now_us))
     }
 
     /// Utilization of a set of targets if it carries all of the load.
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -494,3 +494,59 @@
     let step = HandOver::new(false).record(HelperOutcome::NotSent, false);
     assert_eq!(step, HandOverStep::End(Event::HandOverRefused));
 }
+
+#[test]
+fn a_permit_for_a_target_that_now_leaves_sends_the_request_to_another() {
+    let mut run = overloaded_run(Repeat::Never);
+    let Step::RequestPermit { candidate } = run.on(Event::Begin) else {
+        panic!("expected a permit request");
+    };
+    let load = run.exchange.table().candidates[candidate].load.clone();
+    load.record_departure(NOW_US);
+    let permitted = Event::Permit(PermitAnswer::Permitted { in_flight: 0 });
+    let Step::RequestPermit { candidate: other } = run.on(permitted) else {
+        panic!("expected another permit request");
+    };
+    assert_ne!(other, candidate);
+}
+
+#[test]
+fn a_hedge_and_a_retry_avoid_targets_that_leave() {
+    for event in [
+        Event::HedgeDue,
+        Event::Failed {
+            attempt: 0,
+            failure: Failure::Cut,
+        },
+    ] {
+        let mut run = Run::new(Repeat::Idempotent, false);
+        let Step::Send {
+            candidate: first, ..
+        } = run.on(Event::Begin)
+        else {
+            panic!("expected an attempt");
+        };
+        let table = run.exchange.table().clone();
+        let others: Vec<usize> = (0..3).filter(|index| *index != first).collect();
+        table.candidates[others[0]].load.record_departure(NOW_US);
+        let step = run.on(event);
+        let Step::Send { candidate, .. } = step else {
+            panic!("expected an attempt, got {step:?}");
+        };
+        assert_eq!(candidate, others[1]);
+    }
+}
+
+#[test]
+fn a_request_whose_targets_have_all_left_is_refused_at_once_as_not_run() {
+    let mut run = Run::new(Repeat::Never, false);
+    for candidate in &run.exchange.table().candidates {
+        candidate.load.record_departure(0);
+    }
+    let left_us = 2 * NOW_US;
+    let step = run.exchange.on(left_us, Event::Begin, &mut run.rng);
+    assert!(
+        is_reply(step, ResultCode::NoTarget, Outcome::NotRun),
+        "{step:?}"
+    );
+}
--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -667,7 +667,7 @@
         let table = node.instance.shared().table();
         let service = &table.services["gates"];
         let open = service.candidates.iter();
-        let open = open.filter(|candidate| !candidate.load.is_closed());
+        let open = open.filter(|candidate| !candidate.load.is_closed(self.now_us));
         let open: Vec<&Arc<str>> = open.map(|candidate| &candidate.target.name).collect();
         self.min_targets_in_use = self.min_targets_in_use.min(open.len());
         for (name, acknowledged_us) in &self.registry.leaving {
--- a/policy/tests/fleet/leaving.rs
+++ b/policy/tests/fleet/leaving.rs
@@ -97,10 +97,11 @@
     let older = fleet.table(0);
     fleet.restart_target(3);
     fleet.run(5 * SECOND_US);
+    let now_us = fleet.now_us();
     let is_closed = |table: &RoutingTable| {
         let mut candidates = table.services["gates"].candidates.iter();
         let target = candidates.find(|candidate| &*candidate.target.name == "t003");
-        target.map(|target| target.load.is_closed())
+        target.map(|target| target.load.is_closed(now_us))
     };
     assert_eq!(is_closed(&older), Some(true));
     assert_eq!(is_closed(&fleet.table(0)), Some(false));
--- a/policy/tests/fleet/membership.rs
+++ b/policy/tests/fleet/membership.rs
@@ -79,7 +79,8 @@
         fleet.run(7 * SECOND_US + FIRST_ANSWERS_US);
         let table = fleet.table(0);
         let service = &table.services["gates"];
-        let has_suspects = service.healthy_slots(fleet.now_us()) < service.slots() / 2;
+        let has_suspects =
+            service.healthy_slots(fleet.now_us()) < service.slots(fleet.now_us()) / 2;
         assert_eq!(
             service.load.overload.is_overloaded(),
             has_suspects,
--- a/policy/tests/notes.rs
+++ b/policy/tests/notes.rs
@@ -252,7 +252,7 @@
         Arc::ptr_eq(&before, after),
         "the target's counters are replaced"
     );
-    assert!(!after.is_closed());
+    assert!(!after.is_closed(2));
 }
 
 fn service() -> Service {
--- a/policy/tests/target_choice.rs
+++ b/policy/tests/target_choice.rs
@@ -12,6 +12,7 @@
 use policy::routing::Choice;
 use policy::routing::ChoiceParams;
 use policy::routing::ChoiceStrategy;
+use policy::routing::DEFAULT_DEPARTURE_LIMIT_US;
 use policy::routing::ServiceLoad;
 use policy::routing::ServiceTable;
 use policy::routing::TargetLoad;
@@ -246,3 +247,72 @@
         choose(&table, 0, false, &mut rng);
     }
 }
+
+#[test]
+fn a_target_that_leaves_by_its_own_word_gets_nothing_while_a_healthy_one_stays() {
+    let table = table(3, 0);
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    table.candidates[0].load.record_departure(SECOND_US);
+    table.candidates[1].load.report_departure();
+    assert_eq!(table.slots(SECOND_US), 6);
+    assert_eq!(table.healthy_slots(SECOND_US), 6);
+    for at_ms in 1_000..2_000 {
+        assert_eq!(choose(&table, at_ms * 1_000, at_ms % 2 == 0, &mut rng), 2);
+    }
+}
+
+#[test]
+fn targets_that_all_leave_are_used_until_their_time_limits() {
+    let table = table(2, 0);
+    let mut rng = ChaCha8Rng::seed_from_u64(12);
+    for candidate in &table.candidates {
+        candidate.load.record_departure(SECOND_US);
+    }
+    let last_us = SECOND_US + DEFAULT_DEPARTURE_LIMIT_US - 1;
+    choose(&table, last_us, false, &mut rng);
+    assert_eq!(table.slots(last_us), 12);
+    let choice_params = ChoiceParams {
+        repeatable: true,
+        left_us: 8 * SECOND_US,
+        tried: &[],
+        only_unlimited: false,
+    };
+    let choice = table.choose(last_us + 1, choice_params, &mut rng);
+    assert!(matches!(choice, Choice::NoTarget), "{choice:?}");
+    assert_eq!(table.slots(last_us + 1), 0);
+}
+
+#[test]
+fn what_other_instances_have_heard_closes_no_target() {
+    let table = table(2, 0);
+    let mut rng = ChaCha8Rng::seed_from_u64(13);
+    for candidate in &table.candidates {
+        candidate.load.report_departure();
+    }
+    choose(&table, 3_600 * SECOND_US, false, &mut rng);
+}
+
+#[test]
+fn a_target_that_leaves_is_used_while_all_others_are_suspect() {
+    let table = table(2, 0);
+    let mut rng = ChaCha8Rng::seed_from_u64(14);
+    table.candidates[0].load.record_departure(SECOND_US);
+    table.candidates[1]
+        .load
+        .record_signal(SECOND_US, Signal::Reset);
+    assert_eq!(choose(&table, SECOND_US, false, &mut rng), 0);
+    let closed_us = SECOND_US + DEFAULT_DEPARTURE_LIMIT_US;
+    assert_eq!(choose(&table, closed_us, false, &mut rng), 1);
+}
+
+#[test]
+fn waiting_requests_are_decided_at_once_when_there_is_no_target_to_wait_for() {
+    let table = table(2, 0);
+    assert_eq!(table.decidable(SECOND_US, 9), 2);
+    table.candidates[0].load.record_shed(SECOND_US, SECOND_US);
+    assert_eq!(table.decidable(SECOND_US, 9), 1);
+    for candidate in &table.candidates {
+        candidate.load.record_departure(0);
+    }
+    assert_eq!(table.decidable(2 * SECOND_US, 9), 9);
+}
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -676,6 +676,7 @@
         | Message::PermitAnswer { .. }
         | Message::RegisterPermits { .. }
         | Message::RateLimits { .. }
+        | Message::Departures { .. }
         | Message::ReleasePermit { .. }
         | Message::BorrowRetry { .. }
         | Message::RetryAnswer { .. } => "permits",
--- a/sniperund/src/app/environment.rs
+++ b/sniperund/src/app/environment.rs
@@ -15,6 +15,7 @@
 use platform::UsersHeaderProtocol;
 use platform::UsersRegistry;
 use policy::instance::RetryLimits;
+use policy::routing::DEFAULT_DEPARTURE_LIMIT_US;
 
 use super::app::LAST_ANSWERS_TIME;
 use crate::Settings;
@@ -68,6 +69,8 @@
     /// Retries to a service that all instances together may make within ten seconds in addition to
     /// the retry share; if `None`, each instance has its own reserve.
     pub shared_retry_reserve: Option<f64>,
+    /// Time for which a target gets requests after it has said that it leaves, in microseconds.
+    pub departure_limit_us: u64,
     /// Time limit for shutdown, counted from the stop signal, in milliseconds; `None` waits for
     /// all requests without a limit.
     pub stop_limit_ms: Option<u64>,
@@ -86,6 +89,7 @@
             registry: None,
             ready: None,
             shared_retry_reserve: None,
+            departure_limit_us: DEFAULT_DEPARTURE_LIMIT_US,
             stop_limit_ms: None,
         }
     }
@@ -107,6 +111,7 @@
                 path: platform::READY_PATH,
             }),
             shared_retry_reserve: Some(retries.reserve),
+            departure_limit_us: users_departure_limit_us(boot),
             stop_limit_ms: Some(users_stop_limit_ms(boot)),
         }
     }
@@ -120,6 +125,12 @@
     }
 }
 
+/// Returns the time for which a target gets requests after it has said that it leaves, in
+/// microseconds: shorter than the users' bound by the time that a request needs to reach it.
+fn users_departure_limit_us(boot: &BootSettings) -> u64 {
+    boot.departure_limit_ms * 1_000 * 3 / 4
+}
+
 /// Returns the time limit for shutdown on the users' machines, in milliseconds from the stop
 /// signal.
 ///
--- a/sniperund/src/app/reloader.rs
+++ b/sniperund/src/app/reloader.rs
@@ -153,6 +153,10 @@
     changes.require_restart_unless("peer_port", updated.peer_port == running.peer_port);
     changes.require_restart_unless("seeds", updated.seeds == running.seeds);
     changes.require_restart_unless("cores", updated.cores == running.cores);
+    changes.require_restart_unless(
+        "departure_limit",
+        updated.departure_limit_ms == running.departure_limit_ms,
+    );
     changes.require_restart_unless("floor_share", updated.floor_share == running.floor_share);
     changes
 }
--- a/sniperund/src/callers/crash_check.rs
+++ b/sniperund/src/callers/crash_check.rs
@@ -43,7 +43,7 @@
     /// Opens a connection to the target and reports a crash if it is refused. The end of a target
     /// that leaves is no crash.
     pub(super) fn start(self, proxy_state: &Arc<ProxyState>) {
-        if self.load.is_closed() {
+        if self.load.is_leaving() || self.load.is_closed(proxy_state.clock.now_us()) {
             return;
         }
         let proxy_state = proxy_state.clone();
--- a/sniperund/src/callers/hand_over.rs
+++ b/sniperund/src/callers/hand_over.rs
@@ -7,18 +7,24 @@
 use std::sync::Arc;
 
 use http_body_util::BodyExt;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use model::ResultCode;
+use model::configuration::Target;
+use policy::Input;
 use policy::exchange::Event;
 use policy::exchange::HandOver;
 use policy::exchange::HandOverStep;
 use policy::exchange::HelperOutcome;
+use policy::exchange::Notice;
+use policy::exchange::NoticedTarget;
 use policy::exchange::Step;
-use rand::seq::IndexedRandom;
+use policy::exchange::TargetNotices;
+use policy::routing::TargetProcess;
 use rand::seq::IteratorRandom;
 
 use super::body::BoxError;
@@ -155,6 +161,7 @@
         let _ = self.handle_event(Event::HandedOver);
         let (mut parts, incoming) = response.into_parts();
         remove_hop_by_hop(&mut parts.headers);
+        self.report_relayed_notices(&mut parts.headers);
         if self.proxy_state.control.shared().table().draining {
             let close = HeaderValue::from_static("close");
             parts.headers.insert(CONNECTION, close);
@@ -164,6 +171,34 @@
         Response::from_parts(parts, RelayedBody::new(body, connection, guards).boxed())
     }
 
+    /// Reports what a target has said about itself in a response that another instance relays, as
+    /// this instance passes it on too. The headers that name the target are removed.
+    fn report_relayed_notices(&self, headers: &mut HeaderMap) {
+        let Some(process) = take_process(headers) else {
+            return;
+        };
+        let header_protocol = &self.proxy_state.header_protocol;
+        let is_leaving = header_protocol.parse_target_notices(headers).is_leaving;
+        if is_leaving != Notice::Stated(true) {
+            return;
+        }
+        let now_us = self.proxy_state.clock.now_us();
+        let candidates = &self.request.exchange.table().candidates;
+        let mut candidates = candidates.iter();
+        let is_same = |target: &Target| TargetProcess::of(target) == process;
+        if let Some(candidate) = candidates.find(|candidate| is_same(&candidate.target)) {
+            candidate.load.record_departure(now_us);
+        }
+        self.proxy_state.control.send(Input::Noticed(NoticedTarget {
+            process,
+            sent_us: self.request.began_us,
+            notices: TargetNotices {
+                is_leaving,
+                ..TargetNotices::default()
+            },
+        }));
+    }
+
     /// Connects to a target from time to time, to find out when the link is back.
     pub(super) fn probe_target(&self) {
         let now_us = self.proxy_state.clock.now_us();
@@ -171,13 +206,15 @@
         if !table.load.reachability.take_probe(now_us) {
             return;
         }
-        let Some(candidate) = table.candidates.choose(&mut rand::rng()).cloned() else {
+        let usable = table.usable(now_us).map(|(index, _)| index);
+        let Some(candidate) = usable.choose(&mut rand::rng()) else {
             return;
         };
         let proxy_state = self.proxy_state.clone();
         tokio::spawn(async move {
-            let opened = Connection::open(candidate.target.address).await;
-            record_connection(&table, &candidate.target.name, opened.is_ok());
+            let opened = Connection::open(table.candidates[candidate].target.address).await;
+            let now_us = proxy_state.clock.now_us();
+            record_connection(now_us, &table, candidate, opened.is_ok());
             if let Ok(connection) = opened {
                 proxy_state.pool.put_back(connection);
             }
@@ -195,6 +232,24 @@
     }
 }
 
+/// Names the process of the target that has responded to a request of another instance.
+pub(super) fn insert_process(target: &Target, headers: &mut HeaderMap) {
+    let Ok(name) = HeaderValue::from_str(&target.name) else {
+        return;
+    };
+    headers.insert(names::TARGET, name);
+    headers.insert(names::INCARNATION, target.incarnation.into());
+}
+
+fn take_process(headers: &mut HeaderMap) -> Option<TargetProcess> {
+    let target = headers.remove(names::TARGET)?;
+    let incarnation = headers.remove(names::INCARNATION)?;
+    Some(TargetProcess {
+        target: target.to_str().ok()?.into(),
+        incarnation: incarnation.to_str().ok()?.parse().ok()?,
+    })
+}
+
 /// Tells refusals of the other instance, which have a result code, from responses of targets.
 fn response_outcome(response: &Response<Incoming>) -> HelperOutcome {
     let code = response.headers().get(names::CODE);
--- a/sniperund/src/callers/headers.rs
+++ b/sniperund/src/callers/headers.rs
@@ -16,6 +16,10 @@
     pub const TICKET: &str = "sniperun-ticket";
     /// Marks a request that another instance has relayed.
     pub const RELAYED: &str = "sniperun-relayed";
+    /// Target that has responded to a relayed request.
+    pub const TARGET: &str = "sniperun-target";
+    /// Incarnation of that target's process.
+    pub const INCARNATION: &str = "sniperun-target-incarnation";
     /// Outcome of the request: whether it has run, or that this is unknown.
     pub const OUTCOME: &str = "sniperun-outcome";
     /// Number of the result code.
--- a/sniperund/src/callers/reachability_log.rs
+++ b/sniperund/src/callers/reachability_log.rs
@@ -1,11 +1,18 @@
 //! Records and logs whether this instance reaches the targets of a service.
 
-use std::sync::Arc;
-
+use policy::routing::Candidate;
 use policy::routing::ServiceTable;
 
-/// Records whether a connection to a target could be opened.
-pub(super) fn record_connection(table: &ServiceTable, target: &Arc<str>, is_open: bool) {
+/// Records whether a connection to a candidate could be opened. The end of a target that leaves
+/// tells nothing about the link.
+pub(super) fn record_connection(
+    now_us: u64,
+    table: &ServiceTable,
+    candidate: usize,
+    is_open: bool,
+) {
+    let Candidate { target, load, .. } = &table.candidates[candidate];
+    let target = &target.name;
     let service = &table.service.name;
     let reachability = &table.load.reachability;
     if is_open {
@@ -14,7 +21,10 @@
         }
         return;
     }
-    let targets = table.candidates.len();
+    if load.is_leaving() {
+        return;
+    }
+    let targets = table.usable(now_us).count();
     if reachability.record_unreachable(target, targets) {
         log::warn!(
             "event=service-unreachable service={service} last_target={target} targets={targets}"
--- a/sniperund/src/callers/request_queues.rs
+++ b/sniperund/src/callers/request_queues.rs
@@ -77,8 +77,8 @@
         }
     }
 
-    /// Wakes one request of a service for each of its available targets. Returns whether
-    /// requests are still waiting.
+    /// Wakes the requests that can be sent or refused now. Returns whether requests are still
+    /// waiting.
     fn wake_waiting(&self, now_us: u64, shared: &Shared) -> bool {
         let mut queues = self.queues.lock();
         if queues.is_empty() {
@@ -86,11 +86,12 @@
         }
         let table = shared.table();
         queues.retain(|name, queue| {
-            let available = table
+            let waiting = queue.len();
+            let woken = table
                 .services
                 .get(name)
-                .map_or(1, |service| count_available_targets(now_us, service));
-            for _ in 0..available {
+                .map_or(1, |service| service.decidable(now_us, waiting));
+            for _ in 0..woken {
                 wake_next(now_us, queue);
             }
             !queue.is_empty()
@@ -99,14 +100,6 @@
     }
 }
 
-fn count_available_targets(now_us: u64, table: &ServiceTable) -> usize {
-    let free = table
-        .candidates
-        .iter()
-        .filter(|candidate| candidate.load.has_room(now_us));
-    free.count()
-}
-
 fn wake_next(now_us: u64, queue: &mut Queue) {
     while let Some(turn) = queue.pop(now_us) {
         if turn.send(()).is_ok() {
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -42,6 +42,7 @@
 use super::forwarded_body::ForwardedBody;
 use super::forwarded_body::ForwardedResponse;
 use super::hand_over::HandOverResult;
+use super::hand_over::insert_process;
 use super::headers::remove_hop_by_hop;
 use super::reply::build_response;
 use super::request_log;
@@ -251,8 +252,8 @@
         let sending = async move {
             let result = send_attempt(
                 &proxy_state,
-                (&target, &load),
                 &table,
+                candidate,
                 needs_new_connection,
                 request_head,
                 &body,
@@ -484,6 +485,8 @@
             return self.finish_with_reply(caller_disconnected_reply(Outcome::Unknown));
         };
         let sent = &self.sent[attempt];
+        let target = sent.target.clone();
+        let is_handed_over = self.request.exchange.is_handed_over();
         let now_us = self.proxy_state.clock.now_us();
         let response_us = now_us.saturating_sub(self.request.began_us);
         let target_us = now_us.saturating_sub(sent.sent_us);
@@ -522,6 +525,9 @@
         self.proxy_state
             .header_protocol
             .prepare_response_headers(&mut parts.headers);
+        if is_handed_over {
+            insert_process(&target, &mut parts.headers);
+        }
         if self.proxy_state.control.shared().table().draining {
             parts
                 .headers
--- a/sniperund/src/callers/sending.rs
+++ b/sniperund/src/callers/sending.rs
@@ -8,9 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
-use model::configuration::Target;
 use policy::routing::ServiceTable;
-use policy::routing::TargetLoad;
 
 use super::ProxyState;
 use super::body::CallerBody;
@@ -55,12 +53,13 @@
 /// whether the request has run.
 pub(super) async fn send_attempt(
     proxy_state: &ProxyState,
-    (target, load): (&Target, &TargetLoad),
     table: &ServiceTable,
+    candidate: usize,
     needs_new_connection: bool,
     request_head: Request<()>,
     body: &CallerBody,
 ) -> Result<ResponseHead, SendFailure> {
+    let target = &table.candidates[candidate].target;
     let idle = match needs_new_connection {
         true => None,
         false => proxy_state.pool.take_idle(target.address),
@@ -69,7 +68,7 @@
         Some(connection) => Ok(connection),
         None => {
             let opened = Connection::open(target.address).await;
-            record_connection(table, &target.name, opened.is_ok());
+            record_connection(proxy_state.clock.now_us(), table, candidate, opened.is_ok());
             opened
         }
     };
@@ -77,8 +76,9 @@
         ErrorKind::TimedOut => SendFailure::Unreachable,
         _ => SendFailure::NotSent,
     })?;
-    // The target may have started to leave while the connection was being opened.
-    if load.is_closed() {
+    // The target may have started to leave while the request waited for a permit, or while the
+    // connection was being opened.
+    if !table.is_usable(proxy_state.clock.now_us(), candidate) {
         return Err(SendFailure::Leaving);
     }
     let body = body.take().ok_or(SendFailure::NotSent)?;
--- a/sniperund/src/metrics/gauges.rs
+++ b/sniperund/src/metrics/gauges.rs
@@ -60,6 +60,12 @@
         };
         self.add_per_service("targets", table, |service| service.candidates.len());
         self.add_per_service("targets_doubted", table, suspects);
+        self.add_per_service("targets_leaving", table, |service| {
+            let candidates = service.candidates.iter();
+            candidates
+                .filter(|candidate| candidate.load.is_leaving())
+                .count()
+        });
         self.add_per_service("targets_limited", table, |service| {
             let loads = service.candidates.iter().map(|candidate| &candidate.load);
             loads
