Keep what targets have named when their entries lapse and return

Evidence: a test of the fleet fails before (no limit after the lapse) and passes now; a process with another incarnation starts without the limit. Ruled out: entries without an incarnation, whose next process cannot be told from the former one.

--- a/model/src/configuration/mod.rs
+++ b/model/src/configuration/mod.rs
@@ -20,6 +20,7 @@
 pub use service::Repeat;
 pub use service::Service;
 pub use target::Target;
+pub use target::UNKNOWN_INCARNATION;
 
 use std::sync::Arc;
 
--- a/model/src/configuration/target.rs
+++ b/model/src/configuration/target.rs
@@ -30,11 +30,22 @@
     /// Whether the target is being drained: it receives no new requests.
     #[serde(default)]
     pub leaving: bool,
-    /// Start time of the target's process in milliseconds since the Unix epoch; 0 if unknown.
+    /// Start time of the target's process in milliseconds since the Unix epoch;
+    /// [`UNKNOWN_INCARNATION`] if unknown.
     #[serde(default)]
     pub incarnation: u64,
 }
 
+/// Incarnation of a process whose start time is unknown.
+pub const UNKNOWN_INCARNATION: u64 = 0;
+
+impl Target {
+    /// Whether the target's process can be told from the next one under its name.
+    pub fn has_known_incarnation(&self) -> bool {
+        self.incarnation != UNKNOWN_INCARNATION
+    }
+}
+
 impl Named for Target {
     const KIND: &'static str = "target";
 
--- a/policy/src/instance/departures.rs
+++ b/policy/src/instance/departures.rs
@@ -11,6 +11,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use model::configuration::UNKNOWN_INCARNATION;
+
 use super::Action;
 use super::Instance;
 use super::LogEvent;
@@ -26,8 +28,6 @@
 /// Time for which the statement of a process of unknown incarnation is kept, in microseconds: the
 /// next process under its name cannot be told from it.
 const KEEP_UNKNOWN_US: u64 = 60 * 1_000_000;
-/// Incarnation of a process whose entry does not state it.
-const UNKNOWN_INCARNATION: u64 = 0;
 /// Interval at which old statements are looked for, in microseconds.
 const CLEANUP_PERIOD_US: u64 = 10 * 1_000_000;
 /// Maximum number of processes in a message.
@@ -97,10 +97,14 @@
         }
     }
 
-    /// Forgets processes without an entry after a time.
-    fn cleanup(&mut self, now_us: u64, has_entry: impl Fn(&TargetProcess) -> bool) {
+    /// Forgets processes without an entry after a time. Returns whether the cleanup was due.
+    pub(super) fn cleanup(
+        &mut self,
+        now_us: u64,
+        has_entry: impl Fn(&TargetProcess) -> bool,
+    ) -> bool {
         if now_us < self.next_cleanup_us {
-            return;
+            return false;
         }
         self.next_cleanup_us = now_us + CLEANUP_PERIOD_US;
         self.records.retain(|process, departure| {
@@ -110,6 +114,7 @@
                 _ => age_us < KEEP_US || has_entry(process),
             }
         });
+        true
     }
 }
 
@@ -174,7 +179,7 @@
             let configured = targets.get(&process.target);
             configured.is_some_and(|target| target.incarnation == process.incarnation)
         };
-        self.table_builder.departures.cleanup(now_us, has_entry);
+        self.table_builder.forget_former(now_us, has_entry);
     }
 
     /// Updates what depends on the capacity of a target that leaves, if it is in the configuration.
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -6,6 +6,7 @@
 mod departures;
 mod evidence;
 mod fleet_load;
+mod former_loads;
 mod freeze_recovery;
 mod input;
 mod instance;
--- a/policy/src/instance/table_builder.rs
+++ b/policy/src/instance/table_builder.rs
@@ -9,6 +9,7 @@
 
 use super::TargetRateLimit;
 use super::departures::Departures;
+use super::former_loads::FormerLoads;
 use super::settings::can_share_load;
 use crate::evidence::DecisionTable;
 use crate::limits::RetryBudget;
@@ -33,6 +34,7 @@
     /// The processes that leave by their own word.
     pub(super) departures: Departures,
     departure_limit_us: u64,
+    former_loads: FormerLoads,
     /// Maximum retries to a service that this instance accumulates.
     pub(super) retry_reserve: Option<f64>,
     pub(super) choice_strategy: ChoiceStrategy,
@@ -70,12 +72,14 @@
                         self.departures.forget_unknown(&TargetProcess::of(target));
                     }
                 }
-                let load = TargetLoad::new(target.slots);
-                let load = load.with_departure_limit(self.departure_limit_us);
-                self.departures.apply(&TargetProcess::of(target), &load);
-                Arc::new(load)
+                let former = self.former_loads.take(target);
+                former.unwrap_or_else(|| {
+                    let load = TargetLoad::new(target.slots);
+                    Arc::new(load.with_departure_limit(self.departure_limit_us))
+                })
             }
         };
+        self.departures.apply(&TargetProcess::of(target), &load);
         if target.leaving {
             load.close();
         } else {
@@ -121,10 +125,22 @@
             .clone()
     }
 
-    /// Drops the counters of a withdrawn target, and closes it in tables still in use.
+    /// Closes a withdrawn target in tables still in use.
     pub(super) fn withdraw(&mut self, target: &str) {
-        if let Some((_, load)) = self.targets.remove(target) {
+        if let Some((target, load)) = self.targets.remove(target) {
             load.close();
+            self.former_loads.keep(target, load);
+        }
+    }
+
+    /// Forgets what is known of processes whose entries have been gone for long.
+    pub(super) fn forget_former(
+        &mut self,
+        now_us: u64,
+        has_entry: impl Fn(&TargetProcess) -> bool,
+    ) {
+        if self.departures.cleanup(now_us, has_entry) {
+            self.former_loads.cleanup(now_us);
         }
     }
 
--- a/policy/tests/fleet/rate_limits.rs
+++ b/policy/tests/fleet/rate_limits.rs
@@ -1,5 +1,11 @@
 //! Requests that reach targets which name a limit for all instances together.
 
+use policy::exchange::Notice;
+use policy::exchange::NoticedTarget;
+use policy::exchange::TargetNotices;
+use policy::routing::TargetProcess;
+
+use crate::fleet::Fleet;
 use crate::fleet::SECOND_US;
 use crate::overload::env_number;
 use crate::overload_simulation::LimitedArrival;
@@ -93,3 +99,35 @@
     let first: Vec<_> = broken.iter().take(8).collect();
     assert!(broken.is_empty(), "{} scenarios; {first:?}", broken.len());
 }
+
+#[test]
+fn a_rate_limit_outlives_a_lapse_of_the_entry_but_not_the_process() {
+    let mut fleet = Fleet::new(8);
+    fleet.run(3 * SECOND_US);
+    let limited = NoticedTarget {
+        process: TargetProcess {
+            target: "t003".into(),
+            incarnation: 3,
+        },
+        sent_us: 0,
+        notices: TargetNotices {
+            rate_limit_milli: Notice::Stated(2_000),
+            ..TargetNotices::default()
+        },
+    };
+    fleet.notice(0, limited);
+    fleet.remove_entry(3);
+    fleet.run(8 * SECOND_US);
+    fleet.put_entry(3, 3, 6, false);
+    fleet.run(10 * SECOND_US);
+    let limit_milli = |fleet: &Fleet| {
+        let table = fleet.table(0);
+        let mut candidates = table.services["gates"].candidates.iter();
+        let target = candidates.find(|candidate| &*candidate.target.name == "t003");
+        target.and_then(|target| target.load.rate_limit_milli())
+    };
+    assert_eq!(limit_milli(&fleet), Some(2_000));
+    fleet.put_entry(3, 77, 6, false);
+    fleet.run(12 * SECOND_US);
+    assert_eq!(limit_milli(&fleet), None);
+}
