Send requests that waited in a queue by the targets of now

Change: a request that was not sent to any target yet takes the present table when its turn comes. Ruled out: requests that were sent before, whose attempts refer to the table.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -242,6 +242,14 @@
         &self.table
     }
 
+    /// Replaces the table of a request that was not sent to any target yet; the targets may have
+    /// changed while it waited.
+    pub fn refresh_table(&mut self, table: Arc<ServiceTable>) {
+        if self.tried.is_empty() && self.denied.is_empty() {
+            self.table = table;
+        }
+    }
+
     /// Whether another instance has handed the request to this one.
     pub fn is_handed_over(&self) -> bool {
         self.request.is_handed_over
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -550,3 +550,22 @@
         "{step:?}"
     );
 }
+
+#[test]
+fn a_request_that_waited_while_all_targets_were_replaced_is_sent_to_a_new_one() {
+    let mut run = Run::new(Repeat::Never, false);
+    let former = run.exchange.table().clone();
+    let slots: Vec<_> = former
+        .candidates
+        .iter()
+        .map(|candidate| candidate.load.take(NOW_US))
+        .collect();
+    assert_eq!(run.on(Event::Begin), Step::Enqueue);
+    for candidate in &former.candidates {
+        candidate.load.close();
+    }
+    drop(slots);
+    run.exchange.refresh_table(table(Repeat::Never, 1));
+    let step = run.on(Event::Dequeued);
+    assert!(matches!(step, Step::Send { .. }), "{step:?}");
+}
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -207,7 +207,13 @@
         };
         let deadline = self.proxy_state.clock.instant(self.request.deadline_us);
         match tokio::time::timeout_at(deadline, turn).await {
-            Ok(_) => self.handle_event(Event::Dequeued),
+            Ok(_) => {
+                let current = self.proxy_state.control.shared().table();
+                if let Some(table) = current.services.get(&table.service.name) {
+                    self.request.exchange.refresh_table(table.clone());
+                }
+                self.handle_event(Event::Dequeued)
+            }
             Err(_) => {
                 self.proxy_state
                     .request_queues
