Let targets say that they leave in the soak, and check what reaches them afterwards

Cause: the soak drained targets by the store only, so that no run could show the fault. The check is worded as the users' rule: later than drain after an instance has passed such a response on, nothing reaches the target from it, whatever other faults there are; a restart or a freeze of the instance excuses it.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -9,6 +9,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use standin::users::wire::RawMessage;
+use standin::users::wire::header;
 use standin::users::wire::read_message;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -132,6 +133,7 @@
     RequestEnd::Answered {
         status,
         target: target.map(Arc::from),
+        is_leaving: header(&message.head, "server-leaving").is_some(),
         proven: target.is_some() && message.is_signed_response_to(&request.id),
     }
 }
--- a/soak/src/checks/mod.rs
+++ b/soak/src/checks/mod.rs
@@ -23,6 +23,7 @@
         requests::answers_come_in_time,
         requests::nothing_is_cut,
         routing::draining_targets_get_nothing,
+        routing::targets_that_say_they_leave_get_nothing,
         routing::configurations_are_in_force,
         routing::configurations_never_revert,
         fleet::retries_are_bound,
--- a/soak/src/checks/routing.rs
+++ b/soak/src/checks/routing.rs
@@ -9,6 +9,7 @@
 use crate::Change;
 use crate::Record;
 use crate::Request;
+use crate::RequestEnd;
 use crate::RequestKind;
 
 /// `drain`: time within which all instances must apply the draining of a target.
@@ -51,6 +52,58 @@
     violations
 }
 
+/// Checks that a target receives no requests from an instance that has passed on its word that it
+/// leaves, whatever faults there are; only a restart or a freeze of the instance excuses it.
+pub(super) fn targets_that_say_they_leave_get_nothing(record: &Record) -> Vec<Violation> {
+    let requests_by_id = requests_by_id(record);
+    let mut told: BTreeMap<(&Arc<str>, usize), Vec<u64>> = BTreeMap::new();
+    for request in &record.requests {
+        if let RequestEnd::Answered {
+            target: Some(target),
+            is_leaving: true,
+            ..
+        } = &request.end
+        {
+            let times = told.entry((target, request.instance)).or_default();
+            times.push(request.ended_ms);
+        }
+    }
+    let mut violations = Vec::new();
+    for arrival in &record.arrivals {
+        let Some(request) = requests_by_id.get(&arrival.id) else {
+            continue;
+        };
+        let times = told.get(&(&arrival.target, request.instance));
+        let mut times = times.into_iter().flatten();
+        let is_late = |told_ms: &&u64| {
+            request.sent_ms > **told_ms + DRAIN_MS
+                && !is_restarted_or_resumed(record, request.instance, **told_ms, arrival.at_ms)
+        };
+        if let Some(told_ms) = times.find(is_late) {
+            let description = format!(
+                "{} reached {} {} ms after it had told the instance that it leaves",
+                arrival.id,
+                arrival.target,
+                arrival.at_ms - told_ms
+            );
+            violations.push(violation(
+                "targets that say they leave get nothing",
+                Some(&arrival.id),
+                description,
+            ));
+        }
+    }
+    violations
+}
+
+fn is_restarted_or_resumed(record: &Record, instance: usize, from_ms: u64, to_ms: u64) -> bool {
+    record.changes.iter().any(|(at_ms, change)| {
+        let is_excuse =
+            *change == Change::Started { instance } || *change == Change::Resumed { instance };
+        is_excuse && (from_ms..=to_ms).contains(at_ms)
+    })
+}
+
 /// Checks that a configuration is in force in time at fault-free instances.
 pub(super) fn configurations_are_in_force(record: &Record) -> Vec<Violation> {
     let mut violations = Vec::new();
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -17,6 +17,8 @@
 /// Period of a run in which faults begin, sized for the usual number of faults.
 const FAULT_START_RANGE_MS: u64 = 14_000;
 const FAULT_COUNT: std::ops::Range<u32> = 8..16;
+/// Number of targets that say that they leave.
+const DEPARTURE_COUNT: std::ops::Range<u32> = 1..4;
 /// Values of `retrySlack` in reloaded settings. Never above the initial value, which the
 /// checks assume.
 const RETRY_SLACK_VALUES: std::ops::Range<u32> = 20..56;
@@ -59,6 +61,10 @@
     /// Drains a target, removes it and adds a replacement.
     #[display("target {_0} is replaced")]
     ReplaceTarget(usize),
+    /// Makes a target say in its responses that it leaves, while the store lists it as ready, and
+    /// replaces it at the end.
+    #[display("target {_0} says that it leaves, then is replaced")]
+    StateDeparture(usize),
     /// Makes the store fail.
     #[display("store: {_0:?}")]
     StoreFailure(StoreFault),
@@ -102,6 +108,17 @@
                 fault: draw_fault(&mut rng, size),
             })
             .collect();
+        // Drawn apart, so that the other faults of a seed stay the same.
+        let mut departures_rng = ChaCha8Rng::seed_from_u64(!seed);
+        let departures = departures_rng.random_range(DEPARTURE_COUNT);
+        steps.extend((0..departures).map(|_| {
+            let target = departures_rng.random_range(0..2 * size.targets_per_service);
+            Step {
+                at_ms: WARM_UP_MS + departures_rng.random_range(0..FAULT_START_RANGE_MS),
+                duration_ms: departures_rng.random_range(FAULT_DURATION_MS),
+                fault: Fault::StateDeparture(target),
+            }
+        }));
         steps.sort_by_key(|step| step.at_ms);
         Self { seed, steps }
     }
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -24,6 +24,8 @@
         target: Option<Arc<str>>,
         /// Whether signature, request id and body prove that a target sent the response for this request.
         proven: bool,
+        /// Whether the response says that the target leaves.
+        is_leaving: bool,
     },
     /// The connection ended before a complete response was received.
     Cut,
@@ -87,6 +89,11 @@
         /// Number of the instance.
         instance: usize,
     },
+    /// A process of an instance was resumed after it had been frozen.
+    Resumed {
+        /// Number of the instance.
+        instance: usize,
+    },
 }
 
 /// Component that a fault affects.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -27,6 +27,8 @@
 /// Time from draining a target to removing it. Longer than instances take to apply the
 /// draining.
 const DRAIN_TIME: Duration = Duration::from_secs(4);
+/// Header of a target that leaves.
+const LEAVING: (&str, &str) = ("server-leaving", "1");
 /// Period at which processes are checked for exit.
 const POLL_PERIOD: Duration = Duration::from_millis(10);
 /// Time for which callers continue after the last fault: long enough for service to
@@ -125,6 +127,7 @@
             signal(&testbed, number, "STOP")?;
             tokio::time::sleep(duration).await;
             signal(&testbed, number, "CONT")?;
+            testbed.record_change(Change::Resumed { instance: number });
             testbed.record_fault(start_ms, Component::Instance(number));
         }
         Fault::Stop(number) => stop(&testbed, number).await?,
@@ -164,6 +167,13 @@
             tokio::time::sleep(DRAIN_TIME).await;
             testbed.replace_target(number).await?;
         }
+        Fault::StateDeparture(number) => {
+            let handle = testbed.targets.lock()[number].clone();
+            handle.target.set_extra_headers(&[LEAVING]);
+            tokio::time::sleep(duration + DRAIN_TIME).await;
+            testbed.drain_target(&handle);
+            testbed.replace_target(number).await?;
+        }
         Fault::StoreFailure(fault) => {
             testbed.store.set_fault(fault);
             tokio::time::sleep(duration).await;
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -19,6 +19,7 @@
         status,
         target: target.map(Arc::from),
         proven: target.is_some(),
+        is_leaving: false,
     }
 }
 
@@ -286,3 +287,56 @@
     record.unexpected_exits.push((5_000, 0));
     assert_eq!(violated_invariants(&record), ["instances stay"]);
 }
+
+/// A record in which the target `t0` has said at 6 s that it leaves, and gets a request at 9 s.
+fn record_with_stated_departure() -> Record {
+    let mut record = valid_record();
+    let is_late = |request: &Request| request.sent_ms > 6_000;
+    let late: Vec<Arc<str>> = record
+        .requests
+        .iter()
+        .filter(|request| is_late(request))
+        .map(|request| request.id.clone())
+        .collect();
+    record
+        .arrivals
+        .retain(|arrival| &*arrival.target != "t0" || !late.contains(&arrival.id));
+    let says_it_leaves = RequestEnd::Answered {
+        status: 200,
+        target: Some("t0".into()),
+        proven: true,
+        is_leaving: true,
+    };
+    record
+        .requests
+        .push(request("d", RequestKind::Read, 6_000, says_it_leaves));
+    record.arrivals.push(arrival("d", 6_001, "t0", "reads"));
+    serve(&mut record, "e", RequestKind::Read, 9_000, "t0");
+    record
+}
+
+#[test]
+fn a_request_at_a_target_that_has_said_that_it_leaves() {
+    let record = record_with_stated_departure();
+    let names = violated_invariants(&record);
+    assert!(
+        names.contains(&"targets that say they leave get nothing"),
+        "{names:?}"
+    );
+}
+
+#[test]
+fn a_restart_or_a_freeze_excuses_requests_at_a_target_that_has_said_that_it_leaves() {
+    for change in [
+        Change::Started { instance: 0 },
+        Change::Resumed { instance: 0 },
+    ] {
+        let mut record = record_with_stated_departure();
+        record.changes.push((8_000, change));
+        let names = violated_invariants(&record);
+        assert!(
+            !names.contains(&"targets that say they leave get nothing"),
+            "{names:?}"
+        );
+    }
+}
