--- a/peers/src/codec.rs
+++ b/peers/src/codec.rs
@@ -9,7 +9,7 @@
 pub(crate) type Result<T> = std::result::Result<T, CodecError>;
 
 /// Version of the message format; messages of other versions are refused.
-pub const VERSION: u16 = 7;
+pub const VERSION: u16 = 8;
 /// Maximum size of an encoded message.
 pub const MAX_MESSAGE_BYTES: usize = 2_000_000;
 
