Follow a store that is restored from an older copy

What callers would have seen: after a restoration the revisions of the store go back, and its lists and changes were ignored as old until they passed the former ones: requests went on to targets that left, and a target that had left before came back with the copy. Cause: revisions of two eras were compared as numbers. Change: the store's era is put above the number of each revision in the adapter, a watch or a lease of an earlier era counts as lost, departures are remembered for a minute so that the copy brings none back, and targets that are missing in the copy are kept for 2.3 s. Ruled out: comparing by time of arrival.

--- a/border/src/registry.rs
+++ b/border/src/registry.rs
@@ -11,7 +11,7 @@
 /// A value read from the registry, with the revision at which it was read.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Versioned<T> {
-    /// The registry's revision.
+    /// The registry's revision, ordered by its era first (`policy::feed::revision_of`).
     pub revision: u64,
     /// The value.
     pub value: T,
@@ -22,7 +22,8 @@
 pub enum WatchOutcome<T> {
     /// The changes up to a revision; empty if there were none within the wait time.
     Changes(Versioned<Vec<T>>),
-    /// The registry's history no longer covers the revision, so a full read is needed.
+    /// The registry's history no longer covers the revision, or the registry was restored from a
+    /// copy since, so a full read is needed.
     HistoryLost,
 }
 
@@ -33,6 +34,8 @@
     pub id: u64,
     /// Time to live without renewal, in milliseconds.
     pub ttl_ms: u64,
+    /// Era of the registry in which it was granted.
+    pub era: u64,
 }
 
 /// A registry with revisions, watches and leases.
@@ -65,8 +68,9 @@
     /// Renews a lease; returns `false` if it has expired.
     fn renew(&self, lease: Lease) -> BoxFuture<'_, Result<bool>>;
 
-    /// Checks that the registry answers, using the cheapest read it offers.
-    fn ping(&self) -> BoxFuture<'_, Result<()>>;
+    /// Checks that the registry answers, using the cheapest read it offers; returns its era, if the
+    /// answer states it.
+    fn ping(&self) -> BoxFuture<'_, Result<Option<u64>>>;
 
     /// Reads the registered instances.
     fn members(&self) -> BoxFuture<'_, Result<Vec<Member>>>;
--- a/policy/src/feed/mod.rs
+++ b/policy/src/feed/mod.rs
@@ -9,6 +9,7 @@
 mod lag;
 mod registry_view;
 mod release;
+mod revision;
 
 pub use call_schedule::CallOutcome;
 pub use call_schedule::CallSchedule;
@@ -26,3 +27,6 @@
 pub use release::EntryChanges;
 pub use release::Release;
 pub use release::TargetEntry;
+pub use revision::era_of;
+pub use revision::number_of;
+pub use revision::revision_of;
--- a/policy/src/feed/registry_view.rs
+++ b/policy/src/feed/registry_view.rs
@@ -24,6 +24,8 @@
 use super::contact::Contact;
 use super::history::History;
 use super::history::MissedChanges;
+use super::revision::era_of;
+use crate::routing::TargetProcess;
 
 /// Time for which targets are retained if most entries of their service were removed at
 /// once without a known outage, in microseconds. Together with the batching delay, a tick,
@@ -33,6 +35,14 @@
 /// Share of a service's entries removed at once above which the removal is attributed to an
 /// outage of the registry.
 const MASS_LOSS_SHARE: f64 = 0.5;
+/// Time for which targets stay in use that are missing in the copy from which the registry was
+/// restored, in microseconds: they write their entries again within two seconds.
+const RESTORED_RETENTION_US: u64 = 2_300_000;
+/// Time for which targets stay out of use that have left after the copy was taken, in microseconds:
+/// their entries in the copy lapse by themselves after 4.5 s without a renewal.
+const RESTORED_STALE_US: u64 = 6_000_000;
+/// Time for which a departure is remembered, in microseconds: longer than a copy is old.
+const DEPARTED_KEEP_US: u64 = 60_000_000;
 /// Number of entries removed at once below which the removal is never attributed to an
 /// outage.
 const MASS_LOSS_MIN_ENTRIES: usize = 3;
@@ -46,6 +56,8 @@
     Told,
     /// Most entries of a service were removed at once.
     Together,
+    /// The entry is missing in the copy from which the registry was restored.
+    Restored,
 }
 
 /// Targets that are retained although their entries were removed.
@@ -83,6 +95,13 @@
     known_up_to: u64,
     /// Revision of the last change of targets.
     changed_at: u64,
+    /// Processes of targets that leave or were removed, and when this became known.
+    departed: BTreeMap<TargetProcess, u64>,
+    /// Time until which departed targets of a restored registry stay departed; 0 if it was not
+    /// restored.
+    stale_until_us: u64,
+    /// Whether a list contained departed targets that may be alive.
+    must_reread: bool,
 }
 
 /// Source of changes.
@@ -182,6 +201,8 @@
         if self.has_list && revision < self.known_up_to {
             return Vec::new();
         }
+        let is_restored = self.record_era(now_us, revision);
+        let targets = self.without_departed(now_us, targets);
         let is_missing = |name: &&Arc<str>| !targets.iter().any(|target| target.name == **name);
         let listed_targets = self.targets.iter();
         let listed_targets = listed_targets.filter(|(_, record)| record.remove_at_us.is_none());
@@ -209,13 +230,46 @@
         self.has_list = true;
         self.known_up_to = revision;
         for target in targets {
-            self.insert_target(target);
+            self.insert_target(now_us, target);
         }
-        let retention = self.retention(now_us, &missing, source);
-        self.remove_or_retain(&missing, retention);
+        let restored =
+            is_restored.then_some((now_us + RESTORED_RETENTION_US, RetainReason::Restored));
+        let retention = restored.or_else(|| self.retention(now_us, &missing, source));
+        self.remove_or_retain(now_us, &missing, retention);
         changes
     }
 
+    /// Returns whether a revision shows that the registry was restored since the last one.
+    fn record_era(&mut self, now_us: u64, revision: u64) -> bool {
+        let is_restored = self.has_list && era_of(revision) > era_of(self.known_up_to);
+        if is_restored {
+            self.stale_until_us = now_us + RESTORED_STALE_US;
+        }
+        is_restored
+    }
+
+    /// Leaves out what a restored registry has lost: targets of the list that leave or are gone by
+    /// a later word of the registry. Those that live write their entries again, or keep them until
+    /// the list is read once more.
+    fn without_departed(&mut self, now_us: u64, targets: Vec<Target>) -> Vec<Target> {
+        if now_us >= self.stale_until_us {
+            return targets;
+        }
+        let (departed, present): (Vec<Target>, Vec<Target>) =
+            targets.into_iter().partition(|target| {
+                target.has_known_incarnation()
+                    && self.departed.contains_key(&TargetProcess::of(target))
+            });
+        self.must_reread |= !departed.is_empty();
+        present
+    }
+
+    /// Whether the registry's list has to be read once more, as entries of a restored registry were
+    /// left out.
+    pub fn take_reread(&mut self, now_us: u64) -> bool {
+        now_us >= self.stale_until_us && std::mem::take(&mut self.must_reread)
+    }
+
     /// Applies changes of entries.
     pub fn apply_changes(
         &mut self,
@@ -239,6 +293,7 @@
         if self.changed_at > complete_to {
             return ApplyResult::Gap;
         }
+        self.record_era(now_us, revision);
         self.known_up_to = revision;
         if entries.is_empty() {
             return ApplyResult::Old;
@@ -251,13 +306,13 @@
             match entry {
                 TargetEntry::Present(target) => {
                     removed.retain(|name| *name != target.name);
-                    self.insert_target(target);
+                    self.insert_target(now_us, target);
                 }
                 TargetEntry::Removed(name) => removed.push(name),
             }
         }
         let retention = self.retention(now_us, &removed, source);
-        self.remove_or_retain(&removed, retention);
+        self.remove_or_retain(now_us, &removed, retention);
         ApplyResult::Taken
     }
 
@@ -333,8 +388,14 @@
 
     /// Removes retained targets whose entries have not reappeared in time.
     pub fn tick(&mut self, now_us: u64) {
-        self.targets
-            .retain(|_, record| record.remove_at_us.is_none_or(|at_us| now_us < at_us));
+        let is_kept =
+            |record: &TargetRecord| record.remove_at_us.is_none_or(|at_us| now_us < at_us);
+        let removed = self.targets.values().filter(|record| !is_kept(record));
+        let removed = removed.map(|record| (TargetProcess::of(&record.target), now_us));
+        self.departed.extend(removed);
+        self.targets.retain(|_, record| is_kept(record));
+        self.departed
+            .retain(|_, since_us| now_us.saturating_sub(*since_us) < DEPARTED_KEEP_US);
     }
 
     /// Returns the note that turns `configuration` into the registry's, and the number that
@@ -362,13 +423,22 @@
         has_changes.then_some((release.number.max(configuration.number), note))
     }
 
-    fn insert_target(&mut self, target: Target) {
+    fn insert_target(&mut self, now_us: u64, target: Target) {
+        let process = TargetProcess::of(&target);
+        match target.leaving {
+            true => self.departed.insert(process.clone(), now_us),
+            false => self.departed.remove(&process),
+        };
         let record = TargetRecord {
             is_valid: is_valid_name(&target.name) && target.slots > 0,
             target,
             remove_at_us: None,
         };
-        self.targets.insert(record.target.name.clone(), record);
+        let former = self.targets.insert(record.target.name.clone(), record);
+        let former = former.map(|record| TargetProcess::of(&record.target));
+        if let Some(former) = former.filter(|former| *former != process) {
+            self.departed.insert(former, now_us);
+        }
     }
 
     /// Takes the targets whose retention began since the last call.
@@ -378,7 +448,12 @@
 
     /// Removes targets whose entries were removed, or retains them if `retention` is set,
     /// because the entries may reappear by themselves. Leaving targets are always removed.
-    fn remove_or_retain(&mut self, names: &[Arc<str>], retention: Option<(u64, RetainReason)>) {
+    fn remove_or_retain(
+        &mut self,
+        now_us: u64,
+        names: &[Arc<str>],
+        retention: Option<(u64, RetainReason)>,
+    ) {
         let mut retained = Vec::new();
         for name in names {
             let Some(record) = self.targets.get_mut(name) else {
@@ -390,6 +465,8 @@
                     retained.push(name.clone());
                 }
                 None => {
+                    let process = TargetProcess::of(&record.target);
+                    self.departed.insert(process, now_us);
                     self.targets.remove(name);
                 }
             }
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -97,6 +97,9 @@
             self.catch_up_with_peer(now_us, &peer, known_versions);
         }
         self.registry_view.tick(now_us);
+        if self.registry_view.take_reread(now_us) {
+            self.actions.push(Action::Reread(RegistryPart::Targets));
+        }
         self.apply_registry_view();
     }
 
--- a/policy/tests/feed.rs
+++ b/policy/tests/feed.rs
@@ -20,6 +20,7 @@
 use policy::feed::RegistryView;
 use policy::feed::Release;
 use policy::feed::TargetEntry;
+use policy::feed::revision_of;
 use policy::notes::NoteLog;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -388,3 +389,139 @@
     assert!(follower.view.changes_after(10).is_some());
     assert!(follower.view.changes_after(15).is_none());
 }
+
+/// A view of three targets as of revision 40 of era 1, of which one has left since, at 41, and one
+/// has joined, at 42.
+fn view_before_restoration() -> RegistryView {
+    let mut view = RegistryView::default();
+    let old = ["t0", "t1", "t2"].map(|name| Target {
+        incarnation: 7,
+        ..target(name)
+    });
+    view.apply_list(0, revision_of(1, 40), old.to_vec(), ChangeSource::Registry);
+    let changes = |after: u64, entry: TargetEntry| EntryChanges {
+        after: revision_of(1, after),
+        revision: revision_of(1, after + 1),
+        complete_to: revision_of(1, after + 1),
+        entries: vec![entry],
+        retain_ms: 0,
+    };
+    let left = changes(40, TargetEntry::Removed("t0".into()));
+    view.apply_changes(SECOND_US, left, ChangeSource::Registry);
+    let joined = Target {
+        incarnation: 9,
+        ..target("t9")
+    };
+    let joined = changes(41, TargetEntry::Present(joined));
+    view.apply_changes(SECOND_US, joined, ChangeSource::Registry);
+    view
+}
+
+fn copy() -> Vec<Target> {
+    let old = ["t0", "t1", "t2"].map(|name| Target {
+        incarnation: 7,
+        ..target(name)
+    });
+    old.to_vec()
+}
+
+fn listed(view: &RegistryView) -> Vec<Arc<str>> {
+    let list = view.list().expect("a list was applied");
+    list.iter().map(|target| target.name.clone()).collect()
+}
+
+#[test]
+fn a_restored_registry_brings_no_target_back_that_had_left() {
+    let mut view = view_before_restoration();
+    let restored_us = 2 * SECOND_US;
+    view.apply_list(
+        restored_us,
+        revision_of(2, 40),
+        copy(),
+        ChangeSource::Registry,
+    );
+    assert_eq!(listed(&view), ["t1".into(), "t2".into()]);
+    assert_eq!(view.targets_revision(), revision_of(2, 40));
+    assert!(!view.take_reread(restored_us));
+    // Its entry would have lapsed by now.
+    let later_us = restored_us + 7 * SECOND_US;
+    assert!(view.take_reread(later_us));
+    view.apply_list(later_us, revision_of(2, 41), copy(), ChangeSource::Registry);
+    assert_eq!(listed(&view).len(), 3);
+}
+
+#[test]
+fn a_target_that_is_missing_in_the_copy_is_retained_until_it_is_back_or_gone() {
+    let in_use = |view: &RegistryView| {
+        let (_, note) = view
+            .change(&Configuration::default())
+            .expect("the view differs from an empty configuration");
+        let names = note.targets.add.iter().map(|target| target.name.clone());
+        names.collect::<std::collections::BTreeSet<Arc<str>>>()
+    };
+    let mut view = view_before_restoration();
+    view.apply_release(release(1, &[]));
+    view.apply_list(
+        2 * SECOND_US,
+        revision_of(2, 40),
+        copy(),
+        ChangeSource::Registry,
+    );
+    view.tick(4 * SECOND_US);
+    assert!(in_use(&view).contains("t9"));
+    view.tick(5 * SECOND_US);
+    assert!(!in_use(&view).contains("t9"));
+}
+
+#[test]
+fn answers_of_an_earlier_era_change_nothing() {
+    let mut view = view_before_restoration();
+    view.apply_list(
+        2 * SECOND_US,
+        revision_of(2, 30),
+        copy(),
+        ChangeSource::Registry,
+    );
+    let before = listed(&view);
+    let late = vec![target("t5")];
+    view.apply_list(
+        3 * SECOND_US,
+        revision_of(1, 90),
+        late,
+        ChangeSource::Registry,
+    );
+    let late = EntryChanges {
+        after: revision_of(1, 42),
+        revision: revision_of(1, 91),
+        complete_to: revision_of(1, 91),
+        entries: vec![TargetEntry::Removed("t1".into())],
+        retain_ms: 0,
+    };
+    let result = view.apply_changes(3 * SECOND_US, late, ChangeSource::Registry);
+    assert_eq!(result, ApplyResult::Old);
+    assert_eq!(listed(&view), before);
+}
+
+#[test]
+fn a_list_after_a_peer_has_told_of_the_restoration_brings_no_left_target_back_either() {
+    let mut view = view_before_restoration();
+    let told = EntryChanges {
+        after: revision_of(1, 42),
+        revision: revision_of(2, 40),
+        complete_to: revision_of(1, 42),
+        entries: vec![TargetEntry::Removed("t9".into())],
+        retain_ms: 2_300,
+    };
+    let source = ChangeSource::Peer {
+        retain_us: 2_300_000,
+    };
+    let result = view.apply_changes(2 * SECOND_US, told, source);
+    assert_eq!(result, ApplyResult::Taken);
+    view.apply_list(
+        3 * SECOND_US,
+        revision_of(2, 40),
+        copy(),
+        ChangeSource::Registry,
+    );
+    assert_eq!(listed(&view), ["t1".into(), "t2".into()]);
+}
--- a/sniperund/src/control/registry_follower.rs
+++ b/sniperund/src/control/registry_follower.rs
@@ -206,6 +206,7 @@
     /// probing continues in any case, and both parts are reread as soon as the registry answers.
     async fn probe_periodically(&self, reachability: &Reachability) {
         let mut is_unreachable = false;
+        let mut known_era = None;
         // A random phase distributes the probes of instances that start together over the period:
         // the instances without watches rely on one of these probes being answered several times
         // a second.
@@ -218,13 +219,19 @@
             }
             self.metrics.platform_calls.inc();
             match self.registry.ping().await {
-                Ok(()) if is_unreachable => {
-                    is_unreachable = false;
+                Ok(era) => {
                     self.record_success(reachability);
-                    self.reread_signals.request(RegistryPart::Release);
-                    self.reread_signals.request(RegistryPart::Targets);
+                    let is_restored = era > known_era && known_era.is_some();
+                    known_era = known_era.max(era);
+                    if is_restored {
+                        log::warn!("event=registry-restored era={known_era:?}");
+                    }
+                    if is_restored || is_unreachable {
+                        is_unreachable = false;
+                        self.reread_signals.request(RegistryPart::Release);
+                        self.reread_signals.request(RegistryPart::Targets);
+                    }
                 }
-                Ok(()) => self.record_success(reachability),
                 Err(error) => {
                     is_unreachable = true;
                     self.record_failure("probe", reachability, &error);
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -10,5 +10,6 @@
 mod outages;
 mod reload;
 mod requests;
+mod restored;
 mod stopping;
 mod unreachable;
--- a/standin/src/users/store.rs
+++ b/standin/src/users/store.rs
@@ -44,14 +44,26 @@
     Silent,
 }
 
+#[derive(Clone)]
 struct Item {
     value: Vec<u8>,
     revision: u64,
     lease: u64,
 }
 
+/// Contents of the store at one time.
+#[derive(Clone)]
+struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    leases: HashMap<u64, (Instant, Duration)>,
+}
+
 #[derive(Default)]
 struct StoreData {
+    /// Number of times that the store was restored from a copy.
+    era: u64,
+    copy: Option<Copy>,
     revision: u64,
     items: BTreeMap<String, Item>,
     events: Vec<(u64, Value)>,
@@ -177,6 +189,32 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Takes a copy of the contents for [`UsersStore::restore`].
+    pub fn take_copy(&self) {
+        let mut data = self.state.data.lock();
+        data.copy = Some(Copy {
+            revision: data.revision,
+            items: data.items.clone(),
+            leases: data.leases.clone(),
+        });
+    }
+
+    /// Restores the contents of the last copy. Later changes are lost, and their revisions are
+    /// given out again.
+    pub fn restore(&self) {
+        let mut data = self.state.data.lock();
+        if let Some(copy) = data.copy.clone() {
+            data.era += 1;
+            data.events.clear();
+            data.compacted_revision = copy.revision;
+            data.revision = copy.revision;
+            data.items = copy.items;
+            data.leases = copy.leases;
+        }
+        drop(data);
+        self.state.changed.notify_waiters();
+    }
+
     /// Number of calls received so far, failed ones included.
     pub fn calls(&self) -> u64 {
         self.state.calls.load(Ordering::Relaxed)
@@ -187,6 +225,13 @@
     state: Arc<State>,
     request: Request<Incoming>,
 ) -> io::Result<Response<Body>> {
+    let mut response = handle_call(state.clone(), request).await?;
+    let era = state.data.lock().era;
+    response.headers_mut().insert("store-era", era.into());
+    Ok(response)
+}
+
+async fn handle_call(state: Arc<State>, request: Request<Incoming>) -> io::Result<Response<Body>> {
     state.calls.fetch_add(1, Ordering::Relaxed);
     let fault = state.data.lock().fault;
     match fault {
@@ -266,7 +311,7 @@
         }
         let found = {
             let data = state.data.lock();
-            if after < data.compacted_revision {
+            if after < data.compacted_revision || after > data.revision {
                 return empty_response(StatusCode::GONE);
             }
             let events = data.events.iter().filter(|(revision, event)| {
