Share the simulation of random scenarios between the fleet's tests; read all notices of relayed responses

Found by reading the change: an instance that relays the response of another reported the departure alone, so that a rate limit in the same response would have counted as ended; with no usable target left a single failed connection would have counted as the loss of the link. Change: the relayed response's notices are reported whole; at least one target is counted. The four loops over random scenarios are one function, and the seeds, numbers and environment variables stay. Not shown by a run: the two faults; no test hands over a response with notices yet.

--- a/policy/tests/fleet/deadly_requests.rs
+++ b/policy/tests/fleet/deadly_requests.rs
@@ -24,7 +24,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::INSTANCES;
 use crate::fleet::SECOND_US;
-use crate::overload::env_number;
+use crate::scenarios::simulate_scenarios;
 
 const MS_US: u64 = 1_000;
 const STEP_US: u64 = 5 * MS_US;
@@ -448,37 +448,16 @@
     }
 }
 
-/// Simulates scenarios on four threads; returns those that `is_broken`.
+/// Simulates scenarios; returns those that `is_broken`.
 fn run_scenarios<T: Send>(
     scenario: impl Fn(u64) -> Scenario + Sync,
     is_broken: impl Fn(&Outcome) -> Option<T> + Sync,
 ) -> Vec<(u64, T)> {
-    let first = env_number("DEADLY_FROM", 0);
-    let count = env_number("DEADLY_DAYS", DEFAULT_SCENARIOS);
-    let next = std::sync::atomic::AtomicU64::new(first);
-    let simulate_scenarios = || {
-        let mut broken = Vec::new();
-        loop {
-            let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-            if seed >= first + count {
-                return broken;
-            }
-            let outcome = Simulation::new(seed, scenario(seed)).run();
-            assert!(outcome.served > 0, "seed {seed} served nothing");
-            if let Some(breach) = is_broken(&outcome) {
-                broken.push((seed, breach));
-            }
-        }
-    };
-    let mut broken: Vec<(u64, T)> = std::thread::scope(|scope| {
-        let threads: Vec<_> = (0..4).map(|_| scope.spawn(simulate_scenarios)).collect();
-        let ended = threads.into_iter().map(|thread| thread.join());
-        ended
-            .flat_map(|broken| broken.expect("a simulation thread panicked"))
-            .collect()
-    });
-    broken.sort_by_key(|(seed, _)| *seed);
-    broken
+    simulate_scenarios("DEADLY", DEFAULT_SCENARIOS, |seed| {
+        let outcome = Simulation::new(seed, scenario(seed)).run();
+        assert!(outcome.served > 0, "seed {seed} served nothing");
+        is_broken(&outcome)
+    })
 }
 
 #[test]
--- a/policy/tests/fleet/departures.rs
+++ b/policy/tests/fleet/departures.rs
@@ -10,10 +10,10 @@
 use crate::fleet::Fleet;
 use crate::fleet::INSTANCES;
 use crate::fleet::SECOND_US;
-use crate::overload::env_number;
 use crate::overload_simulation::LeavingArrival;
 use crate::overload_simulation::OverloadSimulation;
 use crate::overload_simulation::Scenario;
+use crate::scenarios::simulate_scenarios;
 
 /// Random scenarios simulated in CI; `DEPARTURE_DAYS` sets another number, `DEPARTURE_FROM` the
 /// first seed.
@@ -150,35 +150,12 @@
 
 #[test]
 fn targets_that_say_they_leave_get_no_late_requests() {
-    let (first, count) = (
-        env_number("DEPARTURE_FROM", 0),
-        env_number("DEPARTURE_DAYS", DEFAULT_SCENARIOS),
-    );
-    let next = std::sync::atomic::AtomicU64::new(first);
-    let simulate_scenarios = || {
-        let mut broken = Vec::new();
-        loop {
-            let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-            if seed >= first + count {
-                return broken;
-            }
-            let late = late_arrivals(seed);
-            if !late.is_empty() {
-                broken.push((seed, late));
-            }
-        }
-    };
-    let mut broken: Vec<(u64, Vec<LeavingArrival>)> = std::thread::scope(|scope| {
-        let threads: Vec<_> = (0..4).map(|_| scope.spawn(simulate_scenarios)).collect();
-        let ended = threads.into_iter().map(|thread| thread.join());
-        ended
-            .flat_map(|broken| broken.expect("a simulation thread panicked"))
-            .collect()
+    let broken = simulate_scenarios("DEPARTURE", DEFAULT_SCENARIOS, |seed| {
+        Some(late_arrivals(seed)).filter(|late| !late.is_empty())
     });
-    broken.sort_by_key(|(seed, _)| *seed);
     let late: usize = broken.iter().map(|(_, late)| late.len()).sum();
     println!(
-        "scenarios with late requests: {} of {count}, {late} requests",
+        "scenarios with late requests: {}, {late} requests",
         broken.len()
     );
     let first: Vec<String> = broken.iter().take(8).map(describe).collect();
--- a/policy/tests/fleet/main.rs
+++ b/policy/tests/fleet/main.rs
@@ -12,5 +12,6 @@
 mod permits;
 mod rate_limits;
 mod retry_loans;
+mod scenarios;
 #[path = "../support/mod.rs"]
 mod support;
--- a/policy/tests/fleet/overload.rs
+++ b/policy/tests/fleet/overload.rs
@@ -1,8 +1,5 @@
 //! How callers are served while the load exceeds what the few healthy targets can serve.
 
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
-
 use crate::fleet::SECOND_US;
 use crate::fleet::TARGETS;
 use crate::overload_simulation::CallerRecord;
@@ -10,6 +7,7 @@
 use crate::overload_simulation::OverloadSimulation;
 use crate::overload_simulation::Scenario;
 use crate::overload_simulation::SimulationResult;
+use crate::scenarios::simulate_scenarios;
 
 const SEEDS: u64 = 8;
 /// Start of the measured part of the overload.
@@ -222,39 +220,13 @@
         .collect()
 }
 
-pub(crate) fn env_number(variable: &str, default: u64) -> u64 {
-    let text = std::env::var(variable).ok();
-    text.and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
-/// Simulates the random scenarios that `scenario_of` creates on four threads.
+/// Simulates the random scenarios that `scenario_of` creates.
 fn run_random_scenarios(scenario_of: fn(u64) -> Scenario) -> Vec<(u64, Evaluation)> {
-    let (first, count) = (
-        env_number("CROWD_FROM", 0),
-        env_number("CROWD_DAYS", DEFAULT_SCENARIOS),
-    );
-    let next = AtomicU64::new(first);
-    let simulate_scenarios = || {
-        let mut results = Vec::new();
-        loop {
-            let seed = next.fetch_add(1, Ordering::Relaxed);
-            if seed >= first + count {
-                return results;
-            }
-            let scenario = scenario_of(seed);
-            let result = OverloadSimulation::new(seed, scenario.clone()).run();
-            results.push((seed, Evaluation::of(&scenario, &result)));
-        }
-    };
-    let mut results: Vec<(u64, Evaluation)> = std::thread::scope(|scope| {
-        let threads: Vec<_> = (0..4).map(|_| scope.spawn(simulate_scenarios)).collect();
-        let ended = threads.into_iter().map(|thread| thread.join());
-        ended
-            .flat_map(|results| results.expect("a simulation thread panicked"))
-            .collect()
-    });
-    results.sort_by_key(|(seed, _)| *seed);
-    results
+    simulate_scenarios("CROWD", DEFAULT_SCENARIOS, |seed| {
+        let scenario = scenario_of(seed);
+        let result = OverloadSimulation::new(seed, scenario.clone()).run();
+        Some(Evaluation::of(&scenario, &result))
+    })
 }
 
 #[test]
--- a/policy/tests/fleet/rate_limits.rs
+++ b/policy/tests/fleet/rate_limits.rs
@@ -7,12 +7,12 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::SECOND_US;
-use crate::overload::env_number;
 use crate::overload_simulation::LimitedArrival;
 use crate::overload_simulation::NamedLimit;
 use crate::overload_simulation::OverloadSimulation;
 use crate::overload_simulation::Scenario;
 use crate::overload_simulation::SimulationResult;
+use crate::scenarios::simulate_scenarios;
 
 /// Random scenarios simulated in CI; `LIMIT_DAYS` sets another number, `LIMIT_FROM` the first
 /// seed.
@@ -52,40 +52,17 @@
     counts.max().unwrap_or(0) as f64 - allowed
 }
 
-/// Simulates random scenarios on four threads; returns those that exceed the bound.
+/// Simulates random scenarios; returns those that exceed the bound.
 fn run_random_scenarios() -> Vec<(u64, f64)> {
-    let (first, count) = (
-        env_number("LIMIT_FROM", 0),
-        env_number("LIMIT_DAYS", DEFAULT_SCENARIOS),
-    );
-    let next = std::sync::atomic::AtomicU64::new(first);
-    let simulate_scenarios = || {
-        let mut broken = Vec::new();
-        loop {
-            let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-            if seed >= first + count {
-                return broken;
-            }
-            let scenario = Scenario::random_with_limits(seed);
-            let result = OverloadSimulation::new(seed, scenario.clone()).run();
-            let limits = scenario.named_limits.iter();
-            let excess = limits
-                .map(|limit| excess(&result, limit))
-                .fold(0.0, f64::max);
-            if excess > 0.0 {
-                broken.push((seed, excess));
-            }
-        }
-    };
-    let mut broken: Vec<(u64, f64)> = std::thread::scope(|scope| {
-        let threads: Vec<_> = (0..4).map(|_| scope.spawn(simulate_scenarios)).collect();
-        let ended = threads.into_iter().map(|thread| thread.join());
-        ended
-            .flat_map(|broken| broken.expect("a simulation thread panicked"))
-            .collect()
-    });
-    broken.sort_by_key(|(seed, _)| *seed);
-    broken
+    simulate_scenarios("LIMIT", DEFAULT_SCENARIOS, |seed| {
+        let scenario = Scenario::random_with_limits(seed);
+        let result = OverloadSimulation::new(seed, scenario.clone()).run();
+        let limits = scenario.named_limits.iter();
+        let excess = limits
+            .map(|limit| excess(&result, limit))
+            .fold(0.0, f64::max);
+        (excess > 0.0).then_some(excess)
+    })
 }
 
 #[test]
--- a/sniperund/src/callers/hand_over.rs
+++ b/sniperund/src/callers/hand_over.rs
@@ -23,7 +23,6 @@
 use policy::exchange::Notice;
 use policy::exchange::NoticedTarget;
 use policy::exchange::Step;
-use policy::exchange::TargetNotices;
 use policy::routing::TargetProcess;
 use rand::seq::IteratorRandom;
 
@@ -178,24 +177,19 @@
             return;
         };
         let header_protocol = &self.proxy_state.header_protocol;
-        let is_leaving = header_protocol.parse_target_notices(headers).is_leaving;
-        if is_leaving != Notice::Stated(true) {
-            return;
-        }
-        let now_us = self.proxy_state.clock.now_us();
-        let candidates = &self.request.exchange.table().candidates;
-        let mut candidates = candidates.iter();
-        let is_same = |target: &Target| TargetProcess::of(target) == process;
-        if let Some(candidate) = candidates.find(|candidate| is_same(&candidate.target)) {
-            candidate.load.record_departure(now_us);
+        let notices = header_protocol.parse_target_notices(headers);
+        if notices.is_leaving == Notice::Stated(true) {
+            let now_us = self.proxy_state.clock.now_us();
+            let mut candidates = self.request.exchange.table().candidates.iter();
+            let is_same = |target: &Target| TargetProcess::of(target) == process;
+            if let Some(candidate) = candidates.find(|candidate| is_same(&candidate.target)) {
+                candidate.load.record_departure(now_us);
+            }
         }
         self.proxy_state.control.send(Input::Noticed(NoticedTarget {
             process,
             sent_us: self.request.began_us,
-            notices: TargetNotices {
-                is_leaving,
-                ..TargetNotices::default()
-            },
+            notices,
         }));
     }
 
--- a/sniperund/src/callers/reachability_log.rs
+++ b/sniperund/src/callers/reachability_log.rs
@@ -24,7 +24,7 @@
     if load.is_leaving() {
         return;
     }
-    let targets = table.usable(now_us).count();
+    let targets = table.usable(now_us).count().max(1);
     if reachability.record_unreachable(target, targets) {
         log::warn!(
             "event=service-unreachable service={service} last_target={target} targets={targets}"
