--- a/review/tests/bed.rs
+++ b/review/tests/bed.rs
@@ -173,11 +173,6 @@
         let request = "GET /sniperun/ready HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
         exchange(self.ready, request.as_bytes(), 500).status == Some(200)
     }
-
-    #[allow(dead_code)]
-    pub fn log_text(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Instance {
--- a/review/tests/store.rs
+++ b/review/tests/store.rs
@@ -133,11 +133,6 @@
         self.changed.notify_all();
     }
 
-    pub fn remove(&self, key: &str) {
-        self.data.lock().unwrap().remove(key);
-        self.changed.notify_all();
-    }
-
     fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
         let mut channel = Channel::new(stream);
         while let Some(message) = channel.request()? {
