--- a/review/tests/cases.rs
+++ b/review/tests/cases.rs
@@ -5,6 +5,7 @@
 mod bed;
 mod case_early;
 mod case_endless;
+mod case_large;
 mod case_queue;
 mod case_upload;
 mod http;
@@ -20,6 +21,7 @@
     let broken = match name.as_str() {
         "early" => case_early::play(&record),
         "endless" => case_endless::play(&record),
+        "large" => case_large::play(&record),
         "upload" => case_upload::play(&record),
         "queue" => case_queue::play(&record),
         _ => bed::cannot_run("no such case"),
