--- a/review/tests/case_early.rs
+++ b/review/tests/case_early.rs
@@ -184,6 +184,10 @@
         }
         record.add(format!("server {name} got {bytes} of {length} bytes of {id}, {wrong} wrong: {end}"));
         let is_whole = bytes == length;
+        if !is_whole {
+            // "Most targets drop a request when its channel closes."
+            record.add(format!("server {name} drops {id}, as its channel has closed"));
+        }
         got.lock().unwrap().push(Got { id, bytes, wrong, end });
         if !is_whole {
             return Ok(());
--- a/review/tests/cases.rs
+++ b/review/tests/cases.rs
@@ -7,6 +7,7 @@
 mod case_endless;
 mod case_large;
 mod case_queue;
+mod case_restart;
 mod case_upload;
 mod http;
 mod json;
@@ -22,6 +23,7 @@
         "early" => case_early::play(&record),
         "endless" => case_endless::play(&record),
         "large" => case_large::play(&record),
+        "restart" => case_restart::play(&record),
         "upload" => case_upload::play(&record),
         "queue" => case_queue::play(&record),
         _ => bed::cannot_run("no such case"),
--- a/review/tests/store.rs
+++ b/review/tests/store.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -35,6 +37,7 @@
 }
 
 pub struct Store {
+    is_down: AtomicBool,
     data: Mutex<Data>,
     changed: Condvar,
     pub address: SocketAddr,
@@ -114,7 +117,7 @@
         let listener = TcpListener::bind(address).expect("the store's address is taken");
         let address = listener.local_addr().expect("no address");
         let data = Data { revision: 100, next_lease: 1_000, ..Data::default() };
-        let store = Arc::new(Self { data: Mutex::new(data), changed: Condvar::new(), address });
+        let store = Arc::new(Self { is_down: AtomicBool::new(false), data: Mutex::new(data), changed: Condvar::new(), address });
         let shared = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -127,6 +130,12 @@
         store
     }
 
+    /// While it is down, the store answers each call with 503 and does nothing.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::Relaxed);
+        self.changed.notify_all();
+    }
+
     /// Writes an item as the operator or a server does.
     pub fn put(&self, key: &str, value: &str) {
         self.data.lock().unwrap().put(key, base64(value.as_bytes()), 0);
@@ -151,6 +160,9 @@
         let target = message.word(1).to_owned();
         let path = target.split('?').next().unwrap_or("");
         let body = Json::parse(&String::from_utf8_lossy(&message.body));
+        if self.is_down.load(Ordering::Relaxed) {
+            return (503, String::from("{}"));
+        }
         let mut data = self.data.lock().unwrap();
         data.expire();
         match (method.as_str(), path) {
@@ -181,6 +193,9 @@
                 loop {
                     let events = data.events.iter().filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix));
                     let events: Vec<String> = events.map(|(_, _, text)| text.clone()).collect();
+                    if self.is_down.load(Ordering::Relaxed) {
+                        return (503, String::from("{}"));
+                    }
                     let left = deadline.saturating_duration_since(Instant::now());
                     if !events.is_empty() || left.is_zero() {
                         return (200, format!("{{\"events\":[{}],\"asOf\":{}}}", events.join(","), data.revision));
