--- a/review/tests/bed.rs
+++ b/review/tests/bed.rs
@@ -63,13 +63,29 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
-/// Ends the case: it couldn't run.
+/// Ids of the processes that this case has started and that have not been waited for.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case: it couldn't run. Ends the processes that it has started.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("the case cannot run: {reason}");
+    let running = RUNNING.lock().map(|running| running.clone()).unwrap_or_default();
+    for id in running {
+        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+    }
     std::process::exit(2)
 }
 
-/// A loopback address on which nobody listens at the fixed metrics port.
+fn forget_process(id: u32) {
+    if let Ok(mut running) = RUNNING.lock() {
+        running.retain(|other| *other != id);
+    }
+}
+
+/// First port of `internalPortRange` in the settings.
+const PEERS_PORT: u16 = 21_000;
+
+/// A loopback address on which nobody listens at the fixed ports.
 pub fn free_ip() -> IpAddr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     loop {
@@ -79,13 +95,13 @@
         }
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let ip = Ipv4Addr::new(127, high | 1, low, number as u8);
-        if TcpListener::bind((ip, METRICS_PORT)).is_ok() {
+        if TcpListener::bind((ip, METRICS_PORT)).is_ok() && TcpListener::bind((ip, PEERS_PORT)).is_ok() {
             return ip.into();
         }
     }
 }
 
-/// Free ports of an address; the first is followed by at least fifteen that are probably free.
+/// Free ports of an address.
 fn free_ports(ip: IpAddr) -> [u16; 3] {
     let listeners: Vec<TcpListener> = (0..3).filter_map(|_| TcpListener::bind((ip, 0)).ok()).collect();
     let ports: Vec<u16> = listeners.iter().filter_map(|listener| listener.local_addr().ok()).map(|a| a.port()).collect();
@@ -110,7 +126,7 @@
     pub fn start(record: &Arc<Record>, store: SocketAddr, name: &str, zone: &str) -> Self {
         let ip = free_ip();
         let [front, ready, control] = free_ports(ip);
-        let peers = 21_000;
+        let peers = PEERS_PORT;
         let folder = std::env::temp_dir().join(format!("sniperun-review-{}", std::process::id()));
         let _ = std::fs::create_dir_all(&folder);
         let settings = folder.join(format!("{name}.json"));
@@ -149,7 +165,10 @@
             .stdout(log)
             .spawn();
         match child {
-            Ok(child) => *self.child.lock().unwrap() = Some(child),
+            Ok(child) => {
+                RUNNING.lock().unwrap().push(child.id());
+                *self.child.lock().unwrap() = Some(child);
+            }
             Err(error) => cannot_run(&format!("{} does not start: {error}", COMMAND[0])),
         }
         self.record.add(format!("{} started", self.name));
@@ -165,7 +184,9 @@
     /// Whether the process has ended, and with which status.
     pub fn ended(&self) -> Option<String> {
         let mut child = self.child.lock().unwrap();
-        let status = child.as_mut()?.try_wait().ok()??;
+        let child = child.as_mut()?;
+        let status = child.try_wait().ok()??;
+        forget_process(child.id());
         Some(status.to_string())
     }
 
@@ -180,6 +201,7 @@
         if let Some(mut child) = self.child.lock().unwrap().take() {
             let _ = child.kill();
             let _ = child.wait();
+            forget_process(child.id());
         }
         if let Ok(folder) = std::env::var("KEEP_LOGS") {
             let _ = std::fs::create_dir_all(&folder);
