--- a/review/tests/case_queue.rs
+++ b/review/tests/case_queue.rs
@@ -1,4 +1,6 @@
-//! A planned stop while requests wait in the instance for servers that ask for a pause.
+//! A planned stop while requests wait in the instance for servers that are full.
+//!
+//! The slots of the servers are taken by calls that other servers make, which do not come through the instances.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -24,13 +26,14 @@
 pub fn play(record: &Arc<Record>) -> bool {
     let store = Store::start(([127, 0, 0, 1], 0).into());
     store.put("op/config", &bed::configuration(7, "huvo11a", "wuno96b", ROUTE_TIMEOUT_MS));
+    // Whether the calls of other servers take all slots.
     let is_full = Arc::new(AtomicBool::new(false));
     for number in 0..2 {
         let flag = is_full.clone();
         let behaviour: bed::Behaviour = Arc::new(move |server: &Server, message, channel| {
             if flag.load(Ordering::Relaxed) {
                 let id = message.header("x-attempt-id").unwrap_or("");
-                server.record.add(format!("server {} turns {id} away", server.id));
+                server.record.add(format!("server {} is full and turns {id} away", server.id));
                 server.reject(message, channel, "Retry-After: 1\r\n")?;
                 return Ok(true);
             }
@@ -68,7 +71,7 @@
         instance.signal("TERM");
     }
     is_full.store(true, Ordering::Relaxed);
-    record.add("the servers are full from now on");
+    record.add("calls of other servers take all slots of the service from now on");
     bed::sleep_ms(SEND_AFTER_MS);
     let seen = Arc::new(Mutex::new(Vec::new()));
     let mut callers = Vec::new();
@@ -91,7 +94,7 @@
         (true, None) => instance.signal("KILL"),
         (false, _) => {
             is_full.store(false, Ordering::Relaxed);
-            record.add("the servers have room again");
+            record.add("the calls of other servers have ended");
         }
     }
     for caller in callers {
