Answer every request that waits when an instance stops by plan

What callers saw: commands on kept connections that were sent 2.3 s after a SIGTERM waited for targets that had all asked for a pause, and their connections were closed 3 s later without an answer.

Cause: each place where a request waits had its own list of what ends the wait, and only the wait for responses and the hand-over listened to the signal that an instance gives shortly before it exits. The queue, the claim of a key, a permit, a relayed command and the body that is still being read did not. A request that was woken just before the exit was sent, and given up at its target at once.

Ruled out: answers lost by the exit (the log has none to these requests).

Change: a request's waits share their limits (WaitLimits), the deadline and the time of the last answers, which is set when the shutdown begins. The exchange decides by that time whether a target can still respond, and refuses with code 205, not run, as soon as none can. A body that does not arrive before the deadline is refused. A handed-over request that a stopping instance refuses goes to the next one. The messages between instances are unchanged.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -119,6 +119,10 @@
     Cut,
     /// The deadline has passed.
     Deadline,
+    /// The instance has begun to shut down.
+    ShutdownBegun,
+    /// The instance is about to exit and gives its last answers.
+    LastAnswers,
     /// The caller disconnected.
     CallerDisconnected,
 }
@@ -209,6 +213,8 @@
     pub(super) last_loan_us: Option<u64>,
     pub(super) retry_denial: Option<RetryDenial>,
     pub(super) may_have_run: bool,
+    /// Time of the last answers of an instance that shuts down, in microseconds.
+    pub(super) last_answers_us: Option<u64>,
     /// Whether the request is the trial of one in quarantine.
     is_trial: bool,
     has_handed_over: bool,
@@ -231,6 +237,7 @@
             last_loan_us: None,
             retry_denial: None,
             may_have_run: false,
+            last_answers_us: None,
             is_trial: false,
             has_handed_over: false,
             outcome: Outcome::NotRun,
@@ -314,6 +321,8 @@
                 Step::AbortConnection
             }
             (_, Event::Deadline) => self.handle_deadline(now_us, rng),
+            (_, Event::ShutdownBegun) => self.handle_shutdown(now_us, rng),
+            (_, Event::LastAnswers) => self.handle_last_answers(now_us, rng),
             (_, Event::CallerDisconnected) => self.handle_caller_disconnected(),
             _ => Step::Continue,
         }
@@ -338,6 +347,9 @@
         if self.table.candidates.is_empty() {
             return self.give_up(now_us, ResultCode::NoTarget, rng);
         }
+        if self.is_too_late_to_send(now_us) {
+            return self.give_up(now_us, ResultCode::Draining, rng);
+        }
         if self.request.claims_key {
             self.state = State::Claiming;
             return Step::Claim;
@@ -375,6 +387,9 @@
         if !self.table.load.table_freshness.is_current(now_us) {
             return self.give_up(now_us, ResultCode::NotReady, rng);
         }
+        if self.is_too_late_to_send(now_us) {
+            return self.give_up(now_us, ResultCode::Draining, rng);
+        }
         if let Some(left_us) = self.quarantine_left_us(now_us) {
             return self.refuse_quarantined(left_us);
         }
@@ -619,7 +634,7 @@
     }
 
     fn handle_deadline(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
-        if self.in_flight() > 0 || self.state == State::HandingOver {
+        if self.is_at_target() {
             self.may_have_run = true;
             return self.give_up(now_us, ResultCode::TargetTimeout, rng);
         }
@@ -627,7 +642,7 @@
     }
 
     fn handle_caller_disconnected(&mut self) -> Step {
-        if self.in_flight() > 0 || self.state == State::HandingOver {
+        if self.is_at_target() {
             self.may_have_run = true;
         }
         let outcome = self.reportable_outcome(Outcome::NotRun);
@@ -694,6 +709,11 @@
             .count()
     }
 
+    /// Whether a target, or another instance, may be working on the request.
+    pub(super) fn is_at_target(&self) -> bool {
+        self.in_flight() > 0 || self.state == State::HandingOver
+    }
+
     fn end_attempt(&mut self, attempt: usize) {
         self.attempts[attempt].slot = None;
     }
--- a/policy/src/exchange/hand_over.rs
+++ b/policy/src/exchange/hand_over.rs
@@ -13,7 +13,7 @@
     Answered,
     /// It has refused the request, which has not run there.
     Refused,
-    /// It reaches no target either.
+    /// It reaches no target either, or shuts down.
     ReachesNoTarget,
     /// It could not be reached.
     NotSent,
--- a/policy/src/exchange/mod.rs
+++ b/policy/src/exchange/mod.rs
@@ -5,6 +5,7 @@
 mod hand_over;
 mod observation;
 mod retries;
+mod shutdown;
 mod silence;
 mod target_notices;
 
--- a/policy/src/routing/service_table.rs
+++ b/policy/src/routing/service_table.rs
@@ -10,6 +10,9 @@
 use super::ServiceLoad;
 use crate::evidence::LatencyProfile;
 
+/// Share of the responses that may take longer than the response time of a service.
+const LATE_RESPONSE_SHARE: f64 = 0.1;
+
 /// How a target is chosen for a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ChoiceStrategy {
@@ -60,6 +63,23 @@
         measured.or_else(|| objective_us.map(LatencyProfile::assumed_for))
     }
 
+    /// Time within which most targets respond to a request with the given latency objective, in
+    /// microseconds; 0 while nothing is known.
+    pub fn response_time_us(&self, objective_us: Option<u64>) -> u64 {
+        let profile = self.latency_profile(objective_us);
+        let expected_us = profile.map(|profile| profile.time_exceeded_by(LATE_RESPONSE_SHARE));
+        expected_us
+            .or_else(|| self.slow_us())
+            .or(objective_us)
+            .unwrap_or(0)
+    }
+
+    /// Whether a target that is chosen from now on can respond by `limit_us`.
+    pub fn can_respond_by(&self, now_us: u64, limit_us: u64, objective_us: Option<u64>) -> bool {
+        let pause_left_us = self.pause_left_us(now_us).unwrap_or(0);
+        now_us + pause_left_us + self.response_time_us(objective_us) <= limit_us
+    }
+
     /// Whether the instances lend each other retries to the service.
     pub fn shares_retries(&self) -> bool {
         self.choice_strategy == ChoiceStrategy::FailureProbability
@@ -89,8 +109,12 @@
     }
 
     /// Number of waiting requests that can be sent or refused now: one for each target with room,
-    /// or all if there is no target to wait for.
-    pub fn decidable(&self, now_us: u64, waiting: usize) -> usize {
+    /// or all if there is no target to wait for, or none that can respond before the last answers
+    /// of an instance that shuts down.
+    pub fn decidable(&self, now_us: u64, waiting: usize, last_answers_us: Option<u64>) -> usize {
+        if last_answers_us.is_some_and(|limit_us| !self.can_respond_by(now_us, limit_us, None)) {
+            return waiting;
+        }
         let mut usable = self.usable(now_us).peekable();
         if usable.peek().is_none() {
             return waiting;
--- a/policy/tests/target_choice.rs
+++ b/policy/tests/target_choice.rs
@@ -308,13 +308,13 @@
 #[test]
 fn waiting_requests_are_decided_at_once_when_there_is_no_target_to_wait_for() {
     let table = table(2, 0);
-    assert_eq!(table.decidable(SECOND_US, 9), 2);
+    assert_eq!(table.decidable(SECOND_US, 9, None), 2);
     table.candidates[0].load.record_shed(SECOND_US, SECOND_US);
-    assert_eq!(table.decidable(SECOND_US, 9), 1);
+    assert_eq!(table.decidable(SECOND_US, 9, None), 1);
     for candidate in &table.candidates {
         candidate.load.record_departure(0);
     }
-    assert_eq!(table.decidable(2 * SECOND_US, 9), 9);
+    assert_eq!(table.decidable(2 * SECOND_US, 9, None), 9);
 }
 
 #[test]
--- a/sniperund/src/app/app.rs
+++ b/sniperund/src/app/app.rs
@@ -139,7 +139,7 @@
             request_queues: RequestQueues::default(),
             permits,
             retry_loans,
-            gives_up_waiting: watch::Sender::new(false),
+            last_answers_us: watch::Sender::new(None),
             claims: environment
                 .platform
                 .clone()
@@ -230,25 +230,34 @@
 
     /// Shuts down gracefully: reports not ready, stops accepting connections after the drain
     /// grace period, then waits for all requests to finish. The wait has no time limit unless a
-    /// limit for shutdown is set; shortly before it, requests that still wait for a response
-    /// are answered as timed out.
+    /// limit for shutdown is set; shortly before it, requests that still wait are answered.
     pub async fn drain(self) {
         self.control.send(Input::Drain);
+        let clock = self.proxy_state.clock;
+        let last_answers_us = self.stop_limit.map(|limit| {
+            let left = limit.max(self.drain_grace + LAST_ANSWERS_TIME) - LAST_ANSWERS_TIME;
+            clock.now_us() + left.as_micros() as u64
+        });
+        self.proxy_state
+            .last_answers_us
+            .send_replace(last_answers_us);
         tokio::time::sleep(self.drain_grace).await;
         let finish = async {
             self.callers.drain().await;
             self.proxy_state.background.wait_until_finished().await;
         };
         tokio::pin!(finish);
-        match self.stop_limit {
-            Some(limit) => {
-                let left = limit.saturating_sub(self.drain_grace + LAST_ANSWERS_TIME);
-                if tokio::time::timeout(left, &mut finish).await.is_err() {
+        match last_answers_us {
+            Some(last_answers_us) => {
+                let last_answers = clock.instant(last_answers_us);
+                if tokio::time::timeout_at(last_answers, &mut finish)
+                    .await
+                    .is_err()
+                {
                     log::warn!(
                         "event=stop-limit-reached in_work={}",
                         self.proxy_state.admission.in_flight()
                     );
-                    self.proxy_state.give_up_waiting();
                     let _ = tokio::time::timeout(LAST_ANSWERS_TIME, finish).await;
                 }
             }
@@ -309,9 +318,10 @@
 
 async fn run_request_queues(proxy_state: Arc<ProxyState>) {
     let shared = proxy_state.control.shared().clone();
+    let last_answers_us = proxy_state.last_answers_us.subscribe();
     proxy_state
         .request_queues
-        .run(proxy_state.clock, &shared)
+        .run(proxy_state.clock, &shared, last_answers_us)
         .await;
 }
 
--- a/sniperund/src/callers/admitted_request.rs
+++ b/sniperund/src/callers/admitted_request.rs
@@ -15,6 +15,7 @@
 
 use super::body::CallerBody;
 use super::command::CommandRecord;
+use super::wait_limits::WaitLimits;
 
 const MICROS_PER_MILLI: u64 = 1_000;
 /// Percentage of the latency objective after which a hedge is sent: according to the users'
@@ -45,6 +46,8 @@
     pub(super) guards: Option<AdmissionGuards>,
     pub(super) customer: Arc<str>,
     pub(super) deadline_us: u64,
+    /// What ends the waits of the request.
+    pub(super) limits: WaitLimits,
     pub(super) began_us: u64,
 }
 
--- a/sniperund/src/callers/hand_over.rs
+++ b/sniperund/src/callers/hand_over.rs
@@ -34,7 +34,6 @@
 use super::reachability_log::record_connection;
 use super::relayed_body::RelayedBody;
 use super::runner::Runner;
-use super::runner::wait_until_given_up;
 use super::sending::build_request;
 use crate::targets::Connection;
 use crate::targets::SendFailure;
@@ -42,6 +41,12 @@
 const MICROS_PER_MILLI: u64 = 1_000;
 /// Instances to which a request is handed, one after the other.
 const MAX_HELPERS: usize = 3;
+/// Codes of an instance that cannot serve the request, while another one may.
+const UNABLE_CODES: [ResultCode; 3] = [
+    ResultCode::ConnectFailed,
+    ResultCode::NoTarget,
+    ResultCode::Draining,
+];
 
 /// What became of a request that was handed to other instances.
 pub(super) enum HandOverResult {
@@ -69,17 +74,12 @@
     /// Hands the request to other instances until one responds.
     pub(super) async fn hand_over(&mut self) -> HandOverResult {
         self.probe_target();
-        let deadline = self.proxy_state.clock.instant(self.request.deadline_us);
-        let mut gives_up_waiting = self.gives_up_waiting.clone();
-        let event = tokio::select! {
-            result = self.ask_helpers() => match result {
-                Ok((response, connection)) => {
-                    return HandOverResult::Response(self.forward_relayed(response, connection));
-                }
-                Err(event) => event,
-            },
-            () = tokio::time::sleep_until(deadline) => Event::Deadline,
-            () = wait_until_given_up(&mut gives_up_waiting) => Event::Deadline,
+        let mut limits = self.request.limits.clone();
+        let event = match limits.wait(self.ask_helpers()).await {
+            Ok(Ok((response, connection))) => {
+                return HandOverResult::Response(self.forward_relayed(response, connection));
+            }
+            Ok(Err(event)) | Err(event) => event,
         };
         HandOverResult::Step(self.handle_event(event))
     }
@@ -259,9 +259,7 @@
     );
     let is_code = |known: ResultCode| code == Some(known.number());
     match code {
-        Some(_) if is_code(ResultCode::ConnectFailed) || is_code(ResultCode::NoTarget) => {
-            HelperOutcome::ReachesNoTarget
-        }
+        Some(_) if UNABLE_CODES.into_iter().any(is_code) => HelperOutcome::ReachesNoTarget,
         Some(_) if has_not_run => HelperOutcome::Refused,
         _ => HelperOutcome::Answered,
     }
--- a/sniperund/src/callers/mod.rs
+++ b/sniperund/src/callers/mod.rs
@@ -25,6 +25,7 @@
 mod sending;
 mod service;
 mod ticket_relay;
+mod wait_limits;
 
 pub use background_tasks::BackgroundTasks;
 pub use body::BoxError;
--- a/sniperund/src/callers/proxy_state.rs
+++ b/sniperund/src/callers/proxy_state.rs
@@ -45,8 +45,9 @@
     pub permits: Arc<PendingPermits>,
     /// Requests that wait for a retry borrowed from a peer.
     pub retry_loans: Arc<PendingRetryLoans>,
-    /// Whether the instance is about to exit, so that requests stop waiting for responses.
-    pub gives_up_waiting: watch::Sender<bool>,
+    /// Time at which requests that still wait are answered, shortly before the instance exits, in
+    /// microseconds; `None` while it does not shut down, or shuts down without a limit.
+    pub last_answers_us: watch::Sender<Option<u64>>,
     /// Store of claimed idempotency keys; `None` if keys and tickets are not supported.
     pub claims: Option<Arc<ClaimStore>>,
     /// Maps the request and response headers of callers and targets.
@@ -66,11 +67,6 @@
 }
 
 impl ProxyState {
-    /// Ends the wait of all requests for responses of targets.
-    pub fn give_up_waiting(&self) {
-        self.gives_up_waiting.send_replace(true);
-    }
-
     /// Whether callers may identify commands by keys or tickets.
     pub fn supports_command_ids(&self) -> bool {
         self.claims.is_some()
--- a/sniperund/src/callers/request_queues.rs
+++ b/sniperund/src/callers/request_queues.rs
@@ -11,6 +11,7 @@
 use policy::routing::ServiceTable;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use crate::Clock;
 
@@ -67,9 +68,16 @@
     }
 
     /// Wakes waiting requests as targets become available; runs until the task is aborted.
-    pub async fn run(&self, clock: Clock, shared: &Shared) {
+    /// `last_answers_us` is set when the instance shuts down.
+    pub async fn run(
+        &self,
+        clock: Clock,
+        shared: &Shared,
+        last_answers_us: watch::Receiver<Option<u64>>,
+    ) {
         loop {
-            if self.wake_waiting(clock.now_us(), shared) {
+            let last_answers_us = *last_answers_us.borrow();
+            if self.wake_waiting(clock.now_us(), shared, last_answers_us) {
                 let _ = tokio::time::timeout(POLL_PERIOD, self.changed.notified()).await;
             } else {
                 self.changed.notified().await;
@@ -79,7 +87,7 @@
 
     /// Wakes the requests that can be sent or refused now. Returns whether requests are still
     /// waiting.
-    fn wake_waiting(&self, now_us: u64, shared: &Shared) -> bool {
+    fn wake_waiting(&self, now_us: u64, shared: &Shared, last_answers_us: Option<u64>) -> bool {
         let mut queues = self.queues.lock();
         if queues.is_empty() {
             return false;
@@ -87,10 +95,9 @@
         let table = shared.table();
         queues.retain(|name, queue| {
             let waiting = queue.len();
-            let woken = table
-                .services
-                .get(name)
-                .map_or(1, |service| service.decidable(now_us, waiting));
+            let woken = table.services.get(name).map_or(1, |service| {
+                service.decidable(now_us, waiting, last_answers_us)
+            });
             for _ in 0..woken {
                 wake_next(now_us, queue);
             }
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -34,7 +34,6 @@
 use policy::routing::Candidate;
 use policy::routing::TargetLoad;
 use policy::routing::TargetProcess;
-use tokio::sync::watch;
 
 use super::ProxyState;
 use super::admitted_request::AdmittedRequest;
@@ -63,6 +62,19 @@
     result: Result<ResponseHead, SendFailure>,
 }
 
+/// What happens to the attempts in flight.
+enum Progress {
+    Finished(Box<FinishedAttempt>),
+    /// The request to borrow a retry was answered.
+    RetryAnswered {
+        is_lent: bool,
+    },
+    /// An attempt has become overdue.
+    Overdue,
+    /// A hedge is considered.
+    HedgeCheckDue,
+}
+
 /// An exchange in progress.
 pub(super) struct Runner {
     pub(super) proxy_state: Arc<ProxyState>,
@@ -76,7 +88,6 @@
     hedge_check_at_us: Option<u64>,
     /// Pending answer to a request to borrow a retry.
     retry_loan: Option<BoxFuture<'static, bool>>,
-    pub(super) gives_up_waiting: watch::Receiver<bool>,
     pub(super) is_logged: bool,
 }
 
@@ -97,10 +108,8 @@
         let is_logged = proxy_state
             .sampler
             .is_sampled(request.began_us, request.request_params.id());
-        let gives_up_waiting = proxy_state.gives_up_waiting.subscribe();
         Self {
             is_logged,
-            gives_up_waiting,
             proxy_state,
             request,
             attempts: FuturesUnordered::new(),
@@ -147,10 +156,12 @@
 
     pub(super) fn handle_event(&mut self, event: Event) -> Step {
         let now_us = self.proxy_state.clock.now_us();
+        let last_answers_us = self.request.limits.last_answers_us();
+        self.request.exchange.set_last_answers_us(last_answers_us);
         let step = self.request.exchange.on(now_us, event, &mut rand::rng());
         if matches!(
             event,
-            Event::Failed { .. } | Event::Head { .. } | Event::Deadline
+            Event::Failed { .. } | Event::Head { .. } | Event::Deadline | Event::LastAnswers
         ) {
             self.proxy_state.request_queues.notify_target_freed();
         }
@@ -158,12 +169,9 @@
     }
 
     async fn claim_key(&mut self) -> Step {
-        let deadline = self.proxy_state.clock.instant(self.request.deadline_us);
-        let claimed = tokio::time::timeout_at(deadline, self.request.record.try_claim()).await;
-        match claimed {
-            Ok(answer) => self.handle_event(Event::Claimed(answer)),
-            Err(_) => self.handle_event(Event::Deadline),
-        }
+        let request = &mut self.request;
+        let claimed = request.limits.wait(request.record.try_claim()).await;
+        self.handle_event(claimed.map_or_else(|end| end, Event::Claimed))
     }
 
     /// Requests a permit from the owner of a target of an overloaded service.
@@ -176,9 +184,14 @@
         let (answer, permit) = permits.request(&self.proxy_state.control, target.clone(), left_us);
         let until_us = requested_us + PERMIT_TIMEOUT_US.min(left_us);
         let until = self.proxy_state.clock.instant(until_us);
-        let answer = match tokio::time::timeout_at(until, answer).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(_)) | Err(_) => PermitAnswer::Unknown,
+        let answer = tokio::time::timeout_at(until, answer);
+        let answer = match self.request.limits.wait(answer).await {
+            Ok(Ok(Ok(answer))) => answer,
+            Ok(Ok(Err(_)) | Err(_)) => PermitAnswer::Unknown,
+            Err(end) => {
+                permit.expire();
+                return self.handle_event(end);
+            }
         };
         match answer {
             PermitAnswer::Permitted { .. } => self.permit = Some(permit),
@@ -202,26 +215,33 @@
             &self.request.customer,
             self.request.deadline_us,
         );
-        let turn = match enqueued {
+        let mut turn = match enqueued {
             Ok(turn) => turn,
             Err(refusal) => return self.handle_event(Event::Refused(refusal)),
         };
-        let deadline = self.proxy_state.clock.instant(self.request.deadline_us);
-        match tokio::time::timeout_at(deadline, turn).await {
-            Ok(_) => {
-                let current = self.proxy_state.control.shared().table();
-                if let Some(table) = current.services.get(&table.service.name) {
-                    self.request.exchange.refresh_table(table.clone());
+        let response_time_us = self.request.exchange.response_time_us();
+        let mut limits = self.request.limits.clone().reserving(response_time_us);
+        let step = loop {
+            let event = match limits.wait_or_shutdown(&mut turn).await {
+                Ok(_) => {
+                    let current = self.proxy_state.control.shared().table();
+                    if let Some(table) = current.services.get(&table.service.name) {
+                        self.request.exchange.refresh_table(table.clone());
+                    }
+                    return self.handle_event(Event::Dequeued);
                 }
-                self.handle_event(Event::Dequeued)
-            }
-            Err(_) => {
-                self.proxy_state
-                    .request_queues
-                    .remove_abandoned(&table.service.name, &self.request.customer);
-                self.handle_event(Event::Deadline)
+                Err(end) => end,
+            };
+            match self.handle_event(event) {
+                Step::Continue => {}
+                step => break step,
             }
-        }
+        };
+        drop(turn);
+        self.proxy_state
+            .request_queues
+            .remove_abandoned(&table.service.name, &self.request.customer);
+        step
     }
 
     fn start_attempt(&mut self, attempt: usize, candidate: usize) {
@@ -272,33 +292,49 @@
     }
 
     async fn next_event(&mut self) -> Step {
+        let mut limits = self.request.limits.clone();
+        match limits.wait(self.next_progress()).await {
+            Ok(Progress::Finished(finished)) => self.handle_attempt_result(*finished),
+            Ok(Progress::RetryAnswered { is_lent }) => {
+                self.retry_loan = None;
+                self.handle_event(Event::RetryAnswered { is_lent })
+            }
+            Ok(Progress::Overdue) => {
+                self.report_overdue_attempts();
+                self.handle_event(Event::HedgeDue)
+            }
+            Ok(Progress::HedgeCheckDue) => {
+                self.schedule_hedge_check();
+                self.handle_event(Event::HedgeDue)
+            }
+            Err(end) => {
+                if end == Event::Deadline {
+                    self.report_attempts_at_deadline();
+                }
+                self.handle_event(end)
+            }
+        }
+    }
+
+    /// Waits until something happens to the attempts that are in flight.
+    async fn next_progress(&mut self) -> Progress {
         let clock = self.proxy_state.clock;
-        let deadline = clock.instant(self.request.deadline_us);
         let waiting = self.sent.iter().filter(|sent| !sent.is_finished);
         let overdue_at_us = waiting.filter_map(|sent| sent.overdue_at_us).min();
         let overdue = clock.instant(overdue_at_us.unwrap_or(NEVER_US));
         let hedge_check = clock.instant(self.hedge_check_at_us.unwrap_or(NEVER_US));
         tokio::select! {
-            Some(finished) = self.attempts.next() => self.handle_attempt_result(finished),
+            Some(finished) = self.attempts.next() => Progress::Finished(Box::new(finished)),
             is_lent = wait_for_loan(&mut self.retry_loan), if self.retry_loan.is_some() => {
-                self.retry_loan = None;
-                self.handle_event(Event::RetryAnswered { is_lent })
+                Progress::RetryAnswered { is_lent }
             }
             () = tokio::time::sleep_until(overdue), if overdue_at_us.is_some() => {
-                self.report_overdue_attempts();
-                self.handle_event(Event::HedgeDue)
+                Progress::Overdue
             }
             () = tokio::time::sleep_until(hedge_check), if self.hedge_check_at_us.is_some() => {
-                self.schedule_hedge_check();
-                self.handle_event(Event::HedgeDue)
-            }
-            () = wait_until_given_up(&mut self.gives_up_waiting) => {
-                self.handle_event(Event::Deadline)
-            }
-            () = tokio::time::sleep_until(deadline) => {
-                self.report_attempts_at_deadline();
-                self.handle_event(Event::Deadline)
+                Progress::HedgeCheckDue
             }
+            else => std::future::pending().await,
         }
     }
 
@@ -574,17 +610,6 @@
     }
 }
 
-/// Waits until the instance gives up waiting for responses, shortly before it exits.
-pub(super) async fn wait_until_given_up(gives_up_waiting: &mut watch::Receiver<bool>) {
-    let is_closed = gives_up_waiting
-        .wait_for(|gives_up| *gives_up)
-        .await
-        .is_err();
-    if is_closed {
-        std::future::pending().await
-    }
-}
-
 fn caller_disconnected_reply(outcome: Outcome) -> Reply {
     Reply {
         code: ResultCode::CallerDisconnected,
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -24,6 +24,7 @@
 use model::configuration::Repeat;
 use model::configuration::Route;
 use policy::command::TicketAnswer;
+use policy::exchange::Event;
 use policy::exchange::Exchange;
 use policy::exchange::MAX_ATTEMPTS;
 use policy::quarantine::RequestContent;
@@ -44,6 +45,7 @@
 use super::reply::build_refusal;
 use super::runner::Runner;
 use super::ticket_relay::relay_to_issuer;
+use super::wait_limits::WaitLimits;
 use crate::metrics::RequestLabels;
 
 const TICKETS_PATH: &str = "/sniperun/tickets";
@@ -98,7 +100,9 @@
     };
     match route(&proxy_state, &table, request, request_params).await {
         Ok(RouteAction::Respond(response)) => response,
-        Ok(RouteAction::Run(routed)) => run(proxy_state, &table, caller, *routed).await,
+        Ok(RouteAction::Run(request, routed)) => {
+            run(proxy_state, &table, caller, request, *routed).await
+        }
         Err(refusal) => {
             log::warn!(
                 "event=request-refused id={id} code={} outcome={} note={} reason=\"{}\" retry_after_ms={:?}",
@@ -143,8 +147,8 @@
     }
 }
 
+/// The terms under which a request is run.
 struct RoutedRequest {
-    request: Request<Incoming>,
     request_params: RequestParams,
     route: Arc<Route>,
     service: Arc<ServiceTable>,
@@ -158,7 +162,7 @@
 
 enum RouteAction {
     Respond(Response<ResponseBody>),
-    Run(Box<RoutedRequest>),
+    Run(Request<Incoming>, Box<RoutedRequest>),
 }
 
 /// Determines the service, the deadline and the command record of a request. A command whose
@@ -216,7 +220,13 @@
             if ticket.instance != proxy_state.id && !request.headers().contains_key(names::RELAYED)
             {
                 return Ok(RouteAction::Respond(
-                    relay_to_issuer(proxy_state, &ticket, request).await,
+                    relay_to_issuer(
+                        proxy_state,
+                        &ticket,
+                        request,
+                        WaitLimits::new(proxy_state, deadline_us),
+                    )
+                    .await,
                 ));
             }
             let answer = proxy_state.tickets.lock().begin(began_us, &ticket);
@@ -233,8 +243,7 @@
         }
         _ => CommandRecord::none(proxy_state.clone()),
     };
-    Ok(RouteAction::Run(Box::new(RoutedRequest {
-        request,
+    let routed = RoutedRequest {
         request_params,
         route,
         service,
@@ -242,7 +251,8 @@
         began_us,
         deadline_us,
         caller_deadline_us: began_us + caller_limit_ms * MICROS_PER_MILLI,
-    })))
+    };
+    Ok(RouteAction::Run(request, Box::new(routed)))
 }
 
 /// Returns the refusal for a request that matches no route. If the configuration may be
@@ -275,47 +285,33 @@
     proxy_state: Arc<ProxyState>,
     table: &RoutingTable,
     caller: IpAddr,
+    request: Request<Incoming>,
     mut routed: RoutedRequest,
 ) -> Response<ResponseBody> {
-    let guards = match admit(&proxy_state, table, &routed) {
+    let guards = match admit(&proxy_state, table, request.headers(), &routed) {
         Ok(guards) => guards,
-        Err(code) => {
-            routed.record.finish(code.outcome());
-            let service = &routed.service.service;
-            log::warn!(
-                "event=request-refused id={} route={} service={} code={} outcome={} reason=\"{}\" in_work={}",
-                routed.request_params.id(),
-                routed.route.name,
-                service.name,
-                code.number(),
-                code.outcome(),
-                code.phrase(),
-                proxy_state.admission.in_flight()
-            );
-            proxy_state.metrics.count_request(&RequestLabels {
-                service: service.name.to_string(),
-                class: class_of(&routed).as_str().to_owned(),
-                code: code.number(),
-                outcome: code.outcome().to_string(),
-            });
-            return build_refusal(
-                &*proxy_state.header_protocol,
-                code,
-                Some(RETRY_AFTER_REFUSAL_MS),
-            );
-        }
+        Err(code) => return refuse(&proxy_state, &mut routed, code),
     };
-    let customer: Arc<str> = match customer_header(routed.request.headers()) {
+    let customer: Arc<str> = match customer_header(request.headers()) {
         Some(name) => name.into(),
         None => caller.to_string().into(),
     };
     let has_id = routed.record.has_id();
     let class = class_of(&routed);
-    let host = host_of(&routed.request);
-    let (parts, incoming) = routed.request.into_parts();
-    let Ok(body) = CallerBody::read(incoming, proxy_state.limits.kept_body_bytes).await else {
-        routed.record.finish(ResultCode::BadRequest.outcome());
-        return build_refusal(&*proxy_state.header_protocol, ResultCode::BadRequest, None);
+    let host = host_of(&request);
+    let (parts, incoming) = request.into_parts();
+    let mut limits = WaitLimits::new(&proxy_state, routed.deadline_us);
+    let read = CallerBody::read(incoming, proxy_state.limits.kept_body_bytes);
+    let body = match limits.wait(read).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(_)) => {
+            routed.record.finish(ResultCode::BadRequest.outcome());
+            return build_refusal(&*proxy_state.header_protocol, ResultCode::BadRequest, None);
+        }
+        Err(Event::LastAnswers) => {
+            return refuse(&proxy_state, &mut routed, ResultCode::Draining);
+        }
+        Err(_) => return refuse(&proxy_state, &mut routed, ResultCode::DeadlineTooNear),
     };
     let is_handed_over = parts.headers.contains_key(names::RELAYED);
     let content = RequestContent {
@@ -362,6 +358,7 @@
             guards: Some(guards),
             customer,
             deadline_us: routed.deadline_us,
+            limits,
             began_us: routed.began_us,
         },
     );
@@ -382,6 +379,37 @@
     })
 }
 
+/// Refuses a request that was sent to no target.
+fn refuse(
+    proxy_state: &ProxyState,
+    routed: &mut RoutedRequest,
+    code: ResultCode,
+) -> Response<ResponseBody> {
+    routed.record.finish(code.outcome());
+    let service = &routed.service.service;
+    log::warn!(
+        "event=request-refused id={} route={} service={} code={} outcome={} reason=\"{}\" in_work={}",
+        routed.request_params.id(),
+        routed.route.name,
+        service.name,
+        code.number(),
+        code.outcome(),
+        code.phrase(),
+        proxy_state.admission.in_flight()
+    );
+    proxy_state.metrics.count_request(&RequestLabels {
+        service: service.name.to_string(),
+        class: class_of(routed).as_str().to_owned(),
+        code: code.number(),
+        outcome: code.outcome().to_string(),
+    });
+    build_refusal(
+        &*proxy_state.header_protocol,
+        code,
+        Some(RETRY_AFTER_REFUSAL_MS),
+    )
+}
+
 fn class_of(routed: &RoutedRequest) -> Class {
     let route_setting = routed.route.terms.class;
     route_setting.unwrap_or(routed.service.service.class)
@@ -390,9 +418,10 @@
 fn admit(
     proxy_state: &Arc<ProxyState>,
     table: &RoutingTable,
+    headers: &HeaderMap,
     routed: &RoutedRequest,
 ) -> Result<AdmissionGuards, ResultCode> {
-    let customer = match customer_header(routed.request.headers()) {
+    let customer = match customer_header(headers) {
         Some(name) => {
             let customer = table
                 .configuration
--- a/sniperund/src/callers/ticket_relay.rs
+++ b/sniperund/src/callers/ticket_relay.rs
@@ -20,6 +20,7 @@
 use super::headers::remove_hop_by_hop;
 use super::relayed_body::RelayedBody;
 use super::reply::build_refusal;
+use super::wait_limits::WaitLimits;
 use crate::targets::Connection;
 use crate::targets::SendFailure;
 
@@ -27,11 +28,13 @@
 ///
 /// The instance is looked up by id among the members, so that a caller cannot direct the relay
 /// to an address of its choice. If it is no longer a member or cannot be reached, the ticket is
-/// reported as lost; if the instance has stopped, commands with its tickets never run again.
+/// reported as lost; if the instance has stopped, commands with its tickets never run again. If it
+/// does not respond within the limits, the outcome is unknown.
 pub(super) async fn relay_to_issuer(
     proxy_state: &Arc<ProxyState>,
     ticket: &Ticket,
     request: Request<Incoming>,
+    mut limits: WaitLimits,
 ) -> Response<ResponseBody> {
     let directory = proxy_state.control.shared().directory();
     let Some(issuer) = directory.get(&ticket.instance) else {
@@ -45,7 +48,14 @@
     request
         .headers_mut()
         .insert(names::RELAYED, HeaderValue::from_static("1"));
-    match connection.send(request).await {
+    let Ok(sent) = limits.wait(connection.send(request)).await else {
+        return build_refusal(
+            &*proxy_state.header_protocol,
+            ResultCode::TargetTimeout,
+            None,
+        );
+    };
+    match sent {
         Ok(response) => {
             let (mut parts, incoming) = response.into_parts();
             remove_hop_by_hop(&mut parts.headers);
--- a/sniperund/tests/users/stopping.rs
+++ b/sniperund/tests/users/stopping.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use standin::TargetScript;
+use standin::users::configuration;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -167,3 +169,66 @@
         assert_none_cut(grace, &late, &arrived);
     }
 }
+
+/// Log lines of a request.
+fn lines_of(log: &str, id: &str) -> String {
+    let lines: Vec<&str> = log.lines().filter(|line| line.contains(id)).collect();
+    lines.join("\n")
+}
+
+/// Guards against requests that wait in the queue for targets that have all asked for a pause, and
+/// get no answer when the instance exits.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_answers_requests_that_wait_for_paused_targets() {
+    let mut deployment = Deployment::start(1).await;
+    let mut document = configuration(6, "reads");
+    document["routes"]["r-command"]["timeout"] = "12000ms".into();
+    deployment.store.put("op/config", &document);
+    for target in &deployment.targets[2..] {
+        target.set_extra_headers(&[("Retry-After", "1")]);
+        target.set_script(TargetScript::Sheds);
+    }
+    let address = deployment.instances[0].caller_address();
+    let signalled = Instant::now() + Duration::from_secs(1);
+    // Callers with kept connections, which the instance closes later than these times.
+    let tasks: Vec<_> = (0..24)
+        .map(|number| {
+            let sent = ("POST", "/command/a", format!("9a{number:02x}"));
+            let sent_after = Duration::from_millis(2_400) + STEP / 10 * number;
+            tokio::spawn(send_late(address, sent, signalled, sent_after))
+        })
+        .collect();
+    tokio::time::sleep_until(signalled.into()).await;
+    deployment.instances[0].send_signal("TERM");
+    let exit = tokio::time::timeout(WAIT_TIMEOUT, deployment.instances[0].wait_for_exit()).await;
+    assert!(exit.expect("the instance did not exit in time").success());
+    assert!(signalled.elapsed() < LONG_GRACE);
+    let targets = deployment.targets.iter();
+    let ran: BTreeSet<String> = targets.flat_map(|target| target.observed().ran).collect();
+    let log = deployment.instances[0].read_log();
+    let mut late = Vec::new();
+    for task in tasks {
+        late.push(task.await.expect("a caller failed"));
+    }
+    let unanswered = late.iter().filter(|late| late.answer.is_none());
+    let unanswered: Vec<&str> = unanswered.map(|late| late.id.as_str()).collect();
+    assert!(unanswered.is_empty(), "no answer to {unanswered:?}");
+    for Late {
+        id,
+        sent_after,
+        answer,
+    } in &late
+    {
+        let Some((status, answered_after)) = *answer else {
+            continue;
+        };
+        assert_eq!(status, 503, "{id}: {}", lines_of(&log, id));
+        assert!(!ran.contains(id), "{id} was run and refused");
+        // The route's objective leaves no time for a target after the next end of the pause.
+        let waited = answered_after.saturating_sub(*sent_after);
+        assert!(
+            waited < Duration::from_secs(2),
+            "{id} waited for {waited:?}"
+        );
+    }
+}
