End responses without end at the time limit of their route

What callers saw: a read whose target sends its body without end got bytes for as long as it waited, beyond the route's timeout and its own; the target kept getting reads.

Cause: a request counted as over when the head of its response was read. The exchange knew the deadline as an event while a body is forwarded, but nothing raised it; bodies that another instance relays had no timer at all. A response was reported as good by its head alone.

Ruled out: a timer in the body, which is not asked for more while its caller reads nothing.

Change: the progress of a body decides, with the time and the limits as arguments, whether it is forwarded further (policy/exchange/body_progress.rs); the task that serves the caller's connection asks it. A response that ends early resets the connection, as one without a length looks complete to callers of HTTP/1.0 otherwise. A target's response is reported once, when its body has ended; a caller that does not read is no evidence. The messages between instances are unchanged.

Not shown by a test with processes: the limit of a relayed body.

--- a/policy/src/exchange/mod.rs
+++ b/policy/src/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! The handling of one request, from acceptance to its final outcome.
 
 mod attempt;
+mod body_progress;
 mod exchange;
 mod hand_over;
 mod observation;
@@ -10,6 +11,10 @@
 mod target_notices;
 
 pub use attempt::Failure;
+pub use body_progress::BodyLimits;
+pub use body_progress::BodyProgress;
+pub use body_progress::BodyStep;
+pub use body_progress::BreakOffReason;
 pub use exchange::Event;
 pub use exchange::Exchange;
 pub use exchange::MAX_ATTEMPTS;
--- a/sniperund/src/callers/admitted_request.rs
+++ b/sniperund/src/callers/admitted_request.rs
@@ -14,6 +14,7 @@
 use policy::limits::CustomerGuard;
 
 use super::body::CallerBody;
+use super::caller_connection::ResponseLimits;
 use super::command::CommandRecord;
 use super::wait_limits::WaitLimits;
 
@@ -48,6 +49,7 @@
     pub(super) deadline_us: u64,
     /// What ends the waits of the request.
     pub(super) limits: WaitLimits,
+    pub(super) response_limits: ResponseLimits,
     pub(super) began_us: u64,
 }
 
--- a/sniperund/src/callers/forwarded_body.rs
+++ b/sniperund/src/callers/forwarded_body.rs
@@ -1,15 +1,13 @@
 //! Forwards the body of a target's response to the caller.
 //!
-//! The exchange ends with the body, which is complete, truncated by the target, or abandoned by
-//! the caller. A truncated body ends with an error, which aborts the caller's connection, so
+//! The exchange ends with the body, which is complete, truncated by the target, broken off at its
+//! limits, or abandoned by the caller. Unless it is complete, the caller's connection is reset, so
 //! that the response cannot be mistaken for a complete one.
 
-use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
-use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::Body;
@@ -20,23 +18,24 @@
 use model::configuration::Class;
 use policy::Input;
 use policy::exchange::AttemptEnd;
+use policy::exchange::BreakOffReason;
 use policy::exchange::Event;
 use policy::exchange::Exchange;
 use policy::exchange::Observation;
-use tokio::time::Instant;
-use tokio::time::Sleep;
 
 use super::ProxyState;
 use super::admitted_request::AdmissionGuards;
 use super::body::BoxError;
+use super::caller_connection::ResponseLimits;
+use super::caller_connection::ResponseWatch;
 use super::command::CommandRecord;
 use super::crash_check::CrashCheck;
+use crate::Clock;
 use crate::control::PermitGuard;
 use crate::metrics::RequestLabels;
 use crate::targets::Connection;
 
-/// Time without data after which a target's response counts as truncated.
-const STALL_TIMEOUT: Duration = Duration::from_secs(60);
+const MICROS_PER_MILLI: u64 = 1_000;
 
 /// State of a request whose response is being forwarded.
 pub(super) struct ForwardedResponse {
@@ -46,7 +45,9 @@
     pub(super) proxy_state: Arc<ProxyState>,
     pub(super) exchange: Exchange,
     pub(super) record: CommandRecord,
-    pub(super) target: Arc<str>,
+    pub(super) limits: ResponseLimits,
+    /// What the response says about its target if it ends well.
+    pub(super) observation: Observation,
     pub(super) connection: Option<Connection>,
     pub(super) guards: Option<AdmissionGuards>,
     pub(super) crash_check: CrashCheck,
@@ -57,15 +58,19 @@
 /// The body of a target's response; ends the exchange when it ends or is dropped.
 pub(super) struct ForwardedBody {
     incoming: Incoming,
-    stall_timer: Pin<Box<Sleep>>,
+    watch: Arc<ResponseWatch>,
+    clock: Clock,
     response: Option<ForwardedResponse>,
 }
 
 impl ForwardedBody {
     pub(super) fn new(incoming: Incoming, response: ForwardedResponse) -> Self {
+        let clock = response.proxy_state.clock;
+        let length = incoming.size_hint().exact();
         let mut body = Self {
+            watch: response.limits.watch(clock.now_us(), length),
+            clock,
             incoming,
-            stall_timer: Box::pin(tokio::time::sleep(STALL_TIMEOUT)),
             response: Some(response),
         };
         if body.incoming.is_end_stream() {
@@ -75,19 +80,28 @@
     }
 
     fn end(&mut self, event: Event) {
-        if let Some(response) = self.response.take() {
-            response.end(event);
+        let Some(response) = self.response.take() else {
+            return;
+        };
+        match event {
+            Event::Ended => self.watch.finish(self.clock.now_us()),
+            _ => response.limits.connection.mark_broken_off(),
         }
+        response.end(event, &self.watch);
     }
+}
 
-    fn end_truncated(&mut self, error: BoxError) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        self.end(Event::Cut);
-        Poll::Ready(Some(Err(error)))
+/// The event with which an exchange ends whose body is dropped before its end.
+fn drop_event(broken_off: Option<BreakOffReason>) -> Event {
+    match broken_off {
+        Some(BreakOffReason::TimeLimit) => Event::Deadline,
+        Some(BreakOffReason::TargetSilent) => Event::Cut,
+        Some(BreakOffReason::CallerSlow) | None => Event::CallerDisconnected,
     }
 }
 
 impl ForwardedResponse {
-    fn end(mut self, event: Event) {
+    fn end(mut self, event: Event, watch: &ResponseWatch) {
         let now_us = self.proxy_state.clock.now_us();
         let _ = self.exchange.on(now_us, event, &mut rand::rng());
         let outcome = self.exchange.outcome();
@@ -96,6 +110,7 @@
         let code = match event {
             Event::Ended => ResultCode::Served,
             Event::Cut => ResultCode::TargetTruncated,
+            Event::Deadline => ResultCode::TargetTimeout,
             _ => ResultCode::CallerDisconnected,
         };
         if event == Event::Ended
@@ -105,21 +120,29 @@
         }
         if event == Event::Cut {
             self.crash_check.start(&self.proxy_state);
-            self.proxy_state.control.send(Input::Observed(Observation {
-                service: service.name.clone(),
-                target: self.target.clone(),
-                end: AttemptEnd::Cut,
-                overdue_reports: 0,
-                has_full_time: false,
-            }));
+        }
+        if matches!(event, Event::Cut | Event::Deadline) {
+            self.observation.end = AttemptEnd::Cut;
+        }
+        if event != Event::Ended {
+            let reason = match (watch.broken_off(), event) {
+                (Some(reason), _) => reason.to_string(),
+                (None, Event::Cut) => "target-closed".to_owned(),
+                (None, _) => "caller-closed".to_owned(),
+            };
             log::warn!(
-                "event=answer-cut id={} code={} service={} target={}",
+                "event=answer-cut id={} code={} service={} target={} reason={reason} received_bytes={} after_ms={}",
                 self.id,
                 code.number(),
                 service.name,
-                self.target
+                self.observation.target,
+                watch.progress().received_bytes(),
+                watch.progress().elapsed_us(now_us) / MICROS_PER_MILLI
             );
         }
+        self.proxy_state
+            .control
+            .send(Input::Observed(self.observation));
         self.proxy_state.metrics.count_request(&RequestLabels {
             service: service.name.to_string(),
             class: self.class.as_str().to_owned(),
@@ -139,25 +162,26 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let now_us = self.clock.now_us();
+        self.watch.wait_for_target(now_us);
         match Pin::new(&mut self.incoming).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
-                self.stall_timer
-                    .as_mut()
-                    .reset(Instant::now() + STALL_TIMEOUT);
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                self.watch.receive(now_us, bytes);
                 if self.incoming.is_end_stream() {
                     self.end(Event::Ended);
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(error))) => self.end_truncated(error.into()),
+            Poll::Ready(Some(Err(error))) => {
+                self.end(Event::Cut);
+                Poll::Ready(Some(Err(error.into())))
+            }
             Poll::Ready(None) => {
                 self.end(Event::Ended);
                 Poll::Ready(None)
             }
-            Poll::Pending => match self.stall_timer.as_mut().poll(cx) {
-                Poll::Ready(()) => self.end_truncated(ResultCode::TargetTruncated.phrase().into()),
-                Poll::Pending => Poll::Pending,
-            },
+            Poll::Pending => Poll::Pending,
         }
     }
 
@@ -175,7 +199,7 @@
         let event = if self.incoming.is_end_stream() {
             Event::Ended
         } else {
-            Event::CallerDisconnected
+            drop_event(self.watch.broken_off())
         };
         self.end(event);
     }
--- a/sniperund/src/callers/hand_over.rs
+++ b/sniperund/src/callers/hand_over.rs
@@ -27,7 +27,6 @@
 use policy::routing::TargetProcess;
 use rand::seq::IteratorRandom;
 
-use super::body::BoxError;
 use super::body::ResponseBody;
 use super::headers::names;
 use super::headers::remove_hop_by_hop;
@@ -166,9 +165,11 @@
             let close = HeaderValue::from_static("close");
             parts.headers.insert(CONNECTION, close);
         }
-        let body = incoming.map_err(BoxError::from);
+        let limits = self.request.response_limits.clone();
+        let clock = self.proxy_state.clock;
         let guards = self.request.guards.take();
-        Response::from_parts(parts, RelayedBody::new(body, connection, guards).boxed())
+        let body = RelayedBody::new(incoming, limits, clock, connection, guards);
+        Response::from_parts(parts, body.boxed())
     }
 
     /// Reports what a target has said about itself in a response that another instance relays, as
--- a/sniperund/src/callers/listener.rs
+++ b/sniperund/src/callers/listener.rs
@@ -17,6 +17,9 @@
 use tower::ServiceBuilder;
 
 use super::ProxyState;
+use super::caller_connection::CallerConnection;
+use super::caller_connection::CallerStream;
+use super::caller_connection::WatchedConnection;
 use super::check::CheckLayer;
 use super::service::CallerService;
 
@@ -101,6 +104,8 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
+        let caller_connection = Arc::new(CallerConnection::default());
+        let stream = CallerStream::new(stream, caller_connection.clone());
         let service = ServiceBuilder::new()
             .layer(CheckLayer {
                 header_bytes: proxy_state.limits.header_bytes,
@@ -109,15 +114,17 @@
             .service(CallerService {
                 proxy_state: proxy_state.clone(),
                 caller: caller.ip(),
+                connection: caller_connection.clone(),
             });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(header_read_timeout(&proxy_state))
             .max_buf_size(proxy_state.limits.header_bytes * BUFFER_FACTOR)
             .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
-        let connection = graceful.watch(connection);
+        let served = graceful.watch(connection);
+        let connection = WatchedConnection::new(served, caller_connection, proxy_state.clock);
         tokio::spawn(async move {
-            let _ = connection.await;
+            connection.await;
             drop(connection_permit);
         });
     }
--- a/sniperund/src/callers/mod.rs
+++ b/sniperund/src/callers/mod.rs
@@ -7,6 +7,7 @@
 mod admitted_request;
 mod background_tasks;
 mod body;
+mod caller_connection;
 mod check;
 mod command;
 mod crash_check;
--- a/sniperund/src/callers/relayed_body.rs
+++ b/sniperund/src/callers/relayed_body.rs
@@ -1,49 +1,90 @@
 //! The body of a response that another instance sends.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 
+use bytes::Bytes;
 use hyper::body::Body;
 use hyper::body::Frame;
+use hyper::body::Incoming;
 use hyper::body::SizeHint;
 
 use super::admitted_request::AdmissionGuards;
+use super::body::BoxError;
+use super::caller_connection::ResponseLimits;
+use super::caller_connection::ResponseWatch;
+use crate::Clock;
 use crate::targets::Connection;
 
 /// A body that holds its connection open, and the places of its request, until it ends.
-pub(super) struct RelayedBody<B> {
-    body: B,
+pub(super) struct RelayedBody {
+    incoming: Incoming,
+    limits: ResponseLimits,
+    watch: Arc<ResponseWatch>,
+    clock: Clock,
     _connection: Connection,
     _guards: Option<AdmissionGuards>,
 }
 
-impl<B> RelayedBody<B> {
-    pub(super) fn new(body: B, connection: Connection, guards: Option<AdmissionGuards>) -> Self {
+impl RelayedBody {
+    pub(super) fn new(
+        incoming: Incoming,
+        limits: ResponseLimits,
+        clock: Clock,
+        connection: Connection,
+        guards: Option<AdmissionGuards>,
+    ) -> Self {
+        let length = incoming.size_hint().exact();
         Self {
-            body,
+            watch: limits.watch(clock.now_us(), length),
+            incoming,
+            limits,
+            clock,
             _connection: connection,
             _guards: guards,
         }
     }
 }
 
-impl<B: Body + Unpin> Body for RelayedBody<B> {
-    type Data = B::Data;
-    type Error = B::Error;
+impl Body for RelayedBody {
+    type Data = Bytes;
+    type Error = BoxError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let now_us = self.clock.now_us();
+        self.watch.wait_for_target(now_us);
+        let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            self.watch.receive(now_us, bytes);
+        }
+        polled.map_err(BoxError::from)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.incoming.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        self.incoming.size_hint()
+    }
+}
+
+impl Drop for RelayedBody {
+    fn drop(&mut self) {
+        if self.incoming.is_end_stream() {
+            self.watch.finish(self.clock.now_us());
+            return;
+        }
+        self.limits.connection.mark_broken_off();
+        if let Some(reason) = self.watch.broken_off() {
+            let received_bytes = self.watch.progress().received_bytes();
+            log::warn!("event=relayed-answer-cut reason={reason} received_bytes={received_bytes}");
+        }
     }
 }
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -101,6 +101,21 @@
     overdue_at_us: Option<u64>,
     has_full_time: bool,
     is_finished: bool,
+    /// What the head of the forwarded response says about the target.
+    answered: Option<AttemptEnd>,
+}
+
+impl SentAttempt {
+    /// What the end of the attempt says about its target.
+    fn observation(&self, end: AttemptEnd) -> Observation {
+        Observation {
+            service: self.target.service.clone(),
+            target: self.target.name.clone(),
+            end,
+            overdue_reports: self.overdue_reports,
+            has_full_time: self.has_full_time,
+        }
+    }
 }
 
 impl Runner {
@@ -260,6 +275,7 @@
             overdue_at_us: overdue_after_us.map(|after_us| now_us + after_us),
             has_full_time: self.request.is_full_time(left_ms),
             is_finished: false,
+            answered: None,
         });
         let needs_new_connection = !self.request.repeatable;
         if self.is_logged || attempt > 0 || load.leaving_for_us(now_us).is_some() {
@@ -390,13 +406,16 @@
         match kind {
             ResponseKind::Own => {
                 self.report_survived_request();
-                self.report_attempt_end(
-                    attempt,
-                    self.determine_attempt_end(attempt, &head.response),
-                );
+                let end = self.determine_attempt_end(attempt, &head.response);
                 self.head = Some(head);
                 let status = status.as_u16();
-                self.handle_event(Event::Head { attempt, status })
+                let step = self.handle_event(Event::Head { attempt, status });
+                match step {
+                    // Reported when the body has ended.
+                    Step::Forward { .. } => self.sent[attempt].answered = Some(end),
+                    _ => self.report_attempt_end(attempt, end),
+                }
+                step
             }
             ResponseKind::NotRun => {
                 self.handle_failure(attempt, AttemptEnd::Shed, Failure::Refused)
@@ -490,14 +509,8 @@
             end => end,
         };
         let sent = &mut self.sent[attempt];
-        let observation = Observation {
-            service: sent.target.service.clone(),
-            target: sent.target.name.clone(),
-            end,
-            overdue_reports: sent.overdue_reports,
-            has_full_time: sent.has_full_time,
-        };
         sent.is_finished |= end != AttemptEnd::Overdue;
+        let observation = sent.observation(end);
         self.proxy_state.control.send(Input::Observed(observation));
     }
 
@@ -562,7 +575,8 @@
             proxy_state: self.proxy_state.clone(),
             exchange: self.request.exchange,
             record: self.request.record,
-            target: sent.target.name.clone(),
+            limits: self.request.response_limits.clone(),
+            observation: sent.observation(sent.answered.unwrap_or(AttemptEnd::Cancelled)),
             connection: Some(head.connection),
             guards: self.request.guards,
             _permit: self.permit,
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -24,6 +24,7 @@
 use model::configuration::Repeat;
 use model::configuration::Route;
 use policy::command::TicketAnswer;
+use policy::exchange::BodyLimits;
 use policy::exchange::Event;
 use policy::exchange::Exchange;
 use policy::exchange::MAX_ATTEMPTS;
@@ -39,6 +40,8 @@
 use super::body::CallerBody;
 use super::body::ResponseBody;
 use super::body::full_body;
+use super::caller_connection::CallerConnection;
+use super::caller_connection::ResponseLimits;
 use super::command::CommandId;
 use super::command::CommandRecord;
 use super::headers::names;
@@ -64,6 +67,7 @@
 pub(super) struct CallerService {
     pub(super) proxy_state: Arc<ProxyState>,
     pub(super) caller: IpAddr,
+    pub(super) connection: Arc<CallerConnection>,
 }
 
 impl Service<Request<Incoming>> for CallerService {
@@ -77,14 +81,23 @@
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let proxy_state = self.proxy_state.clone();
-        let caller = self.caller;
+        let caller = Caller {
+            address: self.caller,
+            connection: self.connection.clone(),
+        };
         async move { Ok(serve(proxy_state, caller, request).await) }.boxed()
     }
 }
 
+/// The caller of a request.
+struct Caller {
+    address: IpAddr,
+    connection: Arc<CallerConnection>,
+}
+
 async fn serve(
     proxy_state: Arc<ProxyState>,
-    caller: IpAddr,
+    caller: Caller,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     if proxy_state.supports_command_ids() && request.uri().path() == TICKETS_PATH {
@@ -98,7 +111,7 @@
         Ok(request_params) => request_params.id().into(),
         Err(_) => "-".into(),
     };
-    match route(&proxy_state, &table, request, request_params).await {
+    match route(&proxy_state, &table, &caller, request, request_params).await {
         Ok(RouteAction::Respond(response)) => response,
         Ok(RouteAction::Run(request, routed)) => {
             run(proxy_state, &table, caller, request, *routed).await
@@ -158,6 +171,7 @@
     deadline_us: u64,
     /// Time at which the caller stops waiting for the response.
     caller_deadline_us: u64,
+    body_limits: BodyLimits,
 }
 
 enum RouteAction {
@@ -170,6 +184,7 @@
 async fn route(
     proxy_state: &Arc<ProxyState>,
     table: &RoutingTable,
+    caller: &Caller,
     request: Request<Incoming>,
     request_params: Result<RequestParams, ResultCode>,
 ) -> Result<RouteAction, RouteRefusal> {
@@ -209,6 +224,15 @@
     let usable_ms = caller_limit_ms - RETURN_MARGIN_MS.min(caller_limit_ms / RETURN_MARGIN_DIVISOR);
     let limit_ms = usable_ms.min(route.terms.time_limit_ms.unwrap_or(u64::MAX));
     let deadline_us = began_us + limit_ms * MICROS_PER_MILLI;
+    let body_limits = BodyLimits {
+        route_deadline_us: route
+            .terms
+            .time_limit_ms
+            .map(|time_limit_ms| began_us + time_limit_ms * MICROS_PER_MILLI),
+        caller_deadline_us: request_params
+            .time_limit_ms
+            .map(|time_limit_ms| began_us + time_limit_ms * MICROS_PER_MILLI),
+    };
     let repeatable = is_repeatable(&route, &service);
     let record = match command_id {
         Some(CommandId::Key(key)) if !repeatable => {
@@ -225,6 +249,10 @@
                         &ticket,
                         request,
                         WaitLimits::new(proxy_state, deadline_us),
+                        ResponseLimits {
+                            connection: caller.connection.clone(),
+                            body: body_limits,
+                        },
                     )
                     .await,
                 ));
@@ -251,6 +279,7 @@
         began_us,
         deadline_us,
         caller_deadline_us: began_us + caller_limit_ms * MICROS_PER_MILLI,
+        body_limits,
     };
     Ok(RouteAction::Run(request, Box::new(routed)))
 }
@@ -284,7 +313,7 @@
 async fn run(
     proxy_state: Arc<ProxyState>,
     table: &RoutingTable,
-    caller: IpAddr,
+    caller: Caller,
     request: Request<Incoming>,
     mut routed: RoutedRequest,
 ) -> Response<ResponseBody> {
@@ -294,7 +323,7 @@
     };
     let customer: Arc<str> = match customer_header(request.headers()) {
         Some(name) => name.into(),
-        None => caller.to_string().into(),
+        None => caller.address.to_string().into(),
     };
     let has_id = routed.record.has_id();
     let class = class_of(&routed);
@@ -359,6 +388,10 @@
             customer,
             deadline_us: routed.deadline_us,
             limits,
+            response_limits: ResponseLimits {
+                connection: caller.connection,
+                body: routed.body_limits,
+            },
             began_us: routed.began_us,
         },
     );
--- a/sniperund/src/callers/ticket_relay.rs
+++ b/sniperund/src/callers/ticket_relay.rs
@@ -14,8 +14,8 @@
 use policy::command::Ticket;
 
 use super::ProxyState;
-use super::body::BoxError;
 use super::body::ResponseBody;
+use super::caller_connection::ResponseLimits;
 use super::headers::names;
 use super::headers::remove_hop_by_hop;
 use super::relayed_body::RelayedBody;
@@ -35,6 +35,7 @@
     ticket: &Ticket,
     request: Request<Incoming>,
     mut limits: WaitLimits,
+    response_limits: ResponseLimits,
 ) -> Response<ResponseBody> {
     let directory = proxy_state.control.shared().directory();
     let Some(issuer) = directory.get(&ticket.instance) else {
@@ -59,8 +60,9 @@
         Ok(response) => {
             let (mut parts, incoming) = response.into_parts();
             remove_hop_by_hop(&mut parts.headers);
-            let body = incoming.map_err(BoxError::from);
-            Response::from_parts(parts, RelayedBody::new(body, connection, None).boxed())
+            let clock = proxy_state.clock;
+            let body = RelayedBody::new(incoming, response_limits, clock, connection, None);
+            Response::from_parts(parts, body.boxed())
         }
         Err(SendFailure::NotSent | SendFailure::Unreachable) => {
             build_refusal(&*proxy_state.header_protocol, ResultCode::TicketLost, None)
--- a/sniperund/tests/users/endless.rs
+++ b/sniperund/tests/users/endless.rs
@@ -1,6 +1,8 @@
 //! Targets that send an endless response.
 
+use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use standin::TargetScript;
 use tokio::io::AsyncReadExt;
@@ -76,3 +78,110 @@
     let response = instance.send_request("GET", "/read/a", "9f02").await;
     assert_eq!(response.map(|response| response.status), Some(200));
 }
+
+/// Time limit of the route `/read/`.
+const ROUTE_LIMIT: Duration = Duration::from_secs(3);
+/// The users allow half a second after it.
+const LATE_LIMIT: Duration = Duration::from_millis(3_500);
+
+/// Sends a read with a time limit of eight seconds and reads all that comes back; returns the
+/// bytes, the time, and whether the connection was closed without a reset.
+async fn read_all(address: SocketAddr, version: &str, id: &str) -> (Vec<u8>, Duration, bool) {
+    let mut caller = TcpStream::connect(address).await.expect("not connected");
+    let request = format!(
+        "GET /read/a HTTP/{version}\r\nhost: a.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 8000\r\n\r\n"
+    );
+    let sent = Instant::now();
+    caller
+        .write_all(request.as_bytes())
+        .await
+        .expect("failed to send the request");
+    let mut bytes = Vec::new();
+    let mut buffer = vec![0; 1 << 16];
+    let is_closed = loop {
+        match caller.read(&mut buffer).await {
+            Ok(0) => break true,
+            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+            Err(_) => break false,
+        }
+    };
+    (bytes, sent.elapsed(), is_closed)
+}
+
+/// Guards against responses whose bodies never end, which were forwarded for as long as their
+/// callers waited. They end at the route's timeout and never look complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endless_response_body_ends_at_the_time_limit_of_its_route() {
+    let deployment = Deployment::start(1).await;
+    for target in &deployment.targets[..2] {
+        target.set_script(TargetScript::EndlessBody);
+    }
+    let instance = &deployment.instances[0];
+    let address = instance.caller_address();
+    let (bytes, time, _) = read_all(address, "1.1", "af01").await;
+    assert!(time > ROUTE_LIMIT / 2 && time < LATE_LIMIT, "{time:?}");
+    assert!(!bytes.ends_with(b"0\r\n\r\n"), "the body looks complete");
+    // A body without a length ends with its connection, so that only a reset tells it.
+    let (_, time, is_closed) = read_all(address, "1.0", "af02").await;
+    assert!(time < LATE_LIMIT, "{time:?}");
+    assert!(!is_closed, "the connection was closed without a reset");
+    instance
+        .wait_for_log("event=answer-cut id=af01 code=304")
+        .await;
+    wait_until("the targets' connections to be closed", async || {
+        let closed = |target: &standin::UsersTarget| target.observed().endless_bytes.len();
+        deployment.targets.iter().map(closed).sum::<usize>() == 2
+    })
+    .await;
+}
+
+/// Guards against a target that counts as healthy though its bodies never end.
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_leave_a_target_whose_bodies_never_end() {
+    let deployment = Deployment::start(1).await;
+    deployment.targets[0].set_script(TargetScript::EndlessBody);
+    let instance = &deployment.instances[0];
+    let mut callers = Vec::new();
+    for number in 0..16 {
+        let address = instance.caller_address();
+        let id = format!("bf{number:02}");
+        callers.push(tokio::spawn(
+            async move { read_all(address, "1.1", &id).await },
+        ));
+    }
+    for caller in callers {
+        caller.await.expect("a caller failed");
+    }
+    let before = deployment.targets[0].observed().heads.len();
+    assert!(before > 0, "no request has reached the target");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for number in 0..20 {
+        let id = format!("cf{number:02}");
+        let response = instance.send_request("GET", "/read/a", &id).await;
+        assert_eq!(response.map(|response| response.status), Some(200));
+    }
+    let after = deployment.targets[0].observed().heads.len();
+    assert!(after <= before + 1, "{} more requests", after - before);
+}
+
+/// Guards against callers that read nothing: they end too, and are no evidence against the target.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_reads_nothing_ends_at_the_time_limit_and_is_no_failure_of_the_target() {
+    let deployment = Deployment::start(1).await;
+    for target in &deployment.targets[..2] {
+        target.set_script(TargetScript::EndlessBody);
+    }
+    let instance = &deployment.instances[0];
+    let mut caller = TcpStream::connect(instance.caller_address())
+        .await
+        .expect("not connected");
+    let request = "GET /read/a HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: df01\r\nx-deadline-ms: 8000\r\n\r\n";
+    let sent = Instant::now();
+    let written = caller.write_all(request.as_bytes()).await;
+    written.expect("failed to send the request");
+    instance.wait_for_log("event=answer-cut id=df01").await;
+    assert!(sent.elapsed() < LATE_LIMIT, "{:?}", sent.elapsed());
+    let log = instance.read_log();
+    assert!(log.contains("event=answer-cut id=df01 code=306"), "{log}");
+    assert!(log.contains("reason=caller-slow"), "{log}");
+}
