Bound the bytes that a target or the platform can send without end

What callers would see: while a target sends interim responses without end, requests of all callers of the instance wait; while the store sends an answer without end, the process grows until it is ended.

Cause: the HTTP library reads interim responses and the framing of chunks without passing anything on, for as long as bytes come, so that reading them occupies the instance. Answers of the platform, and responses to commands whose callers have left, were collected whole.

Ruled out: one response that fills the memory; a forwarded body is read only as it is written.

Change: a connection to a target reads a limited number of bytes more than were passed on. Responses that nobody takes are read without being kept.

--- a/border/src/http_platform.rs
+++ b/border/src/http_platform.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Method;
 use hyper::Request;
@@ -27,6 +26,7 @@
 use super::Result;
 use super::SwapOutcome;
 use super::WriteRequest;
+use super::read_answer;
 
 /// JSON bodies of the requests and replies of the platform's HTTP interface.
 pub mod wire {
@@ -156,12 +156,7 @@
                 status: response.status().as_u16(),
             });
         }
-        Ok(response
-            .into_body()
-            .collect()
-            .await
-            .map_err(unreachable)?
-            .to_bytes())
+        read_answer(response.into_body()).await
     }
 
     async fn write(&self, request: WriteRequest, version: u64) -> Result<wire::WriteAnswer> {
--- a/border/src/lib.rs
+++ b/border/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`NoteStore`], [`ClaimStore`] and [`SnapshotStore`] store durable data in the platform
 //! and determine the effect of writes whose reply was lost.
 
+mod answer;
 mod call_budget;
 mod claim_store;
 mod header_protocol;
@@ -16,6 +17,8 @@
 mod registry;
 mod snapshot_store;
 
+pub use answer::MAX_ANSWER_BYTES;
+pub use answer::read_answer;
 pub use call_budget::CallBudget;
 pub use claim_store::ClaimStore;
 pub use header_protocol::HeaderProtocol;
--- a/border/src/platform_error.rs
+++ b/border/src/platform_error.rs
@@ -35,6 +35,15 @@
         /// Description of the parse error.
         reason: String,
     },
+    /// The platform's reply is larger than any that it may send.
+    #[display(
+        "{}: answer of over {limit_bytes} bytes",
+        ResultCode::PlatformUnavailable
+    )]
+    TooLarge {
+        /// The limit in bytes.
+        limit_bytes: usize,
+    },
     /// The instance has exhausted its call budget; no request was sent.
     #[display(
         "{}: call budget exhausted; no request sent",
--- a/sniperund/src/callers/forwarded_body.rs
+++ b/sniperund/src/callers/forwarded_body.rs
@@ -79,6 +79,13 @@
         body
     }
 
+    fn add_passed_on(&self, bytes: usize) {
+        let response = self.response.as_ref();
+        if let Some(connection) = response.and_then(|response| response.connection.as_ref()) {
+            connection.add_passed_on(bytes);
+        }
+    }
+
     fn end(&mut self, event: Event) {
         let Some(response) = self.response.take() else {
             return;
@@ -168,6 +175,7 @@
             Poll::Ready(Some(Ok(frame))) => {
                 let bytes = frame.data_ref().map_or(0, Bytes::len);
                 self.watch.receive(now_us, bytes);
+                self.add_passed_on(bytes);
                 if self.incoming.is_end_stream() {
                     self.end(Event::Ended);
                 }
--- a/sniperund/src/callers/relayed_body.rs
+++ b/sniperund/src/callers/relayed_body.rs
@@ -24,7 +24,7 @@
     limits: ResponseLimits,
     watch: Arc<ResponseWatch>,
     clock: Clock,
-    _connection: Connection,
+    connection: Connection,
     _guards: Option<AdmissionGuards>,
 }
 
@@ -42,7 +42,7 @@
             incoming,
             limits,
             clock,
-            _connection: connection,
+            connection,
             _guards: guards,
         }
     }
@@ -62,6 +62,7 @@
         if let Poll::Ready(Some(Ok(frame))) = &polled {
             let bytes = frame.data_ref().map_or(0, Bytes::len);
             self.watch.receive(now_us, bytes);
+            self.connection.add_passed_on(bytes);
         }
         polled.map_err(BoxError::from)
     }
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -407,12 +407,14 @@
             ResponseKind::Own => {
                 self.report_survived_request();
                 let end = self.determine_attempt_end(attempt, &head.response);
-                self.head = Some(head);
                 let status = status.as_u16();
                 let step = self.handle_event(Event::Head { attempt, status });
                 match step {
                     // Reported when the body has ended.
-                    Step::Forward { .. } => self.sent[attempt].answered = Some(end),
+                    Step::Forward { .. } => {
+                        self.sent[attempt].answered = Some(end);
+                        self.head = Some(head);
+                    }
                     _ => self.report_attempt_end(attempt, end),
                 }
                 step
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -402,9 +402,10 @@
     // request gets the actual outcome.
     let (sender, response) = tokio::sync::oneshot::channel();
     let header_protocol = proxy_state.header_protocol.clone();
+    let limits = runner.request.limits.clone();
     proxy_state.background.spawn(async move {
         if let Err(undelivered) = sender.send(runner.run().await) {
-            let _ = undelivered.into_body().collect().await;
+            discard(undelivered.into_body(), limits).await;
         }
     });
     response.await.unwrap_or_else(|_| {
@@ -412,6 +413,15 @@
     })
 }
 
+/// Reads the rest of a response that nobody takes, within the limits of its request, so that its
+/// command ends with the outcome.
+async fn discard(mut body: ResponseBody, mut limits: WaitLimits) {
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    if limits.wait(read).await.is_err() {
+        log::warn!("event=undelivered-answer-cut reason=time-limit");
+    }
+}
+
 /// Refuses a request that was sent to no target.
 fn refuse(
     proxy_state: &ProxyState,
--- a/sniperund/src/targets/connection.rs
+++ b/sniperund/src/targets/connection.rs
@@ -21,6 +21,9 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use super::target_stream::ReadAllowance;
+use super::target_stream::TargetStream;
+
 /// Body of a request to a target.
 pub type OutBody = BoxBody<Bytes, hyper::Error>;
 
@@ -36,7 +39,7 @@
 
 /// Maximum size of a response head, as a faulty target may send bytes without end; the heads of
 /// the users' targets take under 1 KB.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Reason why no response head was received.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
@@ -66,6 +69,7 @@
 pub struct Connection {
     address: SocketAddr,
     sender: http1::SendRequest<OutBody>,
+    allowance: ReadAllowance,
     task: JoinHandle<()>,
 }
 
@@ -86,6 +90,10 @@
         socket.set_tcp_keepalive(&keep_alive)?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
+        let allowance = ReadAllowance::default();
+        // For what a target sends before any request.
+        allowance.begin_head();
+        let stream = TargetStream::new(stream, allowance.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -94,6 +102,7 @@
         Ok(Self {
             address,
             sender,
+            allowance,
             task,
         })
     }
@@ -103,6 +112,11 @@
         self.address
     }
 
+    /// Records the bytes of a frame of the body that were passed on, so that as many are read.
+    pub fn add_passed_on(&self, bytes: usize) {
+        self.allowance.add_passed_on(bytes);
+    }
+
     /// Whether the connection can send a request now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
@@ -121,28 +135,31 @@
             .ready()
             .await
             .map_err(|_| SendFailure::NotSent)?;
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| {
-                if error.take_message().is_some() {
-                    SendFailure::NotSent
-                } else if error.error().is_parse() {
-                    SendFailure::Malformed
-                } else if is_ack_timeout(error.error()) {
-                    SendFailure::AckTimeout
-                } else {
-                    SendFailure::Cut
-                }
-            })
+        self.allowance.begin_head();
+        let response = self.sender.try_send_request(request).await;
+        let response = response.map_err(|mut error| {
+            if error.take_message().is_some() {
+                return SendFailure::NotSent;
+            }
+            match io_error_kind(error.error()) {
+                _ if error.error().is_parse() => SendFailure::Malformed,
+                // More bytes than the head of a response.
+                Some(io::ErrorKind::InvalidData) => SendFailure::Malformed,
+                // The target acknowledged no bytes in time.
+                Some(io::ErrorKind::TimedOut) => SendFailure::AckTimeout,
+                _ => SendFailure::Cut,
+            }
+        })?;
+        self.allowance.begin_body();
+        Ok(response)
     }
 }
 
-/// Whether a connection was closed because the target acknowledged no bytes in time.
-fn is_ack_timeout(error: &hyper::Error) -> bool {
-    let source = std::error::Error::source(error);
-    let source = source.and_then(|source| source.downcast_ref::<io::Error>());
-    source.is_some_and(|source| source.kind() == io::ErrorKind::TimedOut)
+/// Kind of the error of the socket that has ended a connection.
+fn io_error_kind(error: &hyper::Error) -> Option<io::ErrorKind> {
+    let source = std::error::Error::source(error)?;
+    let source = source.downcast_ref::<io::Error>()?;
+    Some(source.kind())
 }
 
 impl Drop for Connection {
--- a/sniperund/src/targets/mod.rs
+++ b/sniperund/src/targets/mod.rs
@@ -3,6 +3,7 @@
 mod connection;
 mod pool;
 mod prober;
+mod target_stream;
 
 pub use connection::Connection;
 pub use connection::OutBody;
--- a/sniperund/tests/users/deployment.rs
+++ b/sniperund/tests/users/deployment.rs
@@ -133,6 +133,15 @@
         response.expect("failed to read the metrics").body
     }
 
+    /// Largest resident size of the process so far, in bytes.
+    pub(crate) fn peak_memory_bytes(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("failed to read the process status");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kib.expect("the process status has no peak size") << 10
+    }
+
     /// Log output so far.
     pub(crate) fn read_log(&self) -> String {
         std::fs::read_to_string(&self.log).expect("failed to read the log file")
--- a/sniperund/tests/users/endless.rs
+++ b/sniperund/tests/users/endless.rs
@@ -4,12 +4,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use standin::StoreFault;
 use standin::TargetScript;
+use standin::UsersTarget;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 use crate::deployment::Deployment;
+use crate::deployment::ephemeral_address;
 use crate::deployment::wait_until;
 
 /// Upper bound on the bytes that a target can send of an endless response head, including
@@ -185,3 +188,124 @@
     assert!(log.contains("event=answer-cut id=df01 code=306"), "{log}");
     assert!(log.contains("reason=caller-slow"), "{log}");
 }
+
+/// Half of the memory of the users' smallest machines, which have 160 MB.
+const MAX_MEMORY_BYTES: u64 = 80 << 20;
+const CALLERS: usize = 32;
+
+/// Guards against an instance that runs out of memory, or whose other callers are not served, while
+/// a target sends bytes without end: in each place where it can.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_are_bounded_wherever_a_target_sends_them() {
+    let scripts = [
+        TargetScript::EndlessBytes,
+        TargetScript::EndlessHead,
+        TargetScript::EndlessHeaderLines,
+        TargetScript::EndlessInterim,
+        TargetScript::EndlessBody,
+        TargetScript::EndlessChunkSize,
+        TargetScript::EndlessChunkExtension,
+        TargetScript::HugeChunk,
+        TargetScript::EndlessTrailers,
+        TargetScript::EndlessAfterEmpty,
+        TargetScript::EndlessAfterNoContent,
+    ];
+    for script in scripts {
+        let mut deployment = Deployment::start(1).await;
+        for target in &deployment.targets[..2] {
+            target.set_script(script);
+        }
+        let address = deployment.instances[0].caller_address();
+        let callers = (0..CALLERS).map(|number| {
+            let id = format!("ef{number:02}");
+            tokio::spawn(async move { read_all_in_time(address, &id).await })
+        });
+        let callers: Vec<_> = callers.collect();
+        for caller in callers {
+            let time = caller.await.expect("a caller failed");
+            assert!(time < LATE_LIMIT, "{script:?}: {time:?}");
+        }
+        // Another service's callers are served meanwhile and afterwards.
+        let other = deployment.instances[0].send_request("POST", "/command/a", "ee01");
+        let other = other.await.map(|response| response.status);
+        assert_eq!(other, Some(200), "{script:?}");
+        let memory_bytes = deployment.instances[0].peak_memory_bytes();
+        assert!(
+            memory_bytes < MAX_MEMORY_BYTES,
+            "{script:?}: {memory_bytes}"
+        );
+        wait_until("the targets' connections to be closed", async || {
+            let targets = deployment.targets[..2].iter();
+            targets
+                .map(standin::UsersTarget::observed)
+                .all(|activity| activity.endless_bytes.len() == activity.heads.len())
+        })
+        .await;
+        deployment.instances.clear();
+    }
+}
+
+/// Sends a read on a connection of its own that ends with its response, and returns the time.
+async fn read_all_in_time(address: SocketAddr, id: &str) -> Duration {
+    let mut caller = TcpStream::connect(address).await.expect("not connected");
+    let request = format!(
+        "GET /read/a HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 8000\r\nconnection: close\r\n\r\n"
+    );
+    let sent = Instant::now();
+    let written = caller.write_all(request.as_bytes()).await;
+    written.expect("failed to send the request");
+    let mut buffer = vec![0; 1 << 16];
+    let read = async { while let Ok(1..) = caller.read(&mut buffer).await {} };
+    // A response without end shows in the time.
+    let _ = tokio::time::timeout(2 * LATE_LIMIT, read).await;
+    sent.elapsed()
+}
+
+/// Guards against the sum of many responses without end, of many targets, whose callers read
+/// nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_that_no_caller_reads_take_little_memory() {
+    let mut deployment = Deployment::start(1).await;
+    for number in 0..60 {
+        let target = UsersTarget::bind(ephemeral_address(), &format!("i-more-{number}")).await;
+        let target = target.expect("failed to start a target");
+        let key = format!("servers/{}", target.id());
+        deployment.store.put(&key, &target.entry("reads", "ready"));
+        deployment.targets.push(target);
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for target in &deployment.targets {
+        target.set_script(TargetScript::EndlessBody);
+    }
+    let instance = &deployment.instances[0];
+    let mut callers = Vec::new();
+    for number in 0..600 {
+        let caller = TcpStream::connect(instance.caller_address()).await;
+        let mut caller = caller.expect("not connected");
+        let request = format!(
+            "GET /read/a{number} HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: da{number:03}\r\nx-deadline-ms: 8000\r\n\r\n"
+        );
+        let written = caller.write_all(request.as_bytes()).await;
+        written.expect("failed to send the request");
+        callers.push(caller);
+    }
+    tokio::time::sleep(LATE_LIMIT).await;
+    let heads = deployment.targets.iter();
+    let heads: usize = heads.map(|target| target.observed().heads.len()).sum();
+    assert!(heads > 250, "only {heads} requests have reached targets");
+    let memory_bytes = instance.peak_memory_bytes();
+    assert!(memory_bytes < MAX_MEMORY_BYTES, "{memory_bytes}");
+}
+
+/// Guards against an instance that keeps a store's answer without end in memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_of_the_store_without_end_are_bounded() {
+    let deployment = Deployment::start(1).await;
+    let instance = &deployment.instances[0];
+    deployment.store.set_fault(StoreFault::EndlessBody);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let response = instance.send_request("GET", "/read/a", "de01").await;
+    assert_eq!(response.map(|response| response.status), Some(200));
+    let memory_bytes = instance.peak_memory_bytes();
+    assert!(memory_bytes < MAX_MEMORY_BYTES, "{memory_bytes}");
+}
--- a/standin/src/users/store.rs
+++ b/standin/src/users/store.rs
@@ -15,10 +15,12 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use http_body_util::BodyExt;
+use http_body_util::StreamBody;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde_json::Value;
@@ -42,6 +44,10 @@
     Reset,
     /// Accepts calls but never responds.
     Silent,
+    /// Answers each call with a body without end.
+    EndlessBody,
+    /// Names a further page after each page of a range, and answers with the first one again.
+    EndlessPages,
 }
 
 #[derive(Clone)]
@@ -120,6 +126,12 @@
     })
 }
 
+fn endless_response() -> Response<Body> {
+    let chunk = || Ok(Frame::data(Bytes::from_static(&[b' '; 4_096])));
+    let body = StreamBody::new(futures::stream::repeat_with(chunk));
+    Response::new(BodyExt::boxed(body))
+}
+
 struct State {
     data: Mutex<StoreData>,
     changed: Notify,
@@ -235,7 +247,8 @@
     state.calls.fetch_add(1, Ordering::Relaxed);
     let fault = state.data.lock().fault;
     match fault {
-        StoreFault::None => {}
+        StoreFault::None | StoreFault::EndlessPages => {}
+        StoreFault::EndlessBody => return Ok(endless_response()),
         StoreFault::Busy => return empty_response(StatusCode::SERVICE_UNAVAILABLE),
         StoreFault::Reset => return Err(io::Error::other("store fault: connection reset")),
         StoreFault::Silent => return std::future::pending().await,
@@ -270,13 +283,15 @@
 fn list_items(state: &State, query: &HashMap<String, String>) -> io::Result<Response<Body>> {
     let data = state.data.lock();
     let prefix = query.get("pathPrefix").cloned().unwrap_or_default();
-    let after = query.get("after").cloned().unwrap_or_default();
+    let is_endless = data.fault == StoreFault::EndlessPages;
+    let after = query.get("after").cloned().filter(|_| !is_endless);
+    let after = after.unwrap_or_default();
     let matching = data.items.iter();
     let matching = matching.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
     let items: Vec<Value> = matching.map(|(key, item)| item_json(key, item)).collect();
     // Two items per page, so that every longer listing exercises paging.
     let page: Vec<Value> = items.iter().take(2).cloned().collect();
-    let has_more = items.len() > page.len();
+    let has_more = is_endless || items.len() > page.len();
     json_response(&json!({"items": page, "hasMore": has_more, "asOf": data.revision}))
 }
 
@@ -305,7 +320,7 @@
         let changed = state.changed.notified();
         let fault = state.data.lock().fault;
         match fault {
-            StoreFault::None => {}
+            StoreFault::None | StoreFault::EndlessPages | StoreFault::EndlessBody => {}
             StoreFault::Silent => return std::future::pending().await,
             StoreFault::Busy | StoreFault::Reset => return Err(io::Error::other("watch aborted")),
         }
--- a/standin/src/users/target.rs
+++ b/standin/src/users/target.rs
@@ -67,6 +67,22 @@
     EndlessHead,
     /// Sends a response body that never ends.
     EndlessBody,
+    /// Sends interim responses without end.
+    EndlessInterim,
+    /// Sends header lines without end.
+    EndlessHeaderLines,
+    /// Sends a chunk size whose zeros never end.
+    EndlessChunkSize,
+    /// Sends an extension of a chunk that never ends.
+    EndlessChunkExtension,
+    /// Sends the data of a chunk of 2^60 bytes.
+    HugeChunk,
+    /// Sends trailers without end.
+    EndlessTrailers,
+    /// Sends bytes without end after a response with an empty body.
+    EndlessAfterEmpty,
+    /// Sends bytes without end after a response without a body.
+    EndlessAfterNoContent,
 }
 
 /// A request that a target received.
@@ -276,7 +292,7 @@
             return Ok(());
         }
         if let Some((first, rest)) = endless_response(script, &id) {
-            let sent = write_until_closed(&mut stream, first.as_bytes(), rest).await;
+            let sent = write_until_closed(&mut stream, first.as_bytes(), &rest).await;
             state.activity.lock().endless_bytes.push(sent);
             return Ok(());
         }
@@ -290,15 +306,29 @@
 }
 
 /// First bytes of an endless response, and the bytes to repeat after them.
-fn endless_response(script: TargetScript, id: &str) -> Option<(String, &'static [u8])> {
-    let head =
-        format!("HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: 3e1b.07\r\n");
-    match script {
-        TargetScript::EndlessBytes => Some((String::new(), &[0x5a; 4096])),
-        TargetScript::EndlessHead => Some((head + "x-more: ", &[b'a'; 4096])),
-        TargetScript::EndlessBody => Some((head + "\r\n", &[b'b'; 4096])),
-        _ => None,
-    }
+fn endless_response(script: TargetScript, id: &str) -> Option<(String, Vec<u8>)> {
+    let fields = format!("x-attempt-id: {id}\r\nx-response-signature: 3e1b.07\r\n");
+    let head = format!("HTTP/1.1 200 OK\r\n{fields}");
+    let chunked = format!("{head}transfer-encoding: chunked\r\n\r\n");
+    let repeated = |text: &str| text.repeat(256).into_bytes();
+    let letters = || repeated("aaaaaaaaaaaaaaaa");
+    Some(match script {
+        TargetScript::EndlessBytes => (String::new(), vec![0x5a; 4096]),
+        TargetScript::EndlessHead => (head + "x-more: ", letters()),
+        TargetScript::EndlessBody => (head + "\r\n", letters()),
+        TargetScript::EndlessInterim => (String::new(), repeated("HTTP/1.1 100 Continue\r\n\r\n")),
+        TargetScript::EndlessHeaderLines => (head, repeated("x-more: a\r\n")),
+        TargetScript::EndlessChunkSize => (chunked, repeated("0000000000000000")),
+        TargetScript::EndlessChunkExtension => (chunked + "1;", letters()),
+        TargetScript::HugeChunk => (chunked + "1000000000000000\r\n", letters()),
+        TargetScript::EndlessTrailers => (chunked + "0\r\n", repeated("x-more: a\r\n")),
+        TargetScript::EndlessAfterEmpty => (head + "content-length: 0\r\n\r\n", letters()),
+        TargetScript::EndlessAfterNoContent => {
+            let head = format!("HTTP/1.1 204 No Content\r\n{fields}\r\n");
+            (head, letters())
+        }
+        _ => return None,
+    })
 }
 
 /// Writes until the caller closes the connection; returns the bytes written.
