Keep the fleet's bound on retries while instances stop and start

Cause: the reserve is divided by the instances that are seen. When some stop, the parts of the others rise, and the difference was given at once, though those that stop have spent theirs in the same window. A process that starts began with a full bucket, whatever its former one had spent.

Ruled out, by reading: loans, which the lender pays before the borrower spends.

Change: what an instance may spend at once grows only when a window has passed since it was last raised, less what was spent meanwhile, and a process starts with an empty bucket. The reserve is divided among those present and those that died without a word, as they may be a fleet of their own.

--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -194,10 +194,12 @@
         let reserve = self
             .shared_retry_reserve
             .filter(|_| self.member_lists_received > 0);
-        if reserve.is_some() && members != self.retry_reserve_members {
-            self.retry_reserve_members = members;
+        // Instances that died without a word may still spend their part, behind a partition.
+        let sharers = (members / self.membership.reachable_share()).round();
+        if reserve.is_some() && sharers != self.retry_reserve_sharers {
+            self.retry_reserve_sharers = sharers;
             self.actions.push(Action::Log(LogEvent::RetryReserve {
-                instances: members as u32,
+                instances: sharers as u32,
             }));
         }
         let unresponsive_share = self.membership.unresponsive_share(now_us);
@@ -211,7 +213,7 @@
                 table
                     .load
                     .retries
-                    .set_reserve(fleet_reserve / members, MEASURE_PERIOD_US);
+                    .set_reserve(fleet_reserve / sharers, MEASURE_PERIOD_US);
             }
             let demand = self.demand.services.entry(name.clone()).or_default();
             demand.measure(&table.load);
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -108,7 +108,7 @@
     /// When the instance started or the set of present instances last changed, in microseconds.
     pub(super) members_changed_us: Option<u64>,
     pub(super) member_lists_received: u32,
-    pub(super) retry_reserve_members: f64,
+    pub(super) retry_reserve_sharers: f64,
     pub(super) shared_retry_reserve: Option<f64>,
     /// New retry share, if the limits on retries have changed since the start.
     pub(super) changed_retry_share: Option<f64>,
@@ -171,7 +171,7 @@
             has_announced_start: false,
             members_changed_us: None,
             member_lists_received: 0,
-            retry_reserve_members: 0.0,
+            retry_reserve_sharers: 0.0,
             shared_retry_reserve: settings.shared_retry_reserve,
             changed_retry_share: None,
             seeds: settings.seeds,
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -28,9 +28,6 @@
 /// instance without any release still gets it from a peer.
 const MAX_BROADCAST_ROUTES: usize = 100;
 
-/// Retry reserve of a service, used until the number of instances is known.
-const INITIAL_RETRY_RESERVE: f64 = 1.0;
-
 impl Instance {
     /// Applies an update read from the registry and broadcasts it if it is new.
     pub(super) fn handle_registry_update(&mut self, now_us: u64, update: RegistryUpdate) {
@@ -350,7 +347,7 @@
         if self.evidence == EvidenceSharing::Alerts {
             self.table_builder.choice_strategy = ChoiceStrategy::FailureProbability;
         }
-        self.table_builder.retry_reserve = self.shared_retry_reserve.map(|_| INITIAL_RETRY_RESERVE);
+        self.table_builder.shares_retry_reserve = self.shared_retry_reserve.is_some();
     }
 }
 
--- a/policy/src/instance/table_builder.rs
+++ b/policy/src/instance/table_builder.rs
@@ -35,8 +35,8 @@
     pub(super) departures: Departures,
     departure_limit_us: u64,
     former_loads: FormerLoads,
-    /// Maximum retries to a service that this instance accumulates.
-    pub(super) retry_reserve: Option<f64>,
+    /// Whether the retries to a service are bounded for all instances together.
+    pub(super) shares_retry_reserve: bool,
     pub(super) choice_strategy: ChoiceStrategy,
 }
 
@@ -116,9 +116,9 @@
     /// Returns the counters of a service.
     pub(super) fn service_load(&mut self, service: &Service) -> Arc<ServiceLoad> {
         let new_load = || {
-            let retries = match self.retry_reserve {
-                Some(reserve) => RetryBudget::with_reserve(service.retry_share, reserve),
-                None => RetryBudget::new(service.retry_share),
+            let retries = match self.shares_retry_reserve {
+                true => RetryBudget::without_reserve(service.retry_share),
+                false => RetryBudget::new(service.retry_share),
             };
             let load = ServiceLoad::with_retries(retries, self.table_freshness.clone());
             Arc::new(load.with_quarantine(self.quarantine.clone()))
--- a/policy/src/limits/mod.rs
+++ b/policy/src/limits/mod.rs
@@ -27,4 +27,5 @@
 pub use permit_ledger::PermitParams;
 pub use rate_bucket::RateBucket;
 pub use retry_after::RefusedRequest;
+pub use retry_budget::RESERVE_WINDOW_US;
 pub use retry_budget::RetryBudget;
--- a/policy/tests/hedging.rs
+++ b/policy/tests/hedging.rs
@@ -62,7 +62,11 @@
             round_trip_us: 0,
             is_local: true,
         };
-        let budget = RetryBudget::with_reserve(0.0, retries);
+        let budget = RetryBudget::new(1.0);
+        while budget.left() > retries {
+            assert!(budget.take());
+        }
+        budget.set_share(0.0);
         let load = ServiceLoad::with_retries(budget, Arc::default());
         load.set_latency_profile(PROFILE);
         let table = Arc::new(ServiceTable {
