Give a fleet that starts for the first time its retries at once

What callers saw on the commit before: in the first ten seconds of a fleet, a command that a target turns away is refused instead of being sent to another one.

Cause: each process began without a burst of retries, as its former process may have spent it. Where the users' settings say that the whole system starts for the first time, there was none.

Change: the setting is read (is_first_start); a bucket of such a fleet has its first burst at once.

--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -193,7 +193,9 @@
             .count() as f64;
         let reserve = self
             .shared_retry_reserve
-            .filter(|_| self.member_lists_received > 0);
+            .filter(|_| self.member_lists_received > 0)
+            // The others divide the reserve among themselves.
+            .filter(|_| !self.routing_table.draining);
         // Instances that died without a word may still spend their part, behind a partition.
         let sharers = (members / self.membership.reachable_share()).round();
         if reserve.is_some() && sharers != self.retry_reserve_sharers {
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -110,6 +110,7 @@
     pub(super) member_lists_received: u32,
     pub(super) retry_reserve_sharers: f64,
     pub(super) shared_retry_reserve: Option<f64>,
+    pub(super) is_first_start: bool,
     /// New retry share, if the limits on retries have changed since the start.
     pub(super) changed_retry_share: Option<f64>,
     pub(super) seeds: Vec<SocketAddr>,
@@ -173,6 +174,7 @@
             member_lists_received: 0,
             retry_reserve_sharers: 0.0,
             shared_retry_reserve: settings.shared_retry_reserve,
+            is_first_start: settings.is_first_start,
             changed_retry_share: None,
             seeds: settings.seeds,
             peer_ids: Vec::new(),
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -14,6 +14,7 @@
 use super::RegistryUpdate;
 use super::messages::MICROS_PER_MILLI;
 use super::settings::EvidenceSharing;
+use super::table_builder::RetryReserve;
 use crate::feed::ApplyResult;
 use crate::feed::CatchUpStep;
 use crate::feed::ChangeSource;
@@ -347,7 +348,11 @@
         if self.evidence == EvidenceSharing::Alerts {
             self.table_builder.choice_strategy = ChoiceStrategy::FailureProbability;
         }
-        self.table_builder.shares_retry_reserve = self.shared_retry_reserve.is_some();
+        self.table_builder.retry_reserve = match (self.shared_retry_reserve, self.is_first_start) {
+            (None, _) => RetryReserve::Own,
+            (Some(_), false) => RetryReserve::Shared,
+            (Some(_), true) => RetryReserve::SharedUnspent,
+        };
     }
 }
 
--- a/policy/src/instance/settings.rs
+++ b/policy/src/instance/settings.rs
@@ -23,6 +23,8 @@
     /// Retries to a service that all instances together may make in ten seconds in addition
     /// to the share of first attempts; if `None`, each instance has its own reserve.
     pub shared_retry_reserve: Option<f64>,
+    /// Whether the fleet starts for the first time, so that no instance had a process before.
+    pub is_first_start: bool,
     /// Time for which a target takes requests after it has said that it leaves, in microseconds.
     pub departure_limit_us: u64,
 }
@@ -58,6 +60,7 @@
             evidence: EvidenceSharing::Owners,
             source: ConfigurationSource::Notes,
             shared_retry_reserve: None,
+            is_first_start: false,
             departure_limit_us: DEFAULT_DEPARTURE_LIMIT_US,
         }
     }
--- a/policy/src/instance/table_builder.rs
+++ b/policy/src/instance/table_builder.rs
@@ -35,11 +35,22 @@
     pub(super) departures: Departures,
     departure_limit_us: u64,
     former_loads: FormerLoads,
-    /// Whether the retries to a service are bounded for all instances together.
-    pub(super) shares_retry_reserve: bool,
+    pub(super) retry_reserve: RetryReserve,
     pub(super) choice_strategy: ChoiceStrategy,
 }
 
+/// Whose bound holds for the retries to a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum RetryReserve {
+    /// The instance's own.
+    #[default]
+    Own,
+    /// The fleet's, of which a former process of the instance may have spent a part.
+    Shared,
+    /// The fleet's, of which nobody has spent anything.
+    SharedUnspent,
+}
+
 impl TableBuilder {
     /// Creates a builder without counters whose tables share `table_freshness` and `quarantine`.
     pub(super) fn new(
@@ -116,9 +127,12 @@
     /// Returns the counters of a service.
     pub(super) fn service_load(&mut self, service: &Service) -> Arc<ServiceLoad> {
         let new_load = || {
-            let retries = match self.shares_retry_reserve {
-                true => RetryBudget::without_reserve(service.retry_share),
-                false => RetryBudget::new(service.retry_share),
+            let retries = match self.retry_reserve {
+                RetryReserve::Own => RetryBudget::new(service.retry_share),
+                RetryReserve::Shared => RetryBudget::without_reserve(service.retry_share),
+                RetryReserve::SharedUnspent => {
+                    RetryBudget::with_unspent_reserve(service.retry_share)
+                }
             };
             let load = ServiceLoad::with_retries(retries, self.table_freshness.clone());
             Arc::new(load.with_quarantine(self.quarantine.clone()))
--- a/policy/src/limits/retry_budget.rs
+++ b/policy/src/limits/retry_budget.rs
@@ -5,6 +5,7 @@
 //! stops, or the former process of one that starts. What an instance may spend at once therefore
 //! grows only when a whole window has passed.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicI64;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -23,6 +24,8 @@
     tokens_milli: AtomicI64,
     share_milli: AtomicI64,
     capacity_milli: AtomicI64,
+    /// Whether the first burst is due at once.
+    is_unspent: AtomicBool,
     /// Part of the reserve that may be spent at once.
     burst_milli: AtomicI64,
     /// Part of the burst that is added once a window has passed since it was last raised.
@@ -47,6 +50,7 @@
             tokens_milli: AtomicI64::new(tokens_milli),
             share_milli: AtomicI64::new(share_milli),
             capacity_milli: AtomicI64::new(MAX_BURST * MILLI),
+            is_unspent: AtomicBool::new(false),
             burst_milli: AtomicI64::new(0),
             deferred_milli: AtomicI64::new(0),
             deferred_for_us: AtomicU64::new(0),
@@ -54,12 +58,25 @@
         }
     }
 
-    /// Creates an empty bucket whose reserve is not known yet.
+    /// Creates an empty bucket whose reserve is not known yet. A former process of the instance may
+    /// have spent a part of it.
     pub fn without_reserve(share: f64) -> Self {
-        let budget = Self::new(share);
-        budget.tokens_milli.store(0, Ordering::Relaxed);
-        budget.capacity_milli.store(MILLI, Ordering::Relaxed);
-        budget
+        Self {
+            tokens_milli: AtomicI64::new(0),
+            capacity_milli: AtomicI64::new(MILLI),
+            ..Self::new(share)
+        }
+    }
+
+    /// Creates a bucket of one retry whose reserve is not known yet, and of which nobody has spent
+    /// anything.
+    pub fn with_unspent_reserve(share: f64) -> Self {
+        Self {
+            is_unspent: AtomicBool::new(true),
+            tokens_milli: AtomicI64::new(MILLI),
+            burst_milli: AtomicI64::new(MILLI),
+            ..Self::without_reserve(share)
+        }
     }
 
     /// Sets the reserve: the retries allowed per ten seconds in addition to the share of first
@@ -94,7 +111,8 @@
         let deferred_for_us = self
             .deferred_for_us
             .fetch_add(elapsed_us, Ordering::Relaxed);
-        let is_due = deferred_for_us >= RESERVE_WINDOW_US;
+        let is_unspent = raised_milli > 0 && self.is_unspent.swap(false, Ordering::Relaxed);
+        let is_due = is_unspent || deferred_for_us >= RESERVE_WINDOW_US;
         let left_milli = if is_due { 0 } else { deferred_milli };
         self.deferred_milli.store(left_milli, Ordering::Relaxed);
         match is_due {
--- a/sniperund/src/app/app.rs
+++ b/sniperund/src/app/app.rs
@@ -109,6 +109,7 @@
         let mut policy_settings = policy::Settings::new(member.clone(), rand::random());
         policy_settings.seeds = settings.seeds.clone();
         policy_settings.shared_retry_reserve = environment.shared_retry_reserve;
+        policy_settings.is_first_start = environment.is_first_start;
         policy_settings.departure_limit_us = environment.departure_limit_us;
         if environment.registry.is_some() {
             policy_settings.source = ConfigurationSource::Registry;
--- a/sniperund/src/app/environment.rs
+++ b/sniperund/src/app/environment.rs
@@ -69,6 +69,8 @@
     /// Retries to a service that all instances together may make within ten seconds in addition to
     /// the retry share; if `None`, each instance has its own reserve.
     pub shared_retry_reserve: Option<f64>,
+    /// Whether the fleet starts for the first time.
+    pub is_first_start: bool,
     /// Time for which a target gets requests after it has said that it leaves, in microseconds.
     pub departure_limit_us: u64,
     /// Time limit for shutdown, counted from the stop signal, in milliseconds; `None` waits for
@@ -89,6 +91,7 @@
             registry: None,
             ready: None,
             shared_retry_reserve: None,
+            is_first_start: false,
             departure_limit_us: DEFAULT_DEPARTURE_LIMIT_US,
             stop_limit_ms: None,
         }
@@ -111,6 +114,7 @@
                 path: platform::READY_PATH,
             }),
             shared_retry_reserve: Some(retries.reserve),
+            is_first_start: boot.is_first_start,
             departure_limit_us: users_departure_limit_us(boot),
             stop_limit_ms: Some(users_stop_limit_ms(boot)),
         }
