Tell the end of a relayed body without a length

What callers could see: after a whole response that another instance relays in chunks, the connection counted as broken off and was reset when it was closed, which can take bytes from a caller that has not read them yet.

Cause: since the limits of responses, a relayed body that is dropped before its end resets the connection; the end of a body without a length shows only in the last poll, which was not kept. Found by reading the diff, before it was handed over; bodies of targets are not concerned, as their end is kept.

Change: the last poll is kept. Not shown by a test: the stand-ins have no target that one instance reaches and another does not."

--- a/sniperund/src/callers/relayed_body.rs
+++ b/sniperund/src/callers/relayed_body.rs
@@ -24,6 +24,7 @@
     limits: ResponseLimits,
     watch: Arc<ResponseWatch>,
     clock: Clock,
+    has_ended: bool,
     connection: Connection,
     _guards: Option<AdmissionGuards>,
 }
@@ -42,6 +43,7 @@
             incoming,
             limits,
             clock,
+            has_ended: false,
             connection,
             _guards: guards,
         }
@@ -59,10 +61,15 @@
         let now_us = self.clock.now_us();
         self.watch.wait_for_target(now_us);
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
-        if let Poll::Ready(Some(Ok(frame))) = &polled {
-            let bytes = frame.data_ref().map_or(0, Bytes::len);
-            self.watch.receive(now_us, bytes);
-            self.connection.add_passed_on(bytes);
+        match &polled {
+            Poll::Ready(Some(Ok(frame))) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                self.watch.receive(now_us, bytes);
+                self.connection.add_passed_on(bytes);
+            }
+            // The only sign of the end of a body without a length.
+            Poll::Ready(None) => self.has_ended = true,
+            _ => {}
         }
         polled.map_err(BoxError::from)
     }
@@ -78,7 +85,7 @@
 
 impl Drop for RelayedBody {
     fn drop(&mut self) {
-        if self.incoming.is_end_stream() {
+        if self.has_ended || self.incoming.is_end_stream() {
             self.watch.finish(self.clock.now_us());
             return;
         }
