--- a/border/src/header_protocol.rs
+++ b/border/src/header_protocol.rs
@@ -61,6 +61,14 @@
         headers: &mut HeaderMap,
     );
 
+    /// Returns the key by which the caller identifies its customer; `None` if the headers carry
+    /// none, or several.
+    fn caller_key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]>;
+
+    /// Replaces the caller's key, and the customer that the caller may have named, by the customer
+    /// that holds the key; `None` for a request that needs no key.
+    fn set_customer(&self, customer: Option<&str>, headers: &mut HeaderMap);
+
     /// Sets the time left for the response in the headers of a request to another instance.
     fn set_time_left(&self, left_ms: u64, headers: &mut HeaderMap);
 
--- a/model/src/code/result_code.rs
+++ b/model/src/code/result_code.rs
@@ -66,6 +66,8 @@
     BadDeadline = 106, 400, NotRun, "malformed deadline";
     /// The key or ticket header is malformed.
     BadCommandKey = 107, 400, NotRun, "malformed key or ticket";
+    /// The request carries no key of a customer.
+    UnknownKey = 108, 401, NotRun, "no customer holds the key";
     /// The service's queue is full.
     QueueFull = 201, 503, NotRun, "queue full";
     /// The request could not be served before its deadline.
@@ -82,6 +84,8 @@
     Overloaded = 207, 503, NotRun, "too few targets for the load";
     /// The request was at the end of several targets' processes and is not sent again for now.
     Quarantined = 208, 503, NotRun, "request crashes the targets that run it";
+    /// The customer has sent as many requests as its quota allows.
+    QuotaExceeded = 210, 429, NotRun, "customer over its quota";
     /// No connection to a target could be established.
     ConnectFailed = 301, 502, NotRun, "no connection to a target";
     /// The target rejected the request before running it.
--- a/model/src/configuration/configuration.rs
+++ b/model/src/configuration/configuration.rs
@@ -10,6 +10,7 @@
 
 use super::Closing;
 use super::Customer;
+use super::KeyDigest;
 use super::Link;
 use super::Route;
 use super::Service;
@@ -41,6 +42,10 @@
     targets_by_service: HashMap<Arc<str>, OrdMap<Arc<str>, Arc<Target>>>,
     /// Routes by host and path.
     routes_by_path: HashMap<Arc<str>, Arc<Route>>,
+    /// Customers by the digests of their keys.
+    customers_by_key: HashMap<KeyDigest, Arc<Customer>>,
+    /// Number of customers whose callers identify themselves by keys.
+    keyed_customers: usize,
 }
 
 impl Configuration {
@@ -132,6 +137,46 @@
         self.routes_by_path.get(key_of_route(route).as_str())
     }
 
+    /// Whether callers identify themselves by keys, except on public routes.
+    pub fn requires_keys(&self) -> bool {
+        self.keyed_customers > 0
+    }
+
+    /// Returns the customer that holds a key.
+    pub fn customer_by_key(&self, key: &KeyDigest) -> Option<&Arc<Customer>> {
+        self.customers_by_key.get(key)
+    }
+
+    /// Inserts a customer, replacing any customer of the same name.
+    pub fn insert_customer(&mut self, customer: Customer) {
+        self.remove_customer(&customer.name.clone());
+        let customer = Arc::new(customer);
+        if let Some(keys) = &customer.keys {
+            self.keyed_customers += 1;
+            for key in keys {
+                self.customers_by_key.insert(*key, customer.clone());
+            }
+        }
+        self.customers.insert(customer.name.clone(), customer);
+    }
+
+    /// Removes a customer, if it exists.
+    pub fn remove_customer(&mut self, name: &str) {
+        let Some(customer) = self.customers.remove(name) else {
+            return;
+        };
+        let Some(keys) = &customer.keys else {
+            return;
+        };
+        self.keyed_customers -= 1;
+        for key in keys {
+            let holder = self.customers_by_key.get(key);
+            if holder.is_some_and(|holder| holder.name == customer.name) {
+                self.customers_by_key.remove(key);
+            }
+        }
+    }
+
     /// Inserts a link, replacing any link between the same data centres.
     pub fn insert_link(&mut self, link: Link) {
         self.links
--- a/model/src/configuration/route.rs
+++ b/model/src/configuration/route.rs
@@ -35,6 +35,16 @@
     pub objective_ms: Option<u64>,
     /// Maximum number of targets that one request is sent to, including the first.
     pub max_attempts: Option<u32>,
+    /// Whether callers need no key, although customers have keys.
+    #[serde(skip_serializing_if = "is_false")]
+    pub is_public: bool,
+    /// Priority of the requests, 0 being the most urgent; the customer's takes precedence.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub priority: Option<u8>,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// A rule that sends requests whose path starts with a prefix to one or more services.
--- a/model/src/note/apply.rs
+++ b/model/src/note/apply.rs
@@ -30,6 +30,15 @@
     /// Returns [`NoteError`] if the note cannot be applied to `configuration`.
     pub fn apply(&self, configuration: &Configuration) -> Result<Configuration> {
         self.check_size()?;
+        self.apply_unbounded(configuration)
+    }
+
+    /// Like [`Note::apply`], for a note that is not stored and may therefore have any size.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoteError`] if the note cannot be applied to `configuration`.
+    pub fn apply_unbounded(&self, configuration: &Configuration) -> Result<Configuration> {
         self.check_closings(configuration)?;
         let mut next = self.skip(configuration);
         self.check_existence(configuration)?;
@@ -74,8 +83,16 @@
 
     fn apply_changes(&self, next: &mut Configuration) -> Result<()> {
         apply_delta(&self.services, &mut next.services);
-        apply_delta(&self.customers, &mut next.customers);
         apply_delta(&self.closings, &mut next.closings);
+        // All old keys are removed first, so that a key can move to another customer.
+        let changed = self.customers.change.iter().map(|customer| &customer.name);
+        for name in self.customers.withdraw.iter().chain(changed) {
+            next.remove_customer(name);
+        }
+        for customer in self.customers.add.iter().chain(&self.customers.change) {
+            customer.check(next)?;
+            next.insert_customer(customer.clone());
+        }
         for name in &self.targets.withdraw {
             next.remove_target(name);
         }
--- a/model/src/note/check.rs
+++ b/model/src/note/check.rs
@@ -117,9 +117,14 @@
 }
 
 impl Check for Customer {
-    fn check(&self, _configuration: &Configuration) -> Result<()> {
+    fn check(&self, configuration: &Configuration) -> Result<()> {
         self.check_name()?;
-        self.require(self.in_flight > 0, "expected in_flight above 0")
+        self.require(self.in_flight > 0, "expected in_flight above 0")?;
+        let is_key_taken = self.keys.iter().flatten().any(|key| {
+            let holder = configuration.customer_by_key(key);
+            holder.is_some_and(|holder| holder.name != self.name)
+        });
+        self.require(!is_key_taken, "another customer has the same key")
     }
 }
 
--- a/policy/src/feed/mod.rs
+++ b/policy/src/feed/mod.rs
@@ -26,6 +26,7 @@
 pub use registry_view::RetainedTargets;
 pub use release::EntryChanges;
 pub use release::Release;
+pub use release::ReleaseAccess;
 pub use release::TargetEntry;
 pub use revision::era_of;
 pub use revision::number_of;
--- a/policy/src/feed/registry_view.rs
+++ b/policy/src/feed/registry_view.rs
@@ -418,6 +418,8 @@
         if release.number > configuration.number {
             note.services = delta(release.services.iter(), &configuration.services);
             note.routes = delta(release.routes.iter(), &configuration.routes);
+            let customers = release.customers.iter().flatten();
+            note.customers = delta(customers, &configuration.customers);
         }
         let has_changes = release.number > configuration.number || !note.targets.is_empty();
         has_changes.then_some((release.number.max(configuration.number), note))
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -366,6 +366,11 @@
             Message::Release { release, id_range } => {
                 self.handle_release(now_us, release, id_range.as_ref())
             }
+            Message::ReleaseWithAccess {
+                release,
+                access,
+                id_range,
+            } => self.handle_release(now_us, release.with_access(access), id_range.as_ref()),
             Message::Entries { changes, id_range } => {
                 self.handle_entries(now_us, &from, changes, id_range.as_ref())
             }
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -14,6 +14,7 @@
 use crate::evidence::Signal;
 use crate::feed::EntryChanges;
 use crate::feed::Release;
+use crate::feed::ReleaseAccess;
 use crate::limits::HeldPermit;
 use crate::limits::PermitParams;
 use crate::membership::Member;
@@ -90,6 +91,9 @@
 }
 
 /// A message.
+///
+/// Instances of former versions read the messages that they know, so that variants are only added
+/// at the end and none of the existing ones changes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// Asks for an [`Message::Ack`].
@@ -302,4 +306,13 @@
         /// Ids that the receiver forwards it to.
         id_range: Option<IdRange>,
     },
+    /// A configuration with customers or priorities, read from the registry.
+    ReleaseWithAccess {
+        /// The configuration.
+        release: Release,
+        /// Its customers and priorities.
+        access: ReleaseAccess,
+        /// Ids that the receiver forwards it to.
+        id_range: Option<IdRange>,
+    },
 }
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -28,6 +28,8 @@
 /// from the registry itself, since a message of a megabyte would delay alerts; only an
 /// instance without any release still gets it from a peer.
 const MAX_BROADCAST_ROUTES: usize = 100;
+/// Maximum customers of such a release.
+const MAX_BROADCAST_CUSTOMERS: usize = 500;
 
 impl Instance {
     /// Applies an update read from the registry and broadcasts it if it is new.
@@ -154,18 +156,10 @@
         release: u64,
         targets: Option<u64>,
     ) {
-        let is_small =
-            |found: &&Release| release == 0 || found.routes.len() <= MAX_BROADCAST_ROUTES;
+        let is_small = |found: &&Release| release == 0 || is_broadcast(found);
         let found = self.registry_view.release_after(release).filter(is_small);
         if let Some(release) = found.cloned() {
-            self.send(
-                now_us,
-                to,
-                Message::Release {
-                    release,
-                    id_range: None,
-                },
-            );
+            self.send(now_us, to, release_message(release, None));
         }
         let revision = self.registry_view.targets_revision();
         let missed =
@@ -289,12 +283,12 @@
     }
 
     fn broadcast_release(&mut self, now_us: u64, release: &Release, ids: &[Arc<str>]) {
-        if release.routes.len() > MAX_BROADCAST_ROUTES {
+        if !is_broadcast(release) {
             return;
         }
         for (to, id_range) in crate::notes::partition_receivers(ids, &mut self.rng) {
             let release = release.clone();
-            self.send(now_us, &to, Message::Release { release, id_range });
+            self.send(now_us, &to, release_message(release, id_range));
         }
     }
 
@@ -356,6 +350,23 @@
     }
 }
 
+/// Whether a release is small enough to be sent to the peers.
+fn is_broadcast(release: &Release) -> bool {
+    let customers = release.customers.as_ref().map_or(0, Vec::len);
+    release.routes.len() <= MAX_BROADCAST_ROUTES && customers <= MAX_BROADCAST_CUSTOMERS
+}
+
+fn release_message(release: Release, id_range: Option<IdRange>) -> Message {
+    match release.access() {
+        None => Message::Release { release, id_range },
+        Some(access) => Message::ReleaseWithAccess {
+            release,
+            access,
+            id_range,
+        },
+    }
+}
+
 /// Reduces a change to the targets of services that `configuration` contains.
 fn targets_only(change: &Note, configuration: &Configuration) -> Note {
     let mut targets = change.targets.clone();
--- a/policy/src/notes/note_log.rs
+++ b/policy/src/notes/note_log.rs
@@ -102,7 +102,7 @@
     ///
     /// Returns an error if the change is invalid; the configuration then stays as it was.
     pub fn apply_change(&mut self, number: u64, change: &Note) -> model::note::Result<()> {
-        let mut next = change.apply(&self.configuration)?;
+        let mut next = change.apply_unbounded(&self.configuration)?;
         next.number = number;
         next.submissions = self.configuration.submissions.clone();
         if invariant::check(Invariant::NoRevert, number >= self.configuration.number) {
--- a/policy/tests/feed.rs
+++ b/policy/tests/feed.rs
@@ -75,6 +75,7 @@
             .iter()
             .map(|(name, path, service)| route(name, path, service))
             .collect(),
+        customers: None,
         idle_limit_ms: None,
     }
 }
--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -167,6 +167,7 @@
         number: 1,
         services: vec![service],
         routes: Vec::new(),
+        customers: None,
         idle_limit_ms: None,
     }
 }
--- a/policy/tests/lag.rs
+++ b/policy/tests/lag.rs
@@ -132,6 +132,7 @@
         number: 3,
         services: Vec::new(),
         routes: Vec::new(),
+        customers: None,
         idle_limit_ms: None,
     }
 }
--- a/proof/examples/capacity/full_size.rs
+++ b/proof/examples/capacity/full_size.rs
@@ -93,9 +93,9 @@
 }
 
 pub(super) fn customer_notes() -> Vec<Note> {
-    let customer = |index: usize| Customer {
-        name: format!("customer-{index:06}").into(),
-        in_flight: 256,
+    let customer = |index: usize| {
+        let name = format!("customer-{index:06}");
+        Customer::new(name.into(), 256)
     };
     let note = |customers| Note {
         customers,
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -685,6 +685,7 @@
         | Message::Notes(_)
         | Message::SnapshotPart { .. }
         | Message::Release { .. }
+        | Message::ReleaseWithAccess { .. }
         | Message::Entries { .. }
         | Message::RegistryAnswers { .. }
         | Message::CatchUp { .. }
--- a/sniperund/src/callers/admitted_request.rs
+++ b/sniperund/src/callers/admitted_request.rs
@@ -5,6 +5,7 @@
 use border::RequestParams;
 use hyper::http::request::Parts;
 use model::configuration::Class;
+use model::configuration::Customer;
 use model::configuration::Route;
 use policy::evidence::LatencyProfile;
 use policy::exchange::Exchange;
@@ -31,11 +32,27 @@
     pub(super) _customer: Option<CustomerGuard>,
 }
 
+/// Who makes a request, if callers identify themselves by keys.
+#[derive(Clone, Debug)]
+pub(super) struct CallerIdentity {
+    /// The customer that holds the caller's key; `None` on a public route.
+    pub(super) customer: Option<Arc<Customer>>,
+}
+
+impl CallerIdentity {
+    /// Name of the customer.
+    pub(super) fn name(&self) -> Option<&Arc<str>> {
+        self.customer.as_ref().map(|customer| &customer.name)
+    }
+}
+
 /// A request that has a route and has passed admission control.
 pub(super) struct AdmittedRequest {
     pub(super) parts: Parts,
     pub(super) body: CallerBody,
     pub(super) request_params: RequestParams,
+    /// `None` if callers need no keys.
+    pub(super) identity: Option<CallerIdentity>,
     pub(super) route: Arc<Route>,
     pub(super) class: Class,
     /// Number of the release note under which the request was routed.
--- a/sniperund/src/callers/headers.rs
+++ b/sniperund/src/callers/headers.rs
@@ -8,6 +8,8 @@
 pub mod names {
     /// Customer on whose behalf a request is made.
     pub const CUSTOMER: &str = "sniperun-customer";
+    /// Key of the customer on whose behalf a request is made, if customers have keys.
+    pub const CUSTOMER_KEY: &str = "sniperun-customer-key";
     /// Time after which the caller no longer needs the response, in milliseconds.
     pub const DEADLINE_MS: &str = "sniperun-deadline-ms";
     /// Idempotency key of a command, chosen by the caller.
@@ -60,6 +62,7 @@
 pub(super) fn remove_instance_headers(headers: &mut HeaderMap) {
     let instance_headers = [
         names::CUSTOMER,
+        names::CUSTOMER_KEY,
         names::DEADLINE_MS,
         names::TICKET,
         names::RELAYED,
--- a/sniperund/src/callers/native_header_protocol.rs
+++ b/sniperund/src/callers/native_header_protocol.rs
@@ -5,6 +5,7 @@
 use border::ResponseKind;
 use hyper::HeaderMap;
 use hyper::StatusCode;
+use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use model::Outcome;
 use model::ResultCode;
@@ -50,6 +51,21 @@
         headers.insert(names::DEADLINE_MS, left_ms.into());
     }
 
+    fn caller_key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]> {
+        let mut values = headers.get_all(names::CUSTOMER_KEY).iter();
+        let value = values.next()?;
+        values.next().is_none().then(|| value.as_bytes())
+    }
+
+    fn set_customer(&self, customer: Option<&str>, headers: &mut HeaderMap) {
+        headers.remove(names::CUSTOMER_KEY);
+        headers.remove(names::CUSTOMER);
+        let name = customer.and_then(|customer| HeaderValue::from_str(customer).ok());
+        if let Some(name) = name {
+            headers.insert(names::CUSTOMER, name);
+        }
+    }
+
     fn set_time_left(&self, left_ms: u64, headers: &mut HeaderMap) {
         headers.insert(names::DEADLINE_MS, left_ms.into());
     }
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -289,6 +289,10 @@
             left_ms,
             headers,
         );
+        if let Some(identity) = &self.request.identity {
+            let name = identity.name().map(|name| &**name);
+            self.proxy_state.header_protocol.set_customer(name, headers);
+        }
         let body = self.request.body.clone();
         let proxy_state = self.proxy_state.clone();
         let table = self.request.exchange.table().clone();
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -21,6 +21,7 @@
 use hyper::header::HeaderValue;
 use model::ResultCode;
 use model::configuration::Class;
+use model::configuration::KeyDigest;
 use model::configuration::Repeat;
 use model::configuration::Route;
 use policy::command::TicketAnswer;
@@ -37,6 +38,7 @@
 use super::ProxyState;
 use super::admitted_request::AdmissionGuards;
 use super::admitted_request::AdmittedRequest;
+use super::admitted_request::CallerIdentity;
 use super::body::CallerBody;
 use super::body::ResponseBody;
 use super::body::full_body;
@@ -163,6 +165,8 @@
 /// The terms under which a request is run.
 struct RoutedRequest {
     request_params: RequestParams,
+    /// `None` if callers need no keys.
+    identity: Option<CallerIdentity>,
     route: Arc<Route>,
     service: Arc<ServiceTable>,
     record: CommandRecord,
@@ -217,6 +221,7 @@
         true => CommandId::read(request.headers())?,
         false => None,
     };
+    let identity = identify(proxy_state, table, &route, request.headers())?;
     let request_params = request_params?;
     let caller_limit_ms = request_params
         .time_limit_ms
@@ -273,6 +278,7 @@
     };
     let routed = RoutedRequest {
         request_params,
+        identity,
         route,
         service,
         record,
@@ -284,16 +290,46 @@
     Ok(RouteAction::Run(request, Box::new(routed)))
 }
 
-/// Returns the refusal for a request that matches no route. If the configuration may be
-/// outdated, the refusal is retryable, as the route may exist by now.
+/// Determines on whose behalf a request is made; `None` if callers need no keys.
+///
+/// If the configuration may be outdated, an unknown key is refused with a retryable code, as the key
+/// may exist by now.
+fn identify(
+    proxy_state: &ProxyState,
+    table: &RoutingTable,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<CallerIdentity>, RouteRefusal> {
+    if !table.configuration.requires_keys() {
+        return Ok(None);
+    }
+    if route.terms.is_public {
+        return Ok(Some(CallerIdentity { customer: None }));
+    }
+    let key = proxy_state.header_protocol.caller_key(headers);
+    let customer = key.and_then(|key| table.configuration.customer_by_key(&KeyDigest::of(key)));
+    match customer {
+        Some(customer) => Ok(Some(CallerIdentity {
+            customer: Some(customer.clone()),
+        })),
+        None => Err(refuse_unknown(proxy_state, ResultCode::UnknownKey)),
+    }
+}
+
 fn no_route(proxy_state: &ProxyState) -> RouteRefusal {
+    refuse_unknown(proxy_state, ResultCode::NoRoute)
+}
+
+/// Returns the refusal for a request whose route or key is unknown. If the configuration may be
+/// outdated, the refusal is retryable, as the route or key may exist by now.
+fn refuse_unknown(proxy_state: &ProxyState, code: ResultCode) -> RouteRefusal {
     if proxy_state
         .control
         .shared()
         .table_freshness()
         .is_authoritative()
     {
-        return ResultCode::NoRoute.into();
+        return code.into();
     }
     RouteRefusal {
         retry_after_ms: Some(RETRY_AFTER_NOT_READY_MS),
@@ -321,10 +357,13 @@
         Ok(guards) => guards,
         Err(code) => return refuse(&proxy_state, &mut routed, code),
     };
-    let customer: Arc<str> = match customer_header(request.headers()) {
-        Some(name) => name.into(),
-        None => caller.address.to_string().into(),
+    let named_customer: Option<Arc<str>> = match &routed.identity {
+        Some(identity) => identity.name().cloned(),
+        None => customer_header(request.headers()).map(Into::into),
     };
+    let customer = named_customer
+        .clone()
+        .unwrap_or_else(|| caller.address.to_string().into());
     let has_id = routed.record.has_id();
     let class = class_of(&routed);
     let host = host_of(&request);
@@ -344,7 +383,7 @@
     };
     let is_handed_over = parts.headers.contains_key(names::RELAYED);
     let content = RequestContent {
-        customer: customer_header(&parts.headers),
+        customer: named_customer.as_deref(),
         method: parts.method.as_str(),
         host: &host,
         path: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
@@ -378,6 +417,7 @@
             parts,
             body,
             request_params: routed.request_params,
+            identity: routed.identity,
             route: routed.route,
             class,
             note: table.configuration.number,
@@ -464,13 +504,18 @@
     headers: &HeaderMap,
     routed: &RoutedRequest,
 ) -> Result<AdmissionGuards, ResultCode> {
-    let customer = match customer_header(headers) {
-        Some(name) => {
-            let customer = table
-                .configuration
-                .customers
-                .get(name)
-                .ok_or(ResultCode::UnknownCustomer)?;
+    let customer = match &routed.identity {
+        Some(identity) => identity.customer.as_ref(),
+        None => match customer_header(headers) {
+            Some(name) => {
+                let customers = &table.configuration.customers;
+                Some(customers.get(name).ok_or(ResultCode::UnknownCustomer)?)
+            }
+            None => None,
+        },
+    };
+    let customer = match customer {
+        Some(customer) => {
             let guard = proxy_state
                 .customers
                 .take(&customer.name, customer.in_flight);
