Refuse responses whose status is none of a final response

Cause: a target in trouble may send a status that HTTP does not have. Statuses under 100 were malformed for hyper already, but 101 and those above 599 were passed on to the caller as the target's response.

Change: such a response is a malformed one, for attempts, probes and requests that were handed to another instance alike: the attempt has failed, its outcome is unknown, and it is evidence against the target.

--- a/sniperund/src/targets/connection.rs
+++ b/sniperund/src/targets/connection.rs
@@ -5,6 +5,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -41,6 +42,10 @@
 /// the users' targets take under 1 KB.
 pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Statuses of final responses. `hyper` passes on 101 and those above 599, although no request asks
+/// for another protocol and HTTP has no such classes.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Reason why no response head was received.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum SendFailure {
@@ -59,7 +64,7 @@
     /// The target acknowledged no bytes in time, which may be a fault of the network.
     #[display("connection timed out without acknowledgement")]
     AckTimeout,
-    /// The response head was malformed.
+    /// The response head was malformed, or its status is none of a final response.
     #[display("malformed response")]
     Malformed,
 }
@@ -126,7 +131,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendFailure`] if no head is received.
+    /// Returns [`SendFailure`] if no head of a final response is received.
     pub async fn send(
         &mut self,
         request: Request<OutBody>,
@@ -150,6 +155,9 @@
                 _ => SendFailure::Cut,
             }
         })?;
+        if !FINAL_STATUSES.contains(&response.status().as_u16()) {
+            return Err(SendFailure::Malformed);
+        }
         self.allowance.begin_body();
         Ok(response)
     }
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -11,5 +11,6 @@
 mod reload;
 mod requests;
 mod restored;
+mod statuses;
 mod stopping;
 mod unreachable;
--- a/standin/src/users/target.rs
+++ b/standin/src/users/target.rs
@@ -53,6 +53,8 @@
     Hangs,
     /// Echoes the attempt id of another request.
     ForeignId,
+    /// Responds with this status, also if it is none of HTTP.
+    Status(u16),
     /// Omits the response signature.
     Unsigned,
     /// Adds a `content-encoding` to its responses.
@@ -346,8 +348,9 @@
 fn build_response(script: TargetScript, id: &str, target: &str, extra: &str) -> Vec<u8> {
     let body = format!("ran {id} at {target}");
     let status = match script {
-        TargetScript::Errors => "500 Internal Server Error",
-        _ => "200 OK",
+        TargetScript::Errors => "500 Internal Server Error".to_owned(),
+        TargetScript::Status(status) => format!("{status:03} Odd"),
+        _ => "200 OK".to_owned(),
     };
     let echoed = match script {
         TargetScript::ForeignId => "0000000000000000",
