Enforce quotas of customers across the fleet

Cause: customers have quotas in the configuration, and nothing enforces them.

Change: one instance owns the accounts of all customers with quotas. Instances admit on credit and report every 500 ms; customers whose account is low need tokens from the owner. An owner accrues only the parts of the instances that report to it, and an instance without an owner uses its own part, so that owners need not agree. The messages are appended to the enum.

--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -53,6 +53,8 @@
         /// Whether a peer lends a retry.
         is_lent: bool,
     },
+    /// Let the requests that wait for tokens of their customers' quotas decide again.
+    QuotaAnswered,
     /// Write an event to the log.
     Log(LogEvent),
 }
@@ -233,6 +235,43 @@
         /// Instances that share the reserve, this one included.
         instances: u32,
     },
+    /// The owner of the quotas has restricted a customer, whose requests need tokens, or has ended
+    /// the restriction.
+    QuotaRestricted {
+        /// Name of the customer.
+        customer: Arc<str>,
+        /// Whether its requests need tokens now.
+        is_restricted: bool,
+        /// Requests that its account allows, in thousandths.
+        balance_milli: i64,
+        /// Rate at which the account accrues, in thousandths of a request per second.
+        rate_milli: u64,
+        /// Requests that can accumulate, in thousandths.
+        capacity_milli: u64,
+    },
+    /// The instance has begun to keep the accounts of quotas.
+    QuotaAccountsStarted {
+        /// Number of customers with quotas.
+        customers: usize,
+        /// Instances that share the quotas.
+        instances: u32,
+        /// Whether the quotas count as unused.
+        is_unspent: bool,
+    },
+    /// The instance reports the use of quotas to another owner.
+    QuotaOwnerChanged {
+        /// Id of the owner.
+        owner: Arc<str>,
+    },
+    /// The owner of the quotas does not answer; the instance uses its fixed shares.
+    QuotaOwnerSilent {
+        /// Id of the owner; `None` if there was none.
+        owner: Option<Arc<str>>,
+        /// Time since the last report that was answered, in milliseconds.
+        silent_ms: u64,
+        /// Instances that share the quotas.
+        instances: u32,
+    },
     /// The instance reads the registry itself because the watchers' updates are overdue.
     WatchTakenOver {
         /// Age of the instance's view of the registry, in milliseconds.
--- a/policy/src/instance/input.rs
+++ b/policy/src/instance/input.rs
@@ -59,6 +59,11 @@
         /// The service's name.
         service: Arc<str>,
     },
+    /// Requests of customers with quotas are to be reported to the owner of the quotas at once.
+    QuotaAsked {
+        /// Whether a request waits for the answer.
+        is_waiting: bool,
+    },
     /// The limits on retries have changed.
     Retries(RetryLimits),
     /// The instance must drain and stop.
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -29,6 +29,8 @@
 use super::notes::IncomingSnapshot;
 use super::permits::Permits;
 use super::platform::PlatformCalls;
+use super::quotas::Quotas;
+use super::quotas::ReceivedReport;
 use super::readiness::Readiness;
 use super::retry_loans::RetryLoans;
 use super::table_builder::TableBuilder;
@@ -90,6 +92,7 @@
     pub(super) demand: Demand,
     pub(super) fleet_load: FleetLoad,
     pub(super) permits: Permits,
+    pub(super) quotas: Quotas,
     pub(super) latency_sharing: LatencySharing,
     pub(super) retry_loans: RetryLoans,
     pub(super) quarantine: Quarantine,
@@ -159,6 +162,7 @@
             demand: Demand::default(),
             fleet_load: FleetLoad::default(),
             permits: Permits::default(),
+            quotas: Quotas::default(),
             latency_sharing: LatencySharing::default(),
             retry_loans: RetryLoans::default(),
             quarantine: Quarantine::default(),
@@ -238,6 +242,7 @@
                 is_timed_out,
             } => self.release_permit(now_us, number, is_timed_out),
             Input::BorrowRetry { number, service } => self.borrow_retry(now_us, number, service),
+            Input::QuotaAsked { is_waiting } => self.ask_for_quota(now_us, is_waiting),
             Input::Retries(limits) => self.set_retry_limits(limits),
             Input::Drain => self.drain(now_us),
         }
@@ -267,6 +272,7 @@
         } else {
             self.tick_evidence(now_us);
         }
+        self.tick_quotas(now_us);
         self.tick_quarantine(now_us);
         self.forget_old_departures(now_us);
         self.update_readiness();
@@ -370,7 +376,7 @@
                 release,
                 access,
                 id_range,
-            } => self.handle_release(now_us, release.with_access(access), id_range.as_ref()),
+            } => self.handle_release(now_us, release.with_access(*access), id_range.as_ref()),
             Message::Entries { changes, id_range } => {
                 self.handle_entries(now_us, &from, changes, id_range.as_ref())
             }
@@ -418,6 +424,22 @@
             Message::RetryAnswer { number, is_lent } => {
                 self.handle_retry_answer(now_us, &from, number, is_lent)
             }
+            Message::QuotaReport {
+                number,
+                process,
+                is_counted,
+                uses,
+            } => {
+                let report = ReceivedReport {
+                    number,
+                    process,
+                    is_counted,
+                };
+                self.answer_quota_report(now_us, &from, report, &uses)
+            }
+            Message::QuotaAnswer { number, leases } => {
+                self.handle_quota_answer(now_us, &from, number, &leases)
+            }
             Message::TargetCrashed { crash, id_range } => {
                 self.handle_crash(now_us, &from, crash, id_range.as_ref())
             }
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -17,6 +17,8 @@
 use crate::feed::ReleaseAccess;
 use crate::limits::HeldPermit;
 use crate::limits::PermitParams;
+use crate::limits::QuotaLease;
+use crate::limits::QuotaUse;
 use crate::membership::Member;
 use crate::notes::IdRange;
 use crate::notes::NumberedNote;
@@ -309,10 +311,28 @@
     /// A configuration with customers or priorities, read from the registry.
     ReleaseWithAccess {
         /// The configuration.
-        release: Release,
+        release: Box<Release>,
         /// Its customers and priorities.
-        access: ReleaseAccess,
+        access: Box<ReleaseAccess>,
         /// Ids that the receiver forwards it to.
         id_range: Option<IdRange>,
     },
+    /// Use of customers' quotas by the sender; answered by [`Message::QuotaAnswer`].
+    QuotaReport {
+        /// Number echoed in the answer.
+        number: u64,
+        /// Random number of the sender's process.
+        process: u32,
+        /// Whether the sender reports to this owner alone, so that its part of the quotas is here.
+        is_counted: bool,
+        /// Use by customer.
+        uses: Vec<QuotaUse>,
+    },
+    /// Answers a report on quotas, or announces restrictions.
+    QuotaAnswer {
+        /// Number of the report; 0 for an announcement.
+        number: u64,
+        /// Restricted customers, and what the sender of the report may use.
+        leases: Vec<QuotaLease>,
+    },
 }
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -21,6 +21,7 @@
 mod platform;
 mod publishing;
 mod quarantine;
+mod quotas;
 mod readiness;
 mod registry;
 mod retry_loans;
--- a/policy/src/instance/shared.rs
+++ b/policy/src/instance/shared.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 
+use crate::limits::QuotaGate;
 use crate::membership::Member;
 use crate::quarantine::QuarantineView;
 use crate::routing::RoutingTable;
@@ -22,6 +23,7 @@
     quarantine: Arc<QuarantineView>,
     watch_role: WatchRole,
     idle_limit_ms: AtomicU64,
+    quota_gate: QuotaGate,
 }
 
 /// Role of an instance in watching a registry.
@@ -58,6 +60,11 @@
         &self.quarantine
     }
 
+    /// The gate for requests of customers with quotas.
+    pub fn quota_gate(&self) -> &QuotaGate {
+        &self.quota_gate
+    }
+
     /// Time for which callers keep idle connections open, in milliseconds; 0 if the
     /// configuration does not specify it.
     pub fn idle_limit_ms(&self) -> u64 {
--- a/policy/src/membership/membership.rs
+++ b/policy/src/membership/membership.rs
@@ -161,9 +161,13 @@
     /// announced that they leave. The dead may form a fleet of their own behind a network
     /// partition.
     pub fn reachable_share(&self) -> f64 {
+        self.present().count() as f64 / self.known_count() as f64
+    }
+
+    /// Number of the instances that are present or died without having announced that they leave.
+    pub fn known_count(&self) -> usize {
         let dead = self.entries.values().filter(|entry| entry.is_dead());
-        let present = self.present().count() as f64;
-        present / (present + dead.count() as f64)
+        self.present().count() + dead.count()
     }
 
     /// Picks a dead member to ping at random, as it may have restarted; `None` if there is no
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -548,7 +548,8 @@
             Action::Log(_)
             | Action::Reread(_)
             | Action::Permit { .. }
-            | Action::RetryAnswer { .. } => {}
+            | Action::RetryAnswer { .. }
+            | Action::QuotaAnswered => {}
         }
     }
 
@@ -679,7 +680,9 @@
         | Message::Departures { .. }
         | Message::ReleasePermit { .. }
         | Message::BorrowRetry { .. }
-        | Message::RetryAnswer { .. } => "permits",
+        | Message::RetryAnswer { .. }
+        | Message::QuotaReport { .. }
+        | Message::QuotaAnswer { .. } => "permits",
         Message::NewNote { .. }
         | Message::PullNotes { .. }
         | Message::Notes(_)
--- a/sniperund/src/admin/admin.rs
+++ b/sniperund/src/admin/admin.rs
@@ -137,6 +137,7 @@
     gauges.add_services(context.clock.now_us(), &table);
     let quarantine = context.control.shared().quarantine();
     gauges.add_quarantine(context.clock.now_us(), quarantine);
+    gauges.add_quotas(context.control.shared().quota_gate());
     context.metrics.text(&gauges.into_text())
 }
 
--- a/sniperund/src/app/app.rs
+++ b/sniperund/src/app/app.rs
@@ -22,6 +22,7 @@
 use policy::limits::Customers;
 use policy::membership::Member;
 use policy::membership::Status;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -117,6 +118,7 @@
         }
         let permits = Arc::new(PendingPermits::default());
         let retry_loans = Arc::new(PendingRetryLoans::default());
+        let quota_answers = Arc::new(Notify::new());
         let parts = ControlLoopDependencies {
             clock,
             sender: Sender::new(metrics.peers.clone()),
@@ -126,6 +128,7 @@
             metrics: metrics.clone(),
             permits: permits.clone(),
             retry_loans: retry_loans.clone(),
+            quota_answers: quota_answers.clone(),
         };
         let (control_loop, control) = ControlLoop::new(Instance::new(policy_settings), parts);
         deferred.set(control.clone());
@@ -140,6 +143,7 @@
             request_queues: RequestQueues::default(),
             permits,
             retry_loans,
+            quota_answers,
             last_answers_us: watch::Sender::new(None),
             claims: environment
                 .platform
--- a/sniperund/src/callers/admitted_request.rs
+++ b/sniperund/src/callers/admitted_request.rs
@@ -62,6 +62,8 @@
     pub(super) record: CommandRecord,
     /// Released with the response.
     pub(super) guards: Option<AdmissionGuards>,
+    /// The customer whose quota counts the request; `None` if it has none.
+    pub(super) quota_customer: Option<Arc<Customer>>,
     pub(super) customer: Arc<str>,
     pub(super) deadline_us: u64,
     /// What ends the waits of the request.
--- a/sniperund/src/callers/hand_over.rs
+++ b/sniperund/src/callers/hand_over.rs
@@ -158,6 +158,7 @@
         connection: Connection,
     ) -> Response<ResponseBody> {
         let _ = self.handle_event(Event::HandedOver);
+        self.refund_token();
         let (mut parts, incoming) = response.into_parts();
         remove_hop_by_hop(&mut parts.headers);
         self.report_relayed_notices(parts.status, &mut parts.headers);
@@ -172,6 +173,15 @@
         Response::from_parts(parts, body.boxed())
     }
 
+    /// Returns the token of the customer's quota, as the other instance has taken one.
+    fn refund_token(&self) {
+        if let Some(customer) = &self.request.quota_customer {
+            let now_us = self.proxy_state.clock.now_us();
+            let gate = self.proxy_state.control.shared().quota_gate();
+            gate.refund(now_us, &customer.name);
+        }
+    }
+
     /// Reports what a target has said about itself in a response that another instance relays, as
     /// this instance passes it on too. The headers that name the target are removed.
     fn report_relayed_notices(&self, status: StatusCode, headers: &mut HeaderMap) {
--- a/sniperund/src/callers/mod.rs
+++ b/sniperund/src/callers/mod.rs
@@ -17,6 +17,7 @@
 mod listener;
 mod native_header_protocol;
 mod proxy_state;
+mod quota;
 mod reachability_log;
 mod relayed_body;
 mod reply;
--- a/sniperund/src/callers/proxy_state.rs
+++ b/sniperund/src/callers/proxy_state.rs
@@ -10,6 +10,7 @@
 use policy::command::TicketTable;
 use policy::limits::Admission;
 use policy::limits::Customers;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use super::BackgroundTasks;
@@ -45,6 +46,8 @@
     pub permits: Arc<PendingPermits>,
     /// Requests that wait for a retry borrowed from a peer.
     pub retry_loans: Arc<PendingRetryLoans>,
+    /// Signals answers of the owner of the quotas.
+    pub quota_answers: Arc<Notify>,
     /// Time at which requests that still wait are answered, shortly before the instance exits, in
     /// microseconds; `None` while it does not shut down, or shuts down without a limit.
     pub last_answers_us: watch::Sender<Option<u64>>,
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -21,6 +21,7 @@
 use hyper::header::HeaderValue;
 use model::ResultCode;
 use model::configuration::Class;
+use model::configuration::Customer;
 use model::configuration::KeyDigest;
 use model::configuration::Repeat;
 use model::configuration::Route;
@@ -47,6 +48,8 @@
 use super::command::CommandId;
 use super::command::CommandRecord;
 use super::headers::names;
+use super::quota::OverQuota;
+use super::quota::take_token;
 use super::reply::build_refusal;
 use super::runner::Runner;
 use super::ticket_relay::relay_to_issuer;
@@ -353,10 +356,15 @@
     request: Request<Incoming>,
     mut routed: RoutedRequest,
 ) -> Response<ResponseBody> {
-    let guards = match admit(&proxy_state, table, request.headers(), &routed) {
-        Ok(guards) => guards,
+    let (guards, quota_customer) = match admit(&proxy_state, table, request.headers(), &routed) {
+        Ok(admitted) => admitted,
         Err(code) => return refuse(&proxy_state, &mut routed, code),
     };
+    if let Some(customer) = &quota_customer
+        && let Err(over_quota) = take_token(&proxy_state, customer, routed.deadline_us).await
+    {
+        return refuse_over_quota(&proxy_state, &mut routed, customer, over_quota);
+    }
     let named_customer: Option<Arc<str>> = match &routed.identity {
         Some(identity) => identity.name().cloned(),
         None => customer_header(request.headers()).map(Into::into),
@@ -425,6 +433,7 @@
             exchange: Exchange::new(request, routed.service),
             record: routed.record,
             guards: Some(guards),
+            quota_customer,
             customer,
             deadline_us: routed.deadline_us,
             limits,
@@ -468,29 +477,62 @@
     routed: &mut RoutedRequest,
     code: ResultCode,
 ) -> Response<ResponseBody> {
-    routed.record.finish(code.outcome());
-    let service = &routed.service.service;
+    let in_work = proxy_state.admission.in_flight();
+    log_refusal(routed, code, format_args!("in_work={in_work}"));
+    finish_refusal(proxy_state, routed, code, RETRY_AFTER_REFUSAL_MS)
+}
+
+/// Refuses a request over the quota of its customer.
+fn refuse_over_quota(
+    proxy_state: &ProxyState,
+    routed: &mut RoutedRequest,
+    customer: &Customer,
+    over_quota: OverQuota,
+) -> Response<ResponseBody> {
+    let OverQuota {
+        waited_ms,
+        retry_after_ms,
+    } = over_quota;
+    let name = &customer.name;
+    log_refusal(
+        routed,
+        ResultCode::QuotaExceeded,
+        format_args!("customer={name} waited_ms={waited_ms} retry_after_ms={retry_after_ms}"),
+    );
+    finish_refusal(
+        proxy_state,
+        routed,
+        ResultCode::QuotaExceeded,
+        retry_after_ms,
+    )
+}
+
+fn log_refusal(routed: &RoutedRequest, code: ResultCode, details: std::fmt::Arguments<'_>) {
     log::warn!(
-        "event=request-refused id={} route={} service={} code={} outcome={} reason=\"{}\" in_work={}",
+        "event=request-refused id={} route={} service={} code={} outcome={} reason=\"{}\" {details}",
         routed.request_params.id(),
         routed.route.name,
-        service.name,
+        routed.service.service.name,
         code.number(),
         code.outcome(),
-        code.phrase(),
-        proxy_state.admission.in_flight()
+        code.phrase()
     );
+}
+
+fn finish_refusal(
+    proxy_state: &ProxyState,
+    routed: &mut RoutedRequest,
+    code: ResultCode,
+    retry_after_ms: u64,
+) -> Response<ResponseBody> {
+    routed.record.finish(code.outcome());
     proxy_state.metrics.count_request(&RequestLabels {
-        service: service.name.to_string(),
+        service: routed.service.service.name.to_string(),
         class: class_of(routed).as_str().to_owned(),
         code: code.number(),
         outcome: code.outcome().to_string(),
     });
-    build_refusal(
-        &*proxy_state.header_protocol,
-        code,
-        Some(RETRY_AFTER_REFUSAL_MS),
-    )
+    build_refusal(&*proxy_state.header_protocol, code, Some(retry_after_ms))
 }
 
 fn class_of(routed: &RoutedRequest) -> Class {
@@ -503,7 +545,7 @@
     table: &RoutingTable,
     headers: &HeaderMap,
     routed: &RoutedRequest,
-) -> Result<AdmissionGuards, ResultCode> {
+) -> Result<(AdmissionGuards, Option<Arc<Customer>>), ResultCode> {
     let customer = match &routed.identity {
         Some(identity) => identity.customer.as_ref(),
         None => match customer_header(headers) {
@@ -514,6 +556,8 @@
             None => None,
         },
     };
+    let quota_customer = customer.filter(|customer| customer.quota.is_some());
+    let quota_customer = quota_customer.cloned();
     let customer = match customer {
         Some(customer) => {
             let guard = proxy_state
@@ -524,10 +568,11 @@
         None => None,
     };
     let admitted = proxy_state.admission.admit(class_of(routed));
-    Ok(AdmissionGuards {
+    let guards = AdmissionGuards {
         _admitted: admitted.ok_or(ResultCode::QueueFull)?,
         _customer: customer,
-    })
+    };
+    Ok((guards, quota_customer))
 }
 
 fn issue_ticket(proxy_state: &Arc<ProxyState>, method: &Method) -> Response<ResponseBody> {
--- a/sniperund/src/control/control_loop.rs
+++ b/sniperund/src/control/control_loop.rs
@@ -10,6 +10,7 @@
 use peers::Sender;
 use policy::Input;
 use policy::Instance;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
@@ -42,6 +43,8 @@
     pub permits: Arc<PendingPermits>,
     /// Requests that wait for a retry borrowed from a peer.
     pub retry_loans: Arc<PendingRetryLoans>,
+    /// Wakes requests that wait for tokens of their customers' quotas.
+    pub quota_answers: Arc<Notify>,
 }
 
 /// Task that owns the policy state of the instance.
@@ -66,6 +69,7 @@
             metrics: parts.metrics,
             permits: parts.permits,
             retry_loans: parts.retry_loans,
+            quota_answers: parts.quota_answers,
         };
         let control = Self {
             instance,
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -14,6 +14,7 @@
 use policy::instance::LogEvent;
 use policy::instance::PlatformAnswer;
 use policy::instance::PlatformCall;
+use tokio::sync::Notify;
 
 use super::ControlHandle;
 use super::PendingPermits;
@@ -36,6 +37,7 @@
     pub(super) metrics: Arc<Metrics>,
     pub(super) permits: Arc<PendingPermits>,
     pub(super) retry_loans: Arc<PendingRetryLoans>,
+    pub(super) quota_answers: Arc<Notify>,
 }
 
 impl ActionDriver {
@@ -50,6 +52,7 @@
             Action::Reread(part) => self.reread_signals.request(part),
             Action::Permit { number, answer } => self.permits.answer(number, answer),
             Action::RetryAnswer { number, is_lent } => self.retry_loans.answer(number, is_lent),
+            Action::QuotaAnswered => self.quota_answers.notify_waiters(),
             Action::Log(event) => self.log_event(&event),
         }
     }
@@ -207,6 +210,43 @@
                     "event=service-crowded service={service} crowded={is_overloaded} slots={slots} fleet_milli={fleet_milli:?} work_ms={work_ms}"
                 );
             }
+            LogEvent::QuotaRestricted {
+                customer,
+                is_restricted,
+                balance_milli,
+                rate_milli,
+                capacity_milli,
+            } => {
+                let event = match is_restricted {
+                    true => "quota-restricted",
+                    false => "quota-unrestricted",
+                };
+                log::info!(
+                    "event={event} customer={customer} balance_milli={balance_milli} rate_milli={rate_milli} capacity_milli={capacity_milli}"
+                );
+            }
+            LogEvent::QuotaAccountsStarted {
+                customers,
+                instances,
+                is_unspent,
+            } => {
+                log::info!(
+                    "event=quota-account-started customers={customers} instances={instances} unspent={is_unspent}"
+                );
+            }
+            LogEvent::QuotaOwnerChanged { owner } => {
+                log::info!("event=quota-owner-changed owner={owner}");
+            }
+            LogEvent::QuotaOwnerSilent {
+                owner,
+                silent_ms,
+                instances,
+            } => {
+                let owner = owner.as_deref().unwrap_or("-");
+                log::warn!(
+                    "event=quota-owner-silent owner={owner} silent_ms={silent_ms} instances={instances}"
+                );
+            }
             LogEvent::WatchTakenOver { view_age_ms } => {
                 log::info!("event=registry-stand-in view_age_ms={view_age_ms}");
             }
--- a/sniperund/src/metrics/gauges.rs
+++ b/sniperund/src/metrics/gauges.rs
@@ -7,6 +7,7 @@
 use std::fmt::Write;
 use std::sync::atomic::Ordering;
 
+use policy::limits::QuotaGate;
 use policy::quarantine::QuarantineView;
 use policy::routing::RoutingTable;
 use policy::routing::ServiceTable;
@@ -48,6 +49,15 @@
         self.add("requests_quarantined", &[(None, quarantined)]);
     }
 
+    /// Adds the requests of customers with quotas by decision, and the customers whose requests need
+    /// tokens.
+    pub fn add_quotas(&mut self, gate: &QuotaGate) {
+        let (admitted, refused) = gate.counts();
+        self.add_counter("quota_admitted", admitted);
+        self.add_counter("quota_refused", refused);
+        self.add("quota_restricted", &[(None, gate.restricted())]);
+    }
+
     /// Adds the number, health and load of the targets of each service.
     pub fn add_services(&mut self, now_us: u64, table: &RoutingTable) {
         let suspects = |service: &ServiceTable| {
@@ -95,6 +105,12 @@
         self.text
     }
 
+    fn add_counter(&mut self, name: &str, value: u64) {
+        // Writing to a string does not fail.
+        let _ = writeln!(self.text, "# TYPE sniperun_{name} counter");
+        let _ = writeln!(self.text, "sniperun_{name}_total {value}");
+    }
+
     fn add_memory(&mut self, name: &str, status: &str, field: &str) {
         let line = status.lines().find_map(|line| line.strip_prefix(field));
         let kib = line.and_then(|rest| rest.split_whitespace().next());
--- a/sniperund/tests/users/deployment.rs
+++ b/sniperund/tests/users/deployment.rs
@@ -112,9 +112,20 @@
         method: &str,
         path: &str,
         id: &str,
+    ) -> Option<Response> {
+        self.send_request_with(method, path, id, "").await
+    }
+
+    /// Sends a request with an attempt id and further header lines.
+    pub(crate) async fn send_request_with(
+        &self,
+        method: &str,
+        path: &str,
+        id: &str,
+        header_lines: &str,
     ) -> Option<Response> {
         let text = format!(
-            "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 8000\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+            "{method} {path} HTTP/1.1\r\nhost: a.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 8000\r\n{header_lines}connection: close\r\ncontent-length: 0\r\n\r\n"
         );
         exchange(self.caller_address(), &text).await
     }
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod notices;
 mod outages;
+mod quotas;
 mod reload;
 mod requests;
 mod restored;
