Spend retries where callers cannot come back

Cause: where targets refuse half of their requests whatever their load, the retry budget was used up by requests whose callers had time to come back, and others ended with code 302. Callers were told to wait 125 to 375 ms, although a new request has the same chance at once.

Change: a request with a priority that a target refused while slots are free leaves two thirds of the budget, and borrows none, if its caller has time for another request before the latency objective; Retry-After is 20 to 60 ms there, and at most a quarter of the time to the objective. The last third of a budget is left to the most urgent requests of their service, also by hedges and by loans to peers. Requests without a priority are served as before.

--- a/model/src/configuration/configuration.rs
+++ b/model/src/configuration/configuration.rs
@@ -3,6 +3,7 @@
 //! A clone shares its data with the original, so the cost of applying a note
 //! depends on the size of the note and not on that of the configuration.
 
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use imbl::HashMap;
@@ -46,6 +47,8 @@
     customers_by_key: HashMap<KeyDigest, Arc<Customer>>,
     /// Number of customers whose callers identify themselves by keys.
     keyed_customers: usize,
+    /// Number of routes and customers with a priority.
+    prioritized: usize,
 }
 
 impl Configuration {
@@ -120,6 +123,7 @@
     pub fn insert_route(&mut self, route: Route) {
         self.remove_route(&route.name.clone());
         let route = Arc::new(route);
+        self.prioritized += usize::from(route.terms.priority.is_some());
         self.routes_by_path
             .insert(key_of_route(&route).into(), route.clone());
         self.routes.insert(route.name.clone(), route);
@@ -128,6 +132,7 @@
     /// Removes a route, if it exists.
     pub fn remove_route(&mut self, name: &str) {
         if let Some(route) = self.routes.remove(name) {
+            self.prioritized -= usize::from(route.terms.priority.is_some());
             self.routes_by_path.remove(key_of_route(&route).as_str());
         }
     }
@@ -147,10 +152,40 @@
         self.customers_by_key.get(key)
     }
 
+    /// Returns the range of the priorities that requests of a service may have; `None` if none has
+    /// one.
+    pub fn priorities_of(&self, service: &str) -> Option<RangeInclusive<u8>> {
+        if self.prioritized == 0 {
+            return None;
+        }
+        let refers = |route: &&Arc<Route>| route.services().any(|name| **name == *service);
+        let mut range: Option<RangeInclusive<u8>> = None;
+        let mut add = |priority: u8| {
+            let (start, end) = range
+                .as_ref()
+                .map_or((priority, priority), |range| (*range.start(), *range.end()));
+            range = Some(start.min(priority)..=end.max(priority));
+        };
+        for route in self.routes.values().filter(refers) {
+            let terms = &route.terms;
+            let needs_key = self.requires_keys() && !terms.is_public;
+            let customers = self.customers.values().filter(|_| !terms.is_public);
+            let own = customers.filter_map(|customer| customer.priority.or(terms.priority));
+            own.for_each(&mut add);
+            terms
+                .priority
+                .filter(|_| !needs_key)
+                .into_iter()
+                .for_each(&mut add);
+        }
+        range
+    }
+
     /// Inserts a customer, replacing any customer of the same name.
     pub fn insert_customer(&mut self, customer: Customer) {
         self.remove_customer(&customer.name.clone());
         let customer = Arc::new(customer);
+        self.prioritized += usize::from(customer.priority.is_some());
         if let Some(keys) = &customer.keys {
             self.keyed_customers += 1;
             for key in keys {
@@ -165,6 +200,7 @@
         let Some(customer) = self.customers.remove(name) else {
             return;
         };
+        self.prioritized -= usize::from(customer.priority.is_some());
         let Some(keys) = &customer.keys else {
             return;
         };
--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -61,6 +61,9 @@
     pub repeatable: bool,
     /// Maximum number of targets the request is sent to.
     pub max_attempts: usize,
+    /// Priority, 0 being the most urgent; `None` if the request is served without regard to
+    /// urgency.
+    pub priority: Option<u8>,
     /// Latency objective of the route, in microseconds from the start of the request.
     pub objective_us: Option<u64>,
     /// Time at which the request was accepted, in microseconds.
@@ -561,10 +564,16 @@
             loan.after = Some(failure);
             return Step::Continue;
         }
-        if self.table.load.retries.take() {
+        let use_of_retry = self.use_of_retry(now_us, failure);
+        if self
+            .table
+            .load
+            .retries
+            .take_above(use_of_retry.kept_share())
+        {
             return self.choose_and_send(now_us, rng);
         }
-        if !self.table.shares_retries() {
+        if !self.table.shares_retries() || !use_of_retry.may_borrow() {
             self.retry_denial = Some(RetryDenial::NoBudget);
             return self.give_up(now_us, failure.into(), rng);
         }
@@ -612,7 +621,7 @@
             && self.request.repeatable
             && self.in_flight() == 1
             && self.has_attempt_left(now_us)
-            && self.table.load.retries.take()
+            && self.take_retry_for_urgency()
         {
             self.end_attempt(attempt);
             self.may_have_run = true;
@@ -655,11 +664,18 @@
     }
 
     pub(super) fn give_up(&mut self, now_us: u64, code: ResultCode, rng: &mut impl Rng) -> Step {
+        let is_full = self.table.is_full(now_us);
+        let is_prioritized = self.request.priority.is_some();
+        let left_us = match code {
+            ResultCode::TargetRefused if is_prioritized && !is_full => self.caller_left_us(now_us),
+            _ => self.request.caller_deadline_us.saturating_sub(now_us),
+        };
         let refused = RefusedRequest {
             code,
-            is_full: self.table.is_full(now_us),
+            is_full,
             pause_left_us: self.table.pause_left_us(now_us).unwrap_or(0),
-            left_us: self.request.caller_deadline_us.saturating_sub(now_us),
+            left_us,
+            is_prioritized,
         };
         let retry_after_ms = refused.retry_after_ms(rng);
         self.refuse(code, Some(retry_after_ms))
--- a/policy/src/exchange/mod.rs
+++ b/policy/src/exchange/mod.rs
@@ -6,6 +6,7 @@
 mod hand_over;
 mod observation;
 mod retries;
+mod retry_use;
 mod shutdown;
 mod silence;
 mod target_notices;
--- a/policy/src/exchange/retries.rs
+++ b/policy/src/exchange/retries.rs
@@ -94,13 +94,19 @@
         let Some((candidate, slot)) = self.choose_hedge(now_us, rng) else {
             return Step::Continue;
         };
-        if self.table.load.retries.take() {
+        if self
+            .table
+            .load
+            .retries
+            .take_above(self.kept_share_of_hedges())
+        {
             return self.start_attempt(now_us, candidate, slot);
         }
         let has_asked_lately = self
             .last_loan_us
             .is_some_and(|asked_us| now_us.saturating_sub(asked_us) < RETRY_LOAN_PAUSE_US);
-        if has_asked_lately || !self.table.shares_retries() {
+        let may_borrow = self.request.priority.is_none() && self.table.shares_retries();
+        if has_asked_lately || !may_borrow {
             self.retry_denial = Some(RetryDenial::NoBudget);
             return Step::Continue;
         }
--- a/policy/src/instance/retry_loans.rs
+++ b/policy/src/instance/retry_loans.rs
@@ -18,6 +18,9 @@
 
 /// Peers asked for one retry.
 const MAX_PEERS_ASKED: u8 = 3;
+/// Share of its budget that an instance does not lend if the service has requests of several
+/// priorities: the part that is left to its most urgent requests.
+const KEPT_SHARE_OF_MIXED: f64 = 1.0 / 3.0;
 /// Time after which an unanswered request to borrow is dropped, in microseconds.
 const EXPIRY_US: u64 = 1_000_000;
 
@@ -79,7 +82,15 @@
         number: u64,
     ) {
         let table = self.routing_table.services.get(service);
-        let is_lent = table.is_some_and(|table| table.load.retries.take());
+        let is_lent = table.is_some_and(|table| {
+            let load = &table.load;
+            // The borrower may be less urgent than the requests of this instance.
+            let kept_share = match load.priorities.is_mixed() {
+                true => KEPT_SHARE_OF_MIXED,
+                false => 0.0,
+            };
+            load.retries.take_above(kept_share)
+        });
         self.send(now_us, to, Message::RetryAnswer { number, is_lent });
     }
 
--- a/policy/src/instance/table_builder.rs
+++ b/policy/src/instance/table_builder.rs
@@ -198,9 +198,12 @@
                 health,
             })
             .collect();
+        let load = self.service_load(service);
+        load.priorities
+            .set(configuration.priorities_of(&service.name));
         Arc::new(ServiceTable {
             service: service.clone(),
-            load: self.service_load(service),
+            load,
             candidates,
             choice_strategy: self.choice_strategy,
         })
--- a/policy/src/limits/mod.rs
+++ b/policy/src/limits/mod.rs
@@ -10,6 +10,7 @@
 mod rate_bucket;
 mod retry_after;
 mod retry_budget;
+mod service_priorities;
 
 pub use admission::Admission;
 pub use admission::AdmissionGuard;
@@ -29,3 +30,4 @@
 pub use retry_after::RefusedRequest;
 pub use retry_budget::RESERVE_WINDOW_US;
 pub use retry_budget::RetryBudget;
+pub use service_priorities::ServicePriorities;
--- a/policy/src/limits/retry_after.rs
+++ b/policy/src/limits/retry_after.rs
@@ -13,6 +13,10 @@
 const OTHER_INSTANCE_RETRY_AFTER_MS: f64 = 80.0;
 /// Base time if a target refused although the service has free slots.
 const OTHER_TARGET_RETRY_AFTER_MS: f64 = 250.0;
+/// Base time if a target refused a request with a priority although the service has free slots. A
+/// new attempt has the same chance of success at once; the time only keeps callers that are refused
+/// together apart, as each needs 20 to 40 ms to connect again.
+const PRIORITIZED_RETRY_AFTER_MS: f64 = 40.0;
 /// Base time if the targets are full: about the duration of a request.
 pub(super) const FULL_RETRY_AFTER_MS: f64 = 900.0;
 /// Jitter in either direction, as a share of the base time.
@@ -31,8 +35,10 @@
     pub is_full: bool,
     /// Time for which all targets are paused, in microseconds; 0 if they are not.
     pub pause_left_us: u64,
-    /// Time until the caller's deadline, in microseconds.
+    /// Time until the caller's deadline, or its latency objective, in microseconds.
     pub left_us: u64,
+    /// Whether the request has a priority.
+    pub is_prioritized: bool,
 }
 
 impl RefusedRequest {
@@ -43,10 +49,12 @@
                 OTHER_INSTANCE_RETRY_AFTER_MS
             }
             _ if self.is_full => FULL_RETRY_AFTER_MS,
+            ResultCode::TargetRefused if self.is_prioritized => PRIORITIZED_RETRY_AFTER_MS,
             _ => OTHER_TARGET_RETRY_AFTER_MS,
         };
         let pause_left_ms = self.pause_left_us as f64 / MICROS_PER_MILLI;
-        let is_paused = base_ms > OTHER_INSTANCE_RETRY_AFTER_MS && pause_left_ms > base_ms;
+        let needs_target = base_ms != OTHER_INSTANCE_RETRY_AFTER_MS;
+        let is_paused = needs_target && pause_left_ms > base_ms;
         // Nobody is served before the pause ends.
         let (base_ms, earliest) = match is_paused {
             true => (pause_left_ms, 1.0),
--- a/policy/src/limits/retry_budget.rs
+++ b/policy/src/limits/retry_budget.rs
@@ -144,7 +144,16 @@
 
     /// Takes one retry from the budget. Returns `false` if none is available.
     pub fn take(&self) -> bool {
-        let spend = |tokens: i64| (tokens >= MILLI).then_some(tokens - MILLI);
+        self.take_above(0.0)
+    }
+
+    /// Takes one retry and leaves a share of the bucket's capacity for others; a full bucket gives
+    /// one in any case, as it would lose what is added to it. Returns `false` if none is available.
+    pub fn take_above(&self, kept_share: f64) -> bool {
+        let capacity_milli = self.capacity_milli.load(Ordering::Relaxed);
+        let kept_milli = (kept_share * capacity_milli as f64) as i64;
+        let needed_milli = (MILLI + kept_milli).min(capacity_milli).max(MILLI);
+        let spend = |tokens: i64| (tokens >= needed_milli).then_some(tokens - MILLI);
         let is_taken = self
             .tokens_milli
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, spend)
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -14,6 +14,7 @@
 use crate::evidence::Signal;
 use crate::limits::OverloadState;
 use crate::limits::RetryBudget;
+use crate::limits::ServicePriorities;
 use crate::quarantine::QuarantineView;
 
 const MILLI: u32 = 1_000;
@@ -383,6 +384,8 @@
     pub local_slots: AtomicU32,
     /// Whether the load exceeds the capacity of the healthy targets.
     pub overload: OverloadState,
+    /// Priorities of the service's requests.
+    pub priorities: ServicePriorities,
 }
 
 impl ServiceLoad {
@@ -405,6 +408,7 @@
             fleet_rate_milli: AtomicU64::new(0),
             local_slots: AtomicU32::new(0),
             overload: OverloadState::default(),
+            priorities: ServicePriorities::default(),
             median_us: AtomicU64::new(0),
             slow_us: AtomicU64::new(0),
             latency_profile: AtomicU64::new(0),
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -101,6 +101,7 @@
             replayable: true,
             repeatable: repeat == Repeat::Idempotent,
             max_attempts: policy::exchange::MAX_ATTEMPTS,
+            priority: None,
             objective_us: None,
             began_us: NOW_US,
         };
--- a/policy/tests/fleet/deadly_requests.rs
+++ b/policy/tests/fleet/deadly_requests.rs
@@ -354,6 +354,7 @@
             replayable: true,
             repeatable: true,
             max_attempts: 3,
+            priority: None,
             objective_us: None,
             began_us: now_us,
             fingerprint: fingerprint(&name),
--- a/policy/tests/fleet/hanging_simulation.rs
+++ b/policy/tests/fleet/hanging_simulation.rs
@@ -189,6 +189,7 @@
             replayable: true,
             repeatable: self.scenario.repeatable,
             max_attempts: 2,
+            priority: None,
             objective_us: Some(self.scenario.objective_us),
             began_us: self.now_us,
         };
--- a/policy/tests/fleet/overload_simulation.rs
+++ b/policy/tests/fleet/overload_simulation.rs
@@ -815,6 +815,7 @@
             replayable: true,
             repeatable: true,
             max_attempts: 2,
+            priority: None,
             objective_us: None,
             began_us: self.now_us,
         };
--- a/policy/tests/hedging.rs
+++ b/policy/tests/hedging.rs
@@ -85,6 +85,7 @@
             replayable: true,
             repeatable,
             max_attempts: 2,
+            priority: None,
             objective_us: Some(1_200 * MS_US),
             began_us: BEGAN_US,
         };
--- a/policy/tests/retry_after.rs
+++ b/policy/tests/retry_after.rs
@@ -21,6 +21,7 @@
         is_full: true,
         pause_left_us: 0,
         left_us: 8_000_000,
+        is_prioritized: false,
     };
     let retry_times = retry_times(refused, 1_000);
     let counts = retry_times.iter().map(|start_ms| {
@@ -39,6 +40,7 @@
         is_full,
         pause_left_us: 0,
         left_us: 8_000_000,
+        is_prioritized: false,
     };
     assert!(retry_times(refusal(true), 100)[50] > 2 * retry_times(refusal(false), 100)[50]);
 }
@@ -50,6 +52,7 @@
         is_full: true,
         pause_left_us: 0,
         left_us: 400_000,
+        is_prioritized: false,
     };
     assert!(
         retry_times(refused, 100)
@@ -65,6 +68,7 @@
         is_full: true,
         pause_left_us: 0,
         left_us: 8_000_000,
+        is_prioritized: false,
     };
     assert!(
         retry_times(refused, 100)
@@ -80,6 +84,7 @@
         is_full: true,
         pause_left_us: 1_500_000,
         left_us: 20_000_000,
+        is_prioritized: false,
     };
     let retry_times = retry_times(refused, 1_000);
     assert!(retry_times[0] >= 1_500, "{}", retry_times[0]);
--- a/policy/tests/shutdown.rs
+++ b/policy/tests/shutdown.rs
@@ -92,6 +92,7 @@
             replayable: true,
             repeatable: false,
             max_attempts: policy::exchange::MAX_ATTEMPTS,
+            priority: None,
             objective_us: Some(OBJECTIVE_US),
             began_us: NOW_US,
         };
--- a/proof/examples/capacity/slopes.rs
+++ b/proof/examples/capacity/slopes.rs
@@ -394,6 +394,7 @@
         replayable: true,
         repeatable: service.is_repeatable(),
         max_attempts: policy::exchange::MAX_ATTEMPTS,
+        priority: None,
         objective_us: None,
         began_us: 0,
     };
--- a/proof/src/requests.rs
+++ b/proof/src/requests.rs
@@ -202,6 +202,7 @@
             replayable: true,
             repeatable: service_table.is_repeatable(),
             max_attempts: policy::exchange::MAX_ATTEMPTS,
+            priority: None,
             objective_us: None,
             began_us: self.now_us,
         };
--- a/sniperund/src/callers/admitted_request.rs
+++ b/sniperund/src/callers/admitted_request.rs
@@ -28,6 +28,8 @@
 /// released when dropped.
 #[derive(Debug)]
 pub(super) struct AdmissionGuards {
+    /// Priority of the customer's requests.
+    pub(super) priority: Option<u8>,
     pub(super) _admitted: AdmissionGuard,
     pub(super) _customer: Option<CustomerGuard>,
 }
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -404,6 +404,7 @@
             .terms
             .max_attempts
             .map_or(MAX_ATTEMPTS, |attempts| attempts as usize),
+        priority: guards.priority.or(routed.route.terms.priority),
         objective_us: routed
             .route
             .terms
@@ -514,7 +515,7 @@
             None => None,
         },
     };
-    let customer = match customer {
+    let guard = match customer {
         Some(customer) => {
             let guard = proxy_state
                 .customers
@@ -525,8 +526,9 @@
     };
     let admitted = proxy_state.admission.admit(class_of(routed));
     Ok(AdmissionGuards {
+        priority: customer.and_then(|customer| customer.priority),
         _admitted: admitted.ok_or(ResultCode::QueueFull)?,
-        _customer: customer,
+        _customer: guard,
     })
 }
 
