Order permits and queues by priority and customer

Cause: while a service lacks capacity, requests got permits and places in an instance's queue without regard to their priorities; a customer's burst took the places at the targets.

Change: the message RequestRankedPermit is appended for services with two or more priorities. While a more urgent request, or one of a customer that has got less, was denied within 500 ms, others leave it room, unless their priority or customer gets under 0.4 of the share of all. A queue serves by priority, then round-robin by customer; a lower priority gets a quarter of its fair turns, and takes no room from a more urgent one. An owner that does not answer the new message is asked with the former one, and tried again after 10 s.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -275,6 +275,12 @@
         self.outcome
     }
 
+    /// Priority of the request if the requests of its service differ in priority.
+    pub fn priority(&self) -> Option<u8> {
+        let is_mixed = self.table.load.priorities.is_mixed();
+        self.request.priority.filter(|_| is_mixed)
+    }
+
     /// Why the request was last not sent to another target.
     pub fn retry_denial(&self) -> Option<RetryDenial> {
         self.retry_denial
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -213,6 +213,11 @@
         /// The target's name.
         target: Arc<str>,
     },
+    /// An owner has not answered a permit request that states a priority.
+    RankedPermitUnanswered {
+        /// The owner.
+        owner: Arc<str>,
+    },
     /// This instance has become the owner of a target of an overloaded service and begins its
     /// ledger of permits.
     LedgerStarted {
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -39,6 +39,7 @@
 use crate::feed::Lag;
 use crate::feed::RegistryView;
 use crate::limits::PermitDecision;
+use crate::limits::PermitRank;
 use crate::membership::Change;
 use crate::membership::Membership;
 use crate::membership::Owners;
@@ -388,7 +389,17 @@
                 target,
                 number,
                 params,
-            } => self.answer_permit_request(now_us, &from, target, number, params),
+            } => self.answer_permit_request(now_us, (&from, number), target, params, None),
+            Message::RequestRankedPermit {
+                target,
+                number,
+                params,
+                priority,
+                customer,
+            } => {
+                let rank = PermitRank { priority, customer };
+                self.answer_permit_request(now_us, (&from, number), target, params, Some(&rank))
+            }
             Message::PermitAnswer {
                 number,
                 is_permitted,
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -315,4 +315,18 @@
         /// Ids that the receiver forwards it to.
         id_range: Option<IdRange>,
     },
+    /// Asks like [`Message::RequestPermit`], for a request to a service whose requests have several
+    /// priorities. Builds that do not know it do not answer.
+    RequestRankedPermit {
+        /// The target's name.
+        target: Arc<str>,
+        /// Number echoed in the answer.
+        number: u64,
+        /// Parameters of the request.
+        params: PermitParams,
+        /// Priority of the request, 0 being the most urgent.
+        priority: u8,
+        /// Name of the customer, or the address of a caller without one.
+        customer: Arc<str>,
+    },
 }
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -21,6 +21,7 @@
 mod platform;
 mod publishing;
 mod quarantine;
+mod ranked_owners;
 mod readiness;
 mod registry;
 mod retry_loans;
--- a/policy/src/instance/permits.rs
+++ b/policy/src/instance/permits.rs
@@ -14,11 +14,13 @@
 use super::Instance;
 use super::LogEvent;
 use super::Message;
+use super::ranked_owners::RankedOwners;
 use crate::limits::HeldPermit;
 use crate::limits::Ownership;
 use crate::limits::PermitDecision;
 use crate::limits::PermitLedger;
 use crate::limits::PermitParams;
+use crate::limits::PermitRank;
 
 /// Time limit for an owner's answer, in microseconds: the longest round trip in the
 /// users' network data plus the 100 ms for which a process that has used up its CPU quota
@@ -44,6 +46,8 @@
     pub target: Arc<str>,
     /// Time left until the request's deadline, in microseconds.
     pub left_us: u64,
+    /// Priority and customer; `None` if the requests of the service do not differ in priority.
+    pub rank: Option<PermitRank>,
 }
 
 /// Answer to a permit request.
@@ -77,6 +81,8 @@
     /// Deadline of the request, in microseconds.
     expires_us: u64,
     is_answered: bool,
+    /// Whether the request stated its priority.
+    is_ranked: bool,
 }
 
 /// Permits of this instance's requests, and the ledgers of the targets that it owns.
@@ -87,6 +93,8 @@
     /// Number of consecutive permit requests that each owner has not answered, and when the
     /// last one timed out.
     unanswered: BTreeMap<Arc<str>, (u32, u64)>,
+    /// Owners that answer requests with a priority.
+    ranked_owners: RankedOwners,
 }
 
 impl Permits {
@@ -101,6 +109,7 @@
 
     /// Records that an owner has lost its ledgers.
     pub(super) fn forget_owner(&mut self, owner: &str) {
+        self.ranked_owners.forget(owner);
         for permit in self.pending.values_mut() {
             if permit.owner.as_deref() == Some(owner) {
                 permit.owner = None;
@@ -125,6 +134,7 @@
 
     /// Drops the permits of an instance that has left or died.
     pub(super) fn remove_instance(&mut self, instance: &str) {
+        self.ranked_owners.forget(instance);
         for ledger in self.ledgers.values_mut() {
             ledger.remove_holder(instance);
         }
@@ -138,6 +148,7 @@
             number,
             target,
             left_us,
+            rank,
         } = request;
         let owner = self.owners.of(&target, &self.membership).into_iter().next();
         let configured = self.note_log.configuration().targets.get(&target).cloned();
@@ -164,17 +175,28 @@
             untracked,
             rate_limit_milli: load.rate_limit_milli(),
         };
+        let rank = rank.filter(|_| self.permits.ranked_owners.may_ask(now_us, &owner));
         let pending = PendingPermit {
+            is_ranked: rank.is_some(),
             owner: Some(owner.clone()),
             target: target.clone(),
             expires_us: now_us + left_us,
             is_answered: false,
         };
         self.permits.pending.insert(number, pending);
-        let message = Message::RequestPermit {
-            target,
-            number,
-            params,
+        let message = match rank {
+            Some(PermitRank { priority, customer }) => Message::RequestRankedPermit {
+                target,
+                number,
+                params,
+                priority,
+                customer,
+            },
+            None => Message::RequestPermit {
+                target,
+                number,
+                params,
+            },
         };
         self.send(now_us, &owner, message);
     }
@@ -187,10 +209,20 @@
         let Some(owner) = pending.owner else {
             return;
         };
-        if is_timed_out && !pending.is_answered {
+        // The owner may be of a build that does not know the message.
+        let is_trial = pending.is_ranked && !self.permits.ranked_owners.answers(&owner);
+        if is_timed_out && !pending.is_answered && is_trial {
+            self.actions
+                .push(Action::Log(LogEvent::RankedPermitUnanswered {
+                    owner: owner.clone(),
+                }));
+        } else if is_timed_out && !pending.is_answered {
             let unanswered = &mut self.permits.unanswered;
             let (count, at_us) = unanswered.entry(owner.clone()).or_default();
             (*count, *at_us) = (*count + 1, now_us);
+            if *count >= MAX_UNANSWERED {
+                self.permits.ranked_owners.forget(&owner);
+            }
         }
         let message = Message::ReleasePermit {
             target: pending.target,
@@ -203,12 +235,12 @@
     pub(super) fn answer_permit_request(
         &mut self,
         now_us: u64,
-        from: &Arc<str>,
+        (from, number): (&Arc<str>, u64),
         target: Arc<str>,
-        number: u64,
         params: PermitParams,
+        rank: Option<&PermitRank>,
     ) {
-        let decision = self.decide_on_permit(now_us, (from, number), target, params);
+        let decision = self.decide_on_permit(now_us, (from, number), target, params, rank);
         let message = Message::PermitAnswer {
             number,
             is_permitted: decision.is_permitted,
@@ -224,6 +256,7 @@
         (holder, number): (&Arc<str>, u64),
         target: Arc<str>,
         mut params: PermitParams,
+        rank: Option<&PermitRank>,
     ) -> PermitDecision {
         let own_limit_milli = self.rate_limit_of(&target);
         let limits_milli = own_limit_milli.into_iter().chain(params.rate_limit_milli);
@@ -245,7 +278,7 @@
             reachable_share: self.membership.reachable_share(),
         };
         let ledger = self.ledger_of(target);
-        ledger.request(now_us, (holder, number), params, ownership)
+        ledger.request_ranked(now_us, (holder, number), params, ownership, rank)
     }
 
     /// Registers the permits of this instance with the present owners of their targets, where
@@ -329,6 +362,9 @@
             return;
         };
         pending.is_answered = true;
+        if pending.is_ranked {
+            self.permits.ranked_owners.record_answer(from);
+        }
         pending.owner = Some(from.clone());
         self.permits.unanswered.remove(from);
         let answer = match is_permitted {
--- a/policy/src/limits/mod.rs
+++ b/policy/src/limits/mod.rs
@@ -11,6 +11,7 @@
 mod retry_after;
 mod retry_budget;
 mod service_priorities;
+mod urgency;
 
 pub use admission::Admission;
 pub use admission::AdmissionGuard;
@@ -31,3 +32,4 @@
 pub use retry_budget::RESERVE_WINDOW_US;
 pub use retry_budget::RetryBudget;
 pub use service_priorities::ServicePriorities;
+pub use urgency::PermitRank;
--- a/policy/src/limits/permit_ledger.rs
+++ b/policy/src/limits/permit_ledger.rs
@@ -5,7 +5,8 @@
 //! free slot, or a queue short enough for the shortest deadline. A request that has no time to
 //! retry may wait slightly longer, and for a while after the denial of one the others leave it
 //! some room. No request is permitted behind a queue that would make it miss its own deadline. A
-//! denied request is refused before it is sent.
+//! denied request is refused before it is sent. Where requests have priorities, less urgent ones
+//! leave the same room for more urgent ones.
 //!
 //! If the target names a rate limit, the ledger also counts the requests per second of all
 //! instances against it.
@@ -18,15 +19,15 @@
 
 use super::RateBucket;
 use super::retry_after::FULL_RETRY_AFTER_MS;
+use super::urgency::DENIAL_MEMORY_US;
+use super::urgency::PermitRank;
+use super::urgency::Urgency;
 
 /// Share of the shortest deadline that queueing and processing may take.
 const USABLE_DEADLINE_SHARE: f64 = 0.8;
 /// Extra capacity for requests that cannot retry, as a share of the slots, as all others can
 /// request a permit several times. It adds a wait of a third of the processing time.
 const NO_RETRY_EXTRA_SHARE: f64 = 0.34;
-/// Time for which a request that cannot retry is remembered after its denial, in microseconds:
-/// about the processing time, in which slots become free for the next ones of its kind.
-const DENIAL_MEMORY_US: u64 = 500_000;
 /// Processing time assumed while it is unknown, in milliseconds.
 const DEFAULT_WORK_MS: u32 = 500;
 /// Window over which the shortest deadline is taken, in microseconds: target faults last 5 s or
@@ -126,20 +127,34 @@
     /// Shortest deadlines of requests in the current and the previous window, in milliseconds,
     /// and the start of the current window.
     shortest_deadlines: Option<(u32, u32, u64)>,
-    /// When a request that cannot retry was last denied, in microseconds.
-    no_retry_denied_us: Option<u64>,
+    /// When a request that cannot retry was last denied, in microseconds, and its priority.
+    no_retry_denied: Option<(u64, Option<u8>)>,
+    /// What requests with a priority have got.
+    urgency: Urgency,
     /// Requests that the rate limit of the target allows.
     rate_bucket: Option<RateBucket>,
 }
 
 impl PermitLedger {
-    /// Decides on a permit.
+    /// Decides on a permit for a request without a priority.
     pub fn request(
+        &mut self,
+        now_us: u64,
+        permit: (&Arc<str>, u64),
+        params: PermitParams,
+        ownership: Ownership,
+    ) -> PermitDecision {
+        self.request_ranked(now_us, permit, params, ownership, None)
+    }
+
+    /// Decides on a permit, with regard to the priority and the customer of the request.
+    pub fn request_ranked(
         &mut self,
         now_us: u64,
         (holder, number): (&Arc<str>, u64),
         params: PermitParams,
         ownership: Ownership,
+        rank: Option<&PermitRank>,
     ) -> PermitDecision {
         self.remove_expired(now_us);
         match params.untracked {
@@ -153,9 +168,12 @@
         let in_flight = self.permits.len() as u32 + untracked;
         let deadline_ms = self.shortest_deadline_ms(now_us, params);
         let reserved = NO_RETRY_EXTRA_SHARE * f64::from(params.slots);
+        let priority = rank.map(|rank| rank.priority);
+        let leaves_room = rank.is_some_and(|rank| self.urgency.leaves_room(now_us, rank));
         let extra = match params.cannot_retry() {
+            _ if leaves_room => -reserved,
             true => reserved,
-            false if self.has_denied_no_retry(now_us) => -reserved,
+            false if self.has_denied_no_retry(now_us, priority) => -reserved,
             false => 0.0,
         };
         let max_in_flight = params.max_in_flight(deadline_ms) + extra;
@@ -168,7 +186,11 @@
         let is_permitted = has_room && wait_ms == 0;
         let could_be_served = params.left_ms >= params.work_ms();
         if !is_permitted && params.cannot_retry() && could_be_served {
-            self.no_retry_denied_us = Some(now_us);
+            self.no_retry_denied = Some((now_us, priority));
+        }
+        // A request that cannot be served in any case is owed no room.
+        if let Some(rank) = rank.filter(|_| could_be_served) {
+            self.urgency.count(now_us, rank, is_permitted);
         }
         if is_permitted {
             let expires_us = now_us + u64::from(params.left_ms) * 1_000;
@@ -190,10 +212,16 @@
         bucket.take(now_us, rate_per_s).err().unwrap_or(0)
     }
 
-    /// Whether a request that cannot retry was denied a short time ago.
-    fn has_denied_no_retry(&self, now_us: u64) -> bool {
-        self.no_retry_denied_us
-            .is_some_and(|denied_us| now_us.saturating_sub(denied_us) < DENIAL_MEMORY_US)
+    /// Whether a request that cannot retry, and is at least as urgent, was denied a short time ago.
+    fn has_denied_no_retry(&self, now_us: u64, priority: Option<u8>) -> bool {
+        self.no_retry_denied
+            .is_some_and(|(denied_us, denied_priority)| {
+                let is_less_urgent = match (priority, denied_priority) {
+                    (Some(own), Some(denied)) => denied > own,
+                    _ => false,
+                };
+                !is_less_urgent && now_us.saturating_sub(denied_us) < DENIAL_MEMORY_US
+            })
     }
 
     /// Shortest deadline among recent permit requests that can be met, in milliseconds. A new
--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -19,6 +20,7 @@
 use policy::instance::ConfigurationSource;
 use policy::instance::Envelope;
 use policy::instance::EvidenceSharing;
+use policy::instance::Message;
 use policy::instance::PermitAnswer;
 use policy::instance::PermitRequest;
 use policy::instance::PlatformAnswer;
@@ -130,6 +132,10 @@
     answers: VecDeque<(u64, PermitAnswer)>,
     retry_answers: VecDeque<(u64, bool)>,
     retry_reserve: Option<f64>,
+    /// Instances of a build that does not know permit requests with a priority.
+    former_builds: BTreeSet<usize>,
+    /// Permit requests with a priority that were sent to them.
+    rejected_requests: usize,
 }
 
 fn member(number: usize) -> Member {
@@ -211,6 +217,8 @@
             answers: VecDeque::new(),
             retry_answers: VecDeque::new(),
             retry_reserve,
+            former_builds: BTreeSet::new(),
+            rejected_requests: 0,
         };
         fleet.start(1);
         for number in 0..INSTANCES {
@@ -424,6 +432,19 @@
         self.deliver(number, Input::RequestPermit(request));
     }
 
+    /// Sets whether an instance is of a build that does not know permit requests with a priority.
+    pub(crate) fn set_former_build(&mut self, number: usize, is_former: bool) {
+        match is_former {
+            true => self.former_builds.insert(number),
+            false => self.former_builds.remove(&number),
+        };
+    }
+
+    /// Returns the number of permit requests with a priority that builds without them were sent.
+    pub(crate) fn rejected_requests(&self) -> usize {
+        self.rejected_requests
+    }
+
     /// Releases the permit of a request at an instance.
     pub(crate) fn release_permit(&mut self, number: usize, permit: u64, is_timed_out: bool) {
         let ended = Input::ReleasePermit {
@@ -584,6 +605,12 @@
         {
             return;
         }
+        if self.former_builds.contains(&number)
+            && matches!(envelope.message, Message::RequestRankedPermit { .. })
+        {
+            self.rejected_requests += 1;
+            return;
+        }
         let copies = match self.draw(100) {
             0 => 0,
             1 => 2,
--- a/policy/tests/fleet/overload_simulation.rs
+++ b/policy/tests/fleet/overload_simulation.rs
@@ -900,6 +900,7 @@
             number,
             target: target.name.clone(),
             left_us: self.deadline_us(active.caller).saturating_sub(self.now_us),
+            rank: None,
         };
         self.awaiting_permit.insert(number, (id, active));
         let timeout_us = self.now_us + PERMIT_TIMEOUT_US;
--- a/policy/tests/fleet/permits.rs
+++ b/policy/tests/fleet/permits.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use policy::instance::PERMIT_TIMEOUT_US;
 use policy::instance::PermitAnswer;
 use policy::instance::PermitRequest;
+use policy::limits::PermitRank;
 
 use crate::fleet::Fleet;
 use crate::fleet::INSTANCES;
@@ -46,6 +48,7 @@
                 number: self.next_number,
                 target: format!("t{target:03}").into(),
                 left_us: 6 * SECOND_US,
+                rank: None,
             };
             let mut holder = number as usize % INSTANCES;
             while !stays(holder) {
@@ -85,3 +88,78 @@
         );
     }
 }
+
+/// Requests one permit of each priority from an instance; returns how many were answered, and the
+/// longest time to an answer, in microseconds.
+fn request_ranked(fleet: &mut Fleet, first_number: u64, count: u64) -> (usize, u64) {
+    let mut answered = 0;
+    let mut longest_us = 0;
+    for number in first_number..first_number + count {
+        let asked_us = fleet.now_us();
+        let request = PermitRequest {
+            number,
+            target: format!("t{:03}", number as usize % TARGETS).into(),
+            left_us: 2 * SECOND_US,
+            rank: Some(PermitRank {
+                priority: (number % 4) as u8,
+                customer: "a".into(),
+            }),
+        };
+        fleet.request_permit(0, request);
+        let until_us = asked_us + PERMIT_TIMEOUT_US;
+        let answer = fleet.run_to_answer(until_us);
+        let is_decided = answer.is_some_and(|(_, answer)| answer != PermitAnswer::Unknown);
+        answered += usize::from(is_decided);
+        longest_us = longest_us.max(fleet.now_us() - asked_us);
+        fleet.release_permit(0, number, answer.is_none());
+        fleet.run(fleet.now_us() + 10_000);
+    }
+    (answered, longest_us)
+}
+
+/// Guards against owners of the former build, which do not answer requests with a priority: each
+/// would delay all requests for its targets, and then count as unresponsive.
+#[test]
+fn owners_of_the_former_build_are_asked_without_a_priority() {
+    for seed in 0..SEEDS {
+        let mut fleet = Fleet::new(seed);
+        for number in 0..INSTANCES {
+            fleet.set_former_build(number, true);
+        }
+        fleet.run(3 * SECOND_US);
+        let count = 400;
+        let (answered, longest_us) = request_ranked(&mut fleet, 1, count);
+        let rejected = fleet.rejected_requests();
+        // One trial for each owner in ten seconds; the 400 requests take about 12 s.
+        assert!(rejected <= 2 * INSTANCES, "seed {seed}: {rejected}");
+        assert!(longest_us <= PERMIT_TIMEOUT_US, "seed {seed}: {longest_us}");
+        // One message in a hundred is lost and three are delayed by up to 120 ms; an answer needs two
+        // messages, and an owner that has missed two requests in a row is not asked for 1 s.
+        let lost = count as usize / 10;
+        assert!(
+            answered + rejected + lost >= count as usize,
+            "seed {seed}: {answered}, {rejected}"
+        );
+    }
+}
+
+/// Guards against an instance that goes on sending the former message after an upgrade.
+#[test]
+fn owners_of_the_present_build_are_asked_with_a_priority() {
+    for seed in 0..SEEDS {
+        let mut fleet = Fleet::new(seed);
+        fleet.run(3 * SECOND_US);
+        request_ranked(&mut fleet, 1, 200);
+        for number in 0..INSTANCES {
+            fleet.set_former_build(number, true);
+        }
+        let asked = 50;
+        request_ranked(&mut fleet, 1_000, asked);
+        let ranked = fleet.rejected_requests();
+        // Each owner is asked with a priority until two requests are unanswered.
+        assert!(ranked >= asked as usize / 4, "seed {seed}: {ranked}");
+        fleet.run(fleet.now_us() + 2 * SECOND_US);
+        let (answered, _) = request_ranked(&mut fleet, 2_000, 200);
+        assert!(answered >= 150, "seed {seed}: {answered}");
+    }
+}
--- a/proof/src/requests.rs
+++ b/proof/src/requests.rs
@@ -260,7 +260,7 @@
             .service_of(&service)
             .map_or(0, |service| service.queue as usize);
         let queue = self.nodes[node].queues.entry(service).or_default();
-        match queue.push(self.now_us, &"caller".into(), deadline_us, limit, id) {
+        match queue.push(self.now_us, (0, &"caller".into()), deadline_us, limit, id) {
             Ok(()) => self.schedule_queue_poll(node),
             Err(refusal) => self.handle_exchange_event(id, ExchangeEvent::Refused(refusal)),
         }
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -673,6 +673,7 @@
         | Message::CrashCases { .. }
         | Message::Suspects(_) => "verdicts",
         Message::RequestPermit { .. }
+        | Message::RequestRankedPermit { .. }
         | Message::PermitAnswer { .. }
         | Message::RegisterPermits { .. }
         | Message::RateLimits { .. }
--- a/sniperund/src/callers/request_queues.rs
+++ b/sniperund/src/callers/request_queues.rs
@@ -38,7 +38,7 @@
         &self,
         now_us: u64,
         table: &ServiceTable,
-        customer: &Arc<str>,
+        (priority, customer): (Option<u8>, &Arc<str>),
         deadline_us: u64,
     ) -> Result<oneshot::Receiver<()>, Refusal> {
         let (turn, waiting) = oneshot::channel();
@@ -46,7 +46,7 @@
         let queue = queues.entry(table.service.name.clone()).or_default();
         queue.push(
             now_us,
-            customer,
+            (priority.unwrap_or(0), customer),
             deadline_us,
             table.service.queue as usize,
             turn,
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -31,6 +31,7 @@
 use policy::exchange::TargetNotices;
 use policy::instance::PERMIT_TIMEOUT_US;
 use policy::instance::PermitAnswer;
+use policy::limits::PermitRank;
 use policy::routing::Candidate;
 use policy::routing::TargetLoad;
 use policy::routing::TargetProcess;
@@ -196,7 +197,13 @@
         let requested_us = self.proxy_state.clock.now_us();
         let left_us = self.request.deadline_us.saturating_sub(requested_us);
         let permits = &self.proxy_state.permits;
-        let (answer, permit) = permits.request(&self.proxy_state.control, target.clone(), left_us);
+        let priority = self.request.exchange.priority();
+        let rank = priority.map(|priority| PermitRank {
+            priority,
+            customer: self.request.customer.clone(),
+        });
+        let control = &self.proxy_state.control;
+        let (answer, permit) = permits.request(control, target.clone(), left_us, rank);
         let until_us = requested_us + PERMIT_TIMEOUT_US.min(left_us);
         let until = self.proxy_state.clock.instant(until_us);
         let answer = tokio::time::timeout_at(until, answer);
@@ -227,7 +234,7 @@
         let enqueued = self.proxy_state.request_queues.enqueue(
             now_us,
             &table,
-            &self.request.customer,
+            (self.request.exchange.priority(), &self.request.customer),
             self.request.deadline_us,
         );
         let mut turn = match enqueued {
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -181,6 +181,9 @@
             LogEvent::NoticeUnreadable { target } => {
                 log::warn!("event=target-notice-unreadable target={target}");
             }
+            LogEvent::RankedPermitUnanswered { owner } => {
+                log::info!("event=ranked-permit-unanswered owner={owner}");
+            }
             LogEvent::LedgerStarted { target } => {
                 log::info!("event=permit-ledger-started target={target}");
             }
--- a/sniperund/src/control/permits.rs
+++ b/sniperund/src/control/permits.rs
@@ -5,6 +5,7 @@
 use policy::Input;
 use policy::instance::PermitAnswer;
 use policy::instance::PermitRequest;
+use policy::limits::PermitRank;
 use tokio::sync::oneshot;
 
 use super::ControlHandle;
@@ -18,19 +19,22 @@
 
 impl PendingPermits {
     /// Requests a permit to send a request to a target; `left_us` is the time until the request's
-    /// deadline, in microseconds. Returns the channel for the answer and the guard that releases
+    /// deadline, in microseconds, and `rank` is `None` if the requests of the service do not differ
+    /// in priority. Returns the channel for the answer and the guard that releases
     /// the permit.
     pub fn request(
         self: &Arc<Self>,
         control: &ControlHandle,
         target: Arc<str>,
         left_us: u64,
+        rank: Option<PermitRank>,
     ) -> (oneshot::Receiver<PermitAnswer>, PermitGuard) {
         let (number, answer) = self.replies.register();
         control.send(Input::RequestPermit(PermitRequest {
             number,
             target,
             left_us,
+            rank,
         }));
         let permit = PermitGuard {
             number,
