--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -22,6 +22,7 @@
 mod publishing;
 mod quarantine;
 mod quotas;
+mod ranked_owners;
 mod readiness;
 mod registry;
 mod retry_loans;
--- a/policy/tests/fleet/overload_simulation.rs
+++ b/policy/tests/fleet/overload_simulation.rs
@@ -815,6 +815,7 @@
             replayable: true,
             repeatable: true,
             max_attempts: 2,
+            priority: None,
             objective_us: None,
             began_us: self.now_us,
         };
@@ -899,6 +900,7 @@
             number,
             target: target.name.clone(),
             left_us: self.deadline_us(active.caller).saturating_sub(self.now_us),
+            rank: None,
         };
         self.awaiting_permit.insert(number, (id, active));
         let timeout_us = self.now_us + PERMIT_TIMEOUT_US;
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -412,6 +412,7 @@
             .terms
             .max_attempts
             .map_or(MAX_ATTEMPTS, |attempts| attempts as usize),
+        priority: guards.priority.or(routed.route.terms.priority),
         objective_us: routed
             .route
             .terms
@@ -558,7 +559,7 @@
     };
     let quota_customer = customer.filter(|customer| customer.quota.is_some());
     let quota_customer = quota_customer.cloned();
-    let customer = match customer {
+    let guard = match customer {
         Some(customer) => {
             let guard = proxy_state
                 .customers
@@ -569,8 +570,9 @@
     };
     let admitted = proxy_state.admission.admit(class_of(routed));
     let guards = AdmissionGuards {
+        priority: customer.and_then(|customer| customer.priority),
         _admitted: admitted.ok_or(ResultCode::QueueFull)?,
-        _customer: customer,
+        _customer: guard,
     };
     Ok((guards, quota_customer))
 }
