Spare commands from trials while the healthy targets keep the floor

Change: where the configuration has priorities, commands make no trials of a degraded service while the healthy targets alone exceed the floor.

--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -55,6 +55,9 @@
     recent_requests: f64,
     recent_unserved: f64,
     recent_reported_failures: f64,
+    last_over_quota: u64,
+    /// Recent requests that were refused by the quotas of their customers.
+    recent_over_quota: f64,
     weighted_requests: f64,
     weighted_s: f64,
     latency_us: f64,
@@ -108,6 +111,10 @@
         self.recent_requests = self.recent_requests * RECENT_DECAY + new_requests;
         self.recent_unserved = self.recent_unserved * RECENT_DECAY + new_unserved;
         self.recent_reported_failures *= RECENT_DECAY;
+        let over_quota = load.over_quota.load(Ordering::Relaxed);
+        let new_over_quota = over_quota.saturating_sub(self.last_over_quota) as f64;
+        self.last_over_quota = over_quota;
+        self.recent_over_quota = self.recent_over_quota * RECENT_DECAY + new_over_quota;
         if self.last_begun > 0 {
             self.weighted_requests = self.weighted_requests * (1.0 - RATE_WEIGHT) + new_requests;
             self.weighted_s =
@@ -122,7 +129,11 @@
             && self.recent_unserved >= DEGRADED_UNSERVED_SHARE * self.recent_requests;
         let window_s = MEASURE_PERIOD_US as f64 / 1e6 / (1.0 - RECENT_DECAY);
         let fleet_requests = fleet_rate_per_s * window_s;
-        let failed = self.recent_reported_failures + unresponsive_share * fleet_requests;
+        // The floor counts these among the requests that are not served.
+        let over_quota_share =
+            self.recent_over_quota / (self.recent_requests + self.recent_over_quota).max(1.0);
+        let unserved_share = unresponsive_share + over_quota_share;
+        let failed = self.recent_reported_failures + unserved_share * fleet_requests;
         many_own_unserved
             || unresponsive_share > DEGRADED_FLEET_FAILURE_SHARE
             || failed
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -386,6 +386,8 @@
     pub overload: OverloadState,
     /// Priorities of the service's requests.
     pub priorities: ServicePriorities,
+    /// Requests that were refused by the quotas of their customers.
+    pub over_quota: AtomicU64,
 }
 
 impl ServiceLoad {
@@ -409,6 +411,7 @@
             local_slots: AtomicU32::new(0),
             overload: OverloadState::default(),
             priorities: ServicePriorities::default(),
+            over_quota: AtomicU64::new(0),
             median_us: AtomicU64::new(0),
             slow_us: AtomicU64::new(0),
             latency_profile: AtomicU64::new(0),
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -41,6 +41,9 @@
     max_failure_probability: 0.55,
     trials_per_s: 2.0,
 };
+/// Share of the targets that may work by which the healthy ones have to exceed the floor, as not
+/// each of them gets requests in every two seconds.
+const FLOOR_MARGIN: f64 = 0.1;
 /// Largest share of requests that are trials: as many as the retry budget can retry.
 const MAX_TRIAL_SHARE: f64 = 0.2;
 /// Share of a service's slots that stays in use if no target is healthy.
@@ -95,7 +98,7 @@
         }
         // A retry is worth too much for a trial.
         let is_retry = !choice_params.tried.is_empty();
-        let trial_policy = self.trial_policy(choice_params.repeatable, healthy);
+        let trial_policy = self.trial_policy(choice_params.repeatable, healthy, suspect);
         if let Some(trial_policy) = trial_policy.filter(|_| !is_retry)
             && let Some(index) = self.choose_trial(suspect, trial_policy, rng)
         {
@@ -278,18 +281,36 @@
     }
 
     /// The trial policy in effect; `None` if the request is not used for trials.
-    fn trial_policy(&self, repeatable: bool, set: &[(f64, usize)]) -> Option<TrialPolicy> {
-        let utilization = self.utilization_of(set);
+    fn trial_policy(
+        &self,
+        repeatable: bool,
+        healthy: &[(f64, usize)],
+        suspect: &[(f64, usize)],
+    ) -> Option<TrialPolicy> {
+        let utilization = self.utilization_of(healthy);
         let is_scarce = utilization > SCARCE_UTILIZATION;
         if utilization > OVERLOAD_UTILIZATION || (repeatable && is_scarce) {
             return Some(EAGER_TRIALS);
         }
         if self.load.degraded.load(Ordering::Relaxed) {
-            return Some(DEGRADED_TRIALS);
+            let is_spared = !repeatable && self.load.priorities.is_set();
+            let keeps_floor = is_spared && self.keeps_floor(healthy, suspect);
+            return (!keeps_floor).then_some(DEGRADED_TRIALS);
         }
         (repeatable || is_scarce).then_some(NORMAL_TRIALS)
     }
 
+    /// Whether the healthy targets alone are enough of those that may have recovered. A command then
+    /// need not try any of these, as nearly half of such trials are lost.
+    fn keeps_floor(&self, healthy: &[(f64, usize)], suspect: &[(f64, usize)]) -> bool {
+        let is_eligible = |(failure_probability, _): &&(f64, usize)| {
+            *failure_probability <= DEGRADED_TRIALS.max_failure_probability
+        };
+        let may_have_recovered = suspect.iter().filter(is_eligible).count();
+        let share = healthy.len() as f64 / (healthy.len() + may_have_recovered).max(1) as f64;
+        share >= self.service.floor_share + FLOOR_MARGIN
+    }
+
     /// Decides at random whether this request is a trial; returns the suspect target to try.
     fn choose_trial(
         &self,
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -495,6 +496,8 @@
         retry_after_ms,
     } = over_quota;
     let name = &customer.name;
+    let load = &routed.service.load;
+    load.over_quota.fetch_add(1, Ordering::Relaxed);
     log_refusal(
         routed,
         ResultCode::QuotaExceeded,
