Leave no slot idle for more urgent requests

Change: less urgent requests leave room in a target's queue only; a request gets that room while less urgent ones ask. Of two priorities that starve, the less urgent one still leaves room for the other.

--- a/policy/src/limits/permit_ledger.rs
+++ b/policy/src/limits/permit_ledger.rs
@@ -170,13 +170,19 @@
         let reserved = NO_RETRY_EXTRA_SHARE * f64::from(params.slots);
         let priority = rank.map(|rank| rank.priority);
         let leaves_room = rank.is_some_and(|rank| self.urgency.leaves_room(now_us, rank));
+        let takes_room =
+            rank.is_some_and(|rank| self.urgency.has_less_urgent(now_us, rank.priority));
         let extra = match params.cannot_retry() {
             _ if leaves_room => -reserved,
             true => reserved,
+            _ if takes_room => reserved,
             false if self.has_denied_no_retry(now_us, priority) => -reserved,
             false => 0.0,
         };
-        let max_in_flight = params.max_in_flight(deadline_ms) + extra;
+        let mut max_in_flight = params.max_in_flight(deadline_ms) + extra;
+        if leaves_room {
+            max_in_flight = max_in_flight.max(f64::from(params.slots));
+        }
         let has_room =
             f64::from(in_flight + 1) <= max_in_flight && params.can_finish_behind(in_flight);
         let wait_ms = match (has_room, params.rate_limit_milli) {
--- a/policy/src/limits/urgency.rs
+++ b/policy/src/limits/urgency.rs
@@ -5,6 +5,7 @@
 //! served far less often than all: it competes on equal terms until it has caught up.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -66,6 +67,10 @@
         }
     }
 
+    fn granted_share(&self) -> f64 {
+        self.granted / self.requested.max(f64::MIN_POSITIVE)
+    }
+
     fn is_starving_among(&self, all: &Self) -> bool {
         self.requested >= MIN_REQUESTS
             && self.granted * all.requested < STARVING_SHARE * all.granted * self.requested
@@ -93,17 +98,25 @@
         let all = self.all.at(now_us);
         let own_priority = self.by_priority.get(&rank.priority);
         let own_customer = self.by_customer.get(&rank.customer);
-        let is_starving = |counts: Option<&Counts>| {
-            counts.is_some_and(|counts| counts.at(now_us).is_starving_among(&all))
-        };
-        if is_starving(own_priority) || is_starving(own_customer) {
+        let of = |counts: Option<&Counts>| counts.map(|counts| counts.at(now_us));
+        let (own_priority, own_customer) = (of(own_priority), of(own_customer));
+        let is_starving =
+            |counts: &Option<Counts>| counts.is_some_and(|counts| counts.is_starving_among(&all));
+        if is_starving(&own_customer) {
             return false;
         }
+        // Of two priorities that starve, the less urgent one still leaves room.
+        let own_share = match is_starving(&own_priority) {
+            true => own_priority.map_or(0.0, |counts| counts.granted_share()),
+            false => 1.0,
+        };
         let mut more_urgent = self.by_priority.range(..rank.priority);
-        if more_urgent.any(|(priority, counts)| counts.has_denied(now_us, *priority)) {
+        if more_urgent.any(|(priority, counts)| {
+            counts.has_denied(now_us, *priority) && counts.at(now_us).granted_share() <= own_share
+        }) {
             return true;
         }
-        let granted = own_customer.map_or(0.0, |counts| counts.at(now_us).granted);
+        let granted = own_customer.map_or(0.0, |counts| counts.granted);
         let mut others = self.by_customer.iter();
         others.any(|(customer, counts)| {
             *customer != rank.customer
@@ -112,6 +125,13 @@
         })
     }
 
+    /// Whether less urgent requests have asked lately, which the request may get ahead of.
+    pub(super) fn has_less_urgent(&self, now_us: u64, priority: u8) -> bool {
+        let above = (Bound::Excluded(priority), Bound::Unbounded);
+        let mut less_urgent = self.by_priority.range(above);
+        less_urgent.any(|(_, counts)| counts.at(now_us).requested >= MIN_REQUESTS)
+    }
+
     /// Counts a decision.
     pub(super) fn count(&mut self, now_us: u64, rank: &PermitRank, is_permitted: bool) {
         self.all.count(now_us, rank.priority, is_permitted);
