Count callers that come back after a refusal as load once

Cause: where targets refuse whatever their load, each caller that comes back was counted as a new request, so that a service with a third of its slots free counted as full: Retry-After was 900 ms, and requests needed permits.

Change: a request with a priority that ends with a target's refusal while slots are free is taken out of the measured load.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -672,10 +672,15 @@
     pub(super) fn give_up(&mut self, now_us: u64, code: ResultCode, rng: &mut impl Rng) -> Step {
         let is_full = self.table.is_full(now_us);
         let is_prioritized = self.request.priority.is_some();
-        let left_us = match code {
-            ResultCode::TargetRefused if is_prioritized && !is_full => self.caller_left_us(now_us),
-            _ => self.request.caller_deadline_us.saturating_sub(now_us),
+        let comes_back = code == ResultCode::TargetRefused && is_prioritized && !is_full;
+        let left_us = match comes_back {
+            true => self.caller_left_us(now_us),
+            false => self.request.caller_deadline_us.saturating_sub(now_us),
         };
+        self.table
+            .load
+            .returned
+            .fetch_add(u64::from(comes_back), Ordering::Relaxed);
         let refused = RefusedRequest {
             code,
             is_full,
--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -52,6 +52,8 @@
     /// Counters of the request path at the last measurement.
     last_begun: u64,
     last_unserved: u64,
+    last_returned: u64,
+    recent_returned: f64,
     recent_requests: f64,
     recent_unserved: f64,
     recent_reported_failures: f64,
@@ -105,11 +107,17 @@
         let unserved = load.unserved.load(Ordering::Relaxed);
         let new_unserved = unserved.saturating_sub(self.last_unserved) as f64;
         (self.last_begun, self.last_unserved) = (begun, unserved);
+        let returned = load.returned.load(Ordering::Relaxed);
+        let new_returned = returned.saturating_sub(self.last_returned) as f64;
+        self.last_returned = returned;
+        self.recent_returned = self.recent_returned * RECENT_DECAY + new_returned;
         self.recent_requests = self.recent_requests * RECENT_DECAY + new_requests;
         self.recent_unserved = self.recent_unserved * RECENT_DECAY + new_unserved;
         self.recent_reported_failures *= RECENT_DECAY;
         if self.last_begun > 0 {
-            self.weighted_requests = self.weighted_requests * (1.0 - RATE_WEIGHT) + new_requests;
+            // A request that ends in one period may have begun in an earlier one.
+            let new_load = self.weighted_requests * (1.0 - RATE_WEIGHT) + new_requests;
+            self.weighted_requests = (new_load - new_returned).max(0.0);
             self.weighted_s =
                 self.weighted_s * (1.0 - RATE_WEIGHT) + MEASURE_PERIOD_US as f64 / 1e6;
         }
@@ -136,7 +144,8 @@
 
     /// Requests per second over the last few seconds.
     fn recent_per_s(&self) -> f64 {
-        self.recent_requests * (1.0 - RECENT_DECAY) / (MEASURE_PERIOD_US as f64 / 1e6)
+        let requests = (self.recent_requests - self.recent_returned).max(0.0);
+        requests * (1.0 - RECENT_DECAY) / (MEASURE_PERIOD_US as f64 / 1e6)
     }
 
     /// Estimates the fleet's load. `healthy_slots` is set to all slots here and recounted
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -372,6 +372,9 @@
     pub reachability: Reachability,
     /// Requests started.
     pub begun: AtomicU64,
+    /// Requests that ended with the refusal of a target that has free slots. Their callers come
+    /// back, and would otherwise count as load several times.
+    pub returned: AtomicU64,
     /// Requests that ended without a response from a target.
     pub unserved: AtomicU64,
     /// Whether many requests of the fleet fail.
@@ -402,6 +405,7 @@
             reachability: Reachability::default(),
             retries,
             begun: AtomicU64::new(0),
+            returned: AtomicU64::new(0),
             unserved: AtomicU64::new(0),
             degraded: AtomicBool::new(false),
             needed_slots: AtomicU32::new(0),
