Play scarcity without a network against an oracle

Cause: nothing checked what kinds and customers get while a service lacks capacity, or how far that is from what the targets could serve.

Change: policy/tests/priorities plays callers, instances and targets. Permit requests of services with several priorities state the time to the latency objective instead of the deadline, so that queues at targets are no longer than the objectives allow. Of two priorities with similar shares, the less urgent leaves room although it starves.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -281,6 +281,16 @@
         self.request.priority.filter(|_| is_mixed)
     }
 
+    /// Time within which a permit has to let the request be served, in microseconds: until its
+    /// latency objective if requests of the service differ in priority, until its deadline otherwise.
+    pub fn permit_left_us(&self, now_us: u64) -> u64 {
+        let left_us = self.request.deadline_us.saturating_sub(now_us);
+        match self.priority() {
+            Some(_) => left_us.min(self.caller_left_us(now_us)),
+            None => left_us,
+        }
+    }
+
     /// Why the request was last not sent to another target.
     pub fn retry_denial(&self) -> Option<RetryDenial> {
         self.retry_denial
--- a/policy/src/limits/urgency.rs
+++ b/policy/src/limits/urgency.rs
@@ -20,6 +20,10 @@
 /// Granted share of a priority or customer, relative to that of all, below which it no longer leaves
 /// room. Each is to get at least a quarter; the rest is a margin for the delay of the counts.
 const STARVING_SHARE: f64 = 0.4;
+/// Ratio of the shares of two priorities up to which the less urgent one leaves room although it
+/// starves. With equal shares, the one with the longer objective would be served more often, as its
+/// callers come back more often.
+const SIMILAR_SHARES: f64 = 1.5;
 /// Requests within the counts from which the shares mean something.
 const MIN_REQUESTS: f64 = 2.0;
 /// Permits within the counts by which a customer has to be ahead of another to leave room for it.
@@ -107,7 +111,7 @@
         }
         // Of two priorities that starve, the less urgent one still leaves room.
         let own_share = match is_starving(&own_priority) {
-            true => own_priority.map_or(0.0, |counts| counts.granted_share()),
+            true => SIMILAR_SHARES * own_priority.map_or(0.0, |counts| counts.granted_share()),
             false => 1.0,
         };
         let mut more_urgent = self.by_priority.range(..rank.priority);
--- a/policy/tests/priorities/main.rs
+++ b/policy/tests/priorities/main.rs
@@ -131,30 +131,56 @@
     (results, whole / oracle)
 }
 
+/// Seeds of the scenarios: `PRIORITY_DAYS` from `PRIORITY_FROM` on.
+fn seeds() -> std::ops::Range<u64> {
+    let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
+    let from = number("PRIORITY_FROM").unwrap_or(0);
+    from..from + number("PRIORITY_DAYS").unwrap_or(2)
+}
+
 #[test]
 fn each_kind_bursts_in_turn() {
-    for kind in 0..KINDS {
-        let trace = trace(kind as u64, Burst::Kind(kind), USUAL_PER_S, 0.0);
-        let (_, of_oracle) = play(&format!("kind {kind}"), &trace);
-        assert!(of_oracle >= 0.8, "kind {kind}: {of_oracle}");
+    for seed in seeds() {
+        for kind in 0..KINDS {
+            let trace = trace(seed, Burst::Kind(kind), USUAL_PER_S, 0.0);
+            let (_, of_oracle) = play(&format!("kind {kind} seed {seed}"), &trace);
+            assert!(of_oracle >= 0.8, "kind {kind} seed {seed}: {of_oracle}");
+        }
     }
 }
 
+/// No quota limits the customers here, so that the largest one alone asks for twice of what the
+/// targets serve; the oracle then drops requests that callers repeat in vain.
 #[test]
 fn each_customer_bursts_in_turn() {
-    for customer in 0..CUSTOMERS.len() {
-        let trace = trace(customer as u64, Burst::Customer(customer), USUAL_PER_S, 0.0);
-        let (_, of_oracle) = play(&format!("customer {customer}"), &trace);
-        let _ = of_oracle; //assert!(of_oracle >= 0.7, "customer {customer}: {of_oracle}");
+    for seed in seeds() {
+        for customer in 0..CUSTOMERS.len() {
+            let trace = trace(seed, Burst::Customer(customer), USUAL_PER_S, 0.0);
+            let (_, of_oracle) = play(&format!("customer {customer} seed {seed}"), &trace);
+            assert!(
+                of_oracle >= 0.4,
+                "customer {customer} seed {seed}: {of_oracle}"
+            );
+        }
     }
 }
 
-/// Guards against a retry budget that is used up by requests whose callers can come back.
+/// Guards against a retry budget that is used up by requests whose callers can come back, and
+/// against a load that counts each of their requests.
 #[test]
 fn targets_refuse_half_of_everything() {
-    for seed in 0..3 {
-        let trace = trace(seed, Burst::None, 120.0, 0.5);
-        let (_, of_oracle) = play(&format!("refusals {seed}"), &trace);
-        assert!(of_oracle >= 0.9, "seed {seed}: {of_oracle}");
+    for seed in seeds() {
+        for (usual_per_s, refused_share) in [(120.0, 0.5), (200.0, 0.5), (200.0, 0.6)] {
+            let trace = trace(seed, Burst::None, usual_per_s, refused_share);
+            let name = format!("refusals {usual_per_s} {refused_share} seed {seed}");
+            let (results, of_oracle) = play(&name, &trace);
+            assert!(of_oracle >= 0.97, "{name}: {of_oracle}");
+            let bound = 0.2 * results.begun as f64 + 2.0 * simulation::RETRY_RESERVE;
+            assert!(
+                results.retries as f64 <= bound,
+                "{name}: {}",
+                results.retries
+            );
+        }
     }
 }
--- a/policy/tests/priorities/simulation.rs
+++ b/policy/tests/priorities/simulation.rs
@@ -51,7 +51,7 @@
 const RECONNECT_US: u64 = 46 * MS_US;
 const MEASURE_PERIOD_US: u64 = 500 * MS_US;
 /// Retries in ten seconds in addition to a fifth of the requests, over all instances.
-const RETRY_RESERVE: f64 = 162.0;
+pub(crate) const RETRY_RESERVE: f64 = 162.0;
 const WORK_MS: f64 = 300.0;
 
 /// A request of a caller, with the time that targets need for it.
@@ -164,8 +164,8 @@
     instances: Vec<Instance>,
     targets: Vec<TargetModel>,
     runs: Vec<Run>,
-    /// Requests begun in each measurement period.
-    begun: VecDeque<usize>,
+    /// Requests begun, without those of callers that came back, at the last measurements.
+    begun: VecDeque<u64>,
     results: Results,
 }
 
@@ -220,7 +220,7 @@
             instances: (0..INSTANCES).map(instance).collect(),
             targets: (0..TARGETS).map(|_| TargetModel::default()).collect(),
             runs: Vec::new(),
-            begun: VecDeque::from([0]),
+            begun: VecDeque::new(),
             results: Results {
                 in_time: vec![false; trace.calls.len()],
                 answered: vec![false; trace.calls.len()],
@@ -304,7 +304,6 @@
 
     fn begin(&mut self, call: usize) {
         self.results.begun += 1;
-        *self.begun.back_mut().expect("never empty") += 1;
         let instance = self.rng.random_range(0..INSTANCES);
         let deadline_us = self.trace.calls[call].deadline_us();
         let kind = self.trace.calls[call].kind;
@@ -419,10 +418,8 @@
                 priority,
                 customer: self.customer(run),
             });
-        let Run { call, instance, .. } = self.runs[run];
-        let left_us = self.trace.calls[call]
-            .deadline_us()
-            .saturating_sub(self.now_us);
+        let instance = self.runs[run].instance;
+        let left_us = self.runs[run].exchange.permit_left_us(self.now_us);
         let params = PermitParams {
             left_ms: (left_us / MS_US) as u32,
             work_ms: WORK_MS as u32,
@@ -500,12 +497,20 @@
 
     /// Publishes the load of the last 4 s to all instances.
     fn measure(&mut self) {
-        self.begun.push_back(0);
+        let counted: u64 = self
+            .instances
+            .iter()
+            .map(|instance| {
+                let load = &instance.table.load;
+                load.begun.load(Ordering::Relaxed) - load.returned.load(Ordering::Relaxed)
+            })
+            .sum();
+        self.begun.push_back(counted);
         if self.begun.len() > 9 {
             self.begun.pop_front();
         }
         let periods = (self.begun.len() - 1).max(1) as f64;
-        let begun: usize = self.begun.iter().sum();
+        let begun = counted.saturating_sub(self.begun.front().copied().unwrap_or(0));
         let rate_per_s = begun as f64 / (periods * MEASURE_PERIOD_US as f64 / 1e6);
         let slots = TARGETS as u32 * SLOTS;
         let estimate = LoadEstimate {
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -203,7 +203,8 @@
             customer: self.request.customer.clone(),
         });
         let control = &self.proxy_state.control;
-        let (answer, permit) = permits.request(control, target.clone(), left_us, rank);
+        let permit_left_us = self.request.exchange.permit_left_us(requested_us);
+        let (answer, permit) = permits.request(control, target.clone(), permit_left_us, rank);
         let until_us = requested_us + PERMIT_TIMEOUT_US.min(left_us);
         let until = self.proxy_state.clock.instant(until_us);
         let answer = tokio::time::timeout_at(until, answer);
