Give starving kinds and customers the room of urgent ones

Cause: at one target that three kinds ask for more than twice of what it serves, the least urgent got 0.08 of its requests, where all got 0.47: it competed without the room that more urgent requests have.

Change: a priority or customer under 0.3 of the share of all gets that room too.

--- a/peers/tests/sizes.rs
+++ b/peers/tests/sizes.rs
@@ -76,6 +76,14 @@
             number,
             params,
         }),
+        bytes(Message::RequestRankedPermit {
+            target: target.into(),
+            number,
+            params,
+            priority: 3,
+            // Longer names of customers add their length.
+            customer: "customer-76".into(),
+        }),
         bytes(Message::PermitAnswer {
             number,
             is_permitted: true,
--- a/policy/src/limits/permit_ledger.rs
+++ b/policy/src/limits/permit_ledger.rs
@@ -21,6 +21,7 @@
 use super::retry_after::FULL_RETRY_AFTER_MS;
 use super::urgency::DENIAL_MEMORY_US;
 use super::urgency::PermitRank;
+use super::urgency::Standing;
 use super::urgency::Urgency;
 
 /// Share of the shortest deadline that queueing and processing may take.
@@ -169,17 +170,17 @@
         let deadline_ms = self.shortest_deadline_ms(now_us, params);
         let reserved = NO_RETRY_EXTRA_SHARE * f64::from(params.slots);
         let priority = rank.map(|rank| rank.priority);
-        let leaves_room = rank.is_some_and(|rank| self.urgency.leaves_room(now_us, rank));
-        let takes_room =
-            rank.is_some_and(|rank| self.urgency.has_less_urgent(now_us, rank.priority));
+        let standing = rank.map(|rank| self.urgency.standing(now_us, rank));
+        let leaves_room = standing == Some(Standing::Leaves);
         let extra = match params.cannot_retry() {
             _ if leaves_room => -reserved,
+            _ if standing == Some(Standing::Takes) => reserved,
             true => reserved,
-            _ if takes_room => reserved,
             false if self.has_denied_no_retry(now_us, priority) => -reserved,
             false => 0.0,
         };
         let mut max_in_flight = params.max_in_flight(deadline_ms) + extra;
+        // Room is left in the queue of the target; a slot would be idle until it is used.
         if leaves_room {
             max_in_flight = max_in_flight.max(f64::from(params.slots));
         }
--- a/policy/src/limits/urgency.rs
+++ b/policy/src/limits/urgency.rs
@@ -19,7 +19,7 @@
 const HALF_LIFE_US: f64 = 3_000_000.0;
 /// Granted share of a priority or customer, relative to that of all, below which it no longer leaves
 /// room. Each is to get at least a quarter; the rest is a margin for the delay of the counts.
-const STARVING_SHARE: f64 = 0.4;
+const STARVING_SHARE: f64 = 0.3;
 /// Ratio of the shares of two priorities up to which the less urgent one leaves room although it
 /// starves. With equal shares, the one with the longer objective would be served more often, as its
 /// callers come back more often.
@@ -40,6 +40,17 @@
     pub customer: Arc<str>,
 }
 
+/// How a request stands to the others that ask for permits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Standing {
+    /// It gets the room that others leave.
+    Takes,
+    /// Neither.
+    Equal,
+    /// It leaves room for others.
+    Leaves,
+}
+
 /// Decaying counts of the requests of one priority or customer.
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
@@ -97,20 +108,20 @@
 }
 
 impl Urgency {
-    /// Whether a request leaves room for others.
-    pub(super) fn leaves_room(&self, now_us: u64, rank: &PermitRank) -> bool {
+    /// How a request stands to the others.
+    pub(super) fn standing(&self, now_us: u64, rank: &PermitRank) -> Standing {
         let all = self.all.at(now_us);
-        let own_priority = self.by_priority.get(&rank.priority);
-        let own_customer = self.by_customer.get(&rank.customer);
-        let of = |counts: Option<&Counts>| counts.map(|counts| counts.at(now_us));
-        let (own_priority, own_customer) = (of(own_priority), of(own_customer));
+        let at_present = |counts: Option<&Counts>| counts.map(|counts| counts.at(now_us));
+        let own_priority = at_present(self.by_priority.get(&rank.priority));
+        let own_customer = at_present(self.by_customer.get(&rank.customer));
         let is_starving =
-            |counts: &Option<Counts>| counts.is_some_and(|counts| counts.is_starving_among(&all));
-        if is_starving(&own_customer) {
-            return false;
+            |counts: Option<Counts>| counts.is_some_and(|counts| counts.is_starving_among(&all));
+        let is_starving_priority = is_starving(own_priority);
+        if is_starving(own_customer) {
+            return Standing::Takes;
         }
         // Of two priorities that starve, the less urgent one still leaves room.
-        let own_share = match is_starving(&own_priority) {
+        let own_share = match is_starving_priority {
             true => SIMILAR_SHARES * own_priority.map_or(0.0, |counts| counts.granted_share()),
             false => 1.0,
         };
@@ -118,22 +129,29 @@
         if more_urgent.any(|(priority, counts)| {
             counts.has_denied(now_us, *priority) && counts.at(now_us).granted_share() <= own_share
         }) {
-            return true;
+            return Standing::Leaves;
+        }
+        if is_starving_priority {
+            return Standing::Takes;
         }
         let granted = own_customer.map_or(0.0, |counts| counts.granted);
         let mut others = self.by_customer.iter();
-        others.any(|(customer, counts)| {
+        let has_got_more = others.any(|(customer, counts)| {
             *customer != rank.customer
                 && counts.has_denied(now_us, rank.priority)
                 && counts.at(now_us).granted + CUSTOMER_LEAD <= granted
-        })
-    }
-
-    /// Whether less urgent requests have asked lately, which the request may get ahead of.
-    pub(super) fn has_less_urgent(&self, now_us: u64, priority: u8) -> bool {
-        let above = (Bound::Excluded(priority), Bound::Unbounded);
+        });
+        if has_got_more {
+            return Standing::Leaves;
+        }
+        let above = (Bound::Excluded(rank.priority), Bound::Unbounded);
         let mut less_urgent = self.by_priority.range(above);
-        less_urgent.any(|(_, counts)| counts.at(now_us).requested >= MIN_REQUESTS)
+        let has_less_urgent =
+            less_urgent.any(|(_, counts)| counts.at(now_us).requested >= MIN_REQUESTS);
+        match has_less_urgent {
+            true => Standing::Takes,
+            false => Standing::Equal,
+        }
     }
 
     /// Counts a decision.
