--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -590,7 +590,7 @@
             return self.choose_and_send(now_us, rng);
         }
         if !self.table.shares_retries() || !use_of_retry.may_borrow() {
-            self.retry_denial = Some(RetryDenial::NoBudget);
+            self.retry_denial = Some(use_of_retry.denial());
             return self.give_up(now_us, failure.into(), rng);
         }
         self.borrow_retry(now_us, Some(failure))
--- a/policy/src/exchange/retry_use.rs
+++ b/policy/src/exchange/retry_use.rs
@@ -8,6 +8,7 @@
 
 use super::Exchange;
 use super::Failure;
+use super::RetryDenial;
 
 /// Time that a refused caller loses until its next request reaches a target, in microseconds: the
 /// Retry-After, the connection, and two round trips of 16 ms.
@@ -38,6 +39,14 @@
         }
     }
 
+    /// Why no retry was used if the budget has none to give.
+    pub(super) fn denial(self) -> RetryDenial {
+        match self {
+            Self::Dispensable => RetryDenial::CanComeBack,
+            Self::Urgent | Self::LessUrgent => RetryDenial::NoBudget,
+        }
+    }
+
     /// Whether a peer may be asked for a retry.
     pub(super) fn may_borrow(self) -> bool {
         self != Self::Dispensable
--- a/sniperund/src/callers/request_log.rs
+++ b/sniperund/src/callers/request_log.rs
@@ -52,9 +52,10 @@
     };
     let overload = &request.exchange.table().load.overload;
     log::info!(
-        "event=permit-asked id={} target={target} answer={answer} in_flight={in_flight:?} work_ms={} wait_ms={wait_ms} after_ms={}",
+        "event=permit-asked id={} target={target} answer={answer} in_flight={in_flight:?} work_ms={} wait_ms={wait_ms} priority={:?} after_ms={}",
         request.request_params.id(),
         overload.work_us() / MICROS_PER_MILLI,
+        request.exchange.priority(),
         after_us / MICROS_PER_MILLI
     );
 }
@@ -84,7 +85,7 @@
     reply: &Reply,
 ) {
     log::warn!(
-        "event=request-failed id={} request={} route={} note={} service={} code={} outcome={} reason=\"{}\" attempts={attempts} after_ms={} retry_after_ms={:?} retry_denied={:?}",
+        "event=request-failed id={} request={} route={} note={} service={} code={} outcome={} reason=\"{}\" attempts={attempts} after_ms={} retry_after_ms={:?} retry_denied={:?} priority={:?}",
         request.request_params.id(),
         request.exchange.fingerprint(),
         request.route.name,
@@ -95,6 +96,7 @@
         reply.code.phrase(),
         now_us.saturating_sub(request.began_us) / MICROS_PER_MILLI,
         reply.retry_after_ms,
-        request.exchange.retry_denial()
+        request.exchange.retry_denial(),
+        request.exchange.priority()
     );
 }
