--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -281,6 +281,16 @@
         self.request.priority.filter(|_| is_mixed)
     }
 
+    /// Time within which a permit has to let the request be served, in microseconds: until its
+    /// latency objective if requests of the service differ in priority, until its deadline otherwise.
+    pub fn permit_left_us(&self, now_us: u64) -> u64 {
+        let left_us = self.request.deadline_us.saturating_sub(now_us);
+        match self.priority() {
+            Some(_) => left_us.min(self.caller_left_us(now_us)),
+            None => left_us,
+        }
+    }
+
     /// Why the request was last not sent to another target.
     pub fn retry_denial(&self) -> Option<RetryDenial> {
         self.retry_denial
@@ -580,7 +590,7 @@
             return self.choose_and_send(now_us, rng);
         }
         if !self.table.shares_retries() || !use_of_retry.may_borrow() {
-            self.retry_denial = Some(RetryDenial::NoBudget);
+            self.retry_denial = Some(use_of_retry.denial());
             return self.give_up(now_us, failure.into(), rng);
         }
         self.borrow_retry(now_us, Some(failure))
@@ -672,10 +682,15 @@
     pub(super) fn give_up(&mut self, now_us: u64, code: ResultCode, rng: &mut impl Rng) -> Step {
         let is_full = self.table.is_full(now_us);
         let is_prioritized = self.request.priority.is_some();
-        let left_us = match code {
-            ResultCode::TargetRefused if is_prioritized && !is_full => self.caller_left_us(now_us),
-            _ => self.request.caller_deadline_us.saturating_sub(now_us),
+        let comes_back = code == ResultCode::TargetRefused && is_prioritized && !is_full;
+        let left_us = match comes_back {
+            true => self.caller_left_us(now_us),
+            false => self.request.caller_deadline_us.saturating_sub(now_us),
         };
+        self.table
+            .load
+            .returned
+            .fetch_add(u64::from(comes_back), Ordering::Relaxed);
         let refused = RefusedRequest {
             code,
             is_full,
--- a/policy/src/limits/urgency.rs
+++ b/policy/src/limits/urgency.rs
@@ -5,6 +5,7 @@
 //! served far less often than all: it competes on equal terms until it has caught up.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -18,7 +19,11 @@
 const HALF_LIFE_US: f64 = 3_000_000.0;
 /// Granted share of a priority or customer, relative to that of all, below which it no longer leaves
 /// room. Each is to get at least a quarter; the rest is a margin for the delay of the counts.
-const STARVING_SHARE: f64 = 0.4;
+const STARVING_SHARE: f64 = 0.3;
+/// Ratio of the shares of two priorities up to which the less urgent one leaves room although it
+/// starves. With equal shares, the one with the longer objective would be served more often, as its
+/// callers come back more often.
+const SIMILAR_SHARES: f64 = 1.5;
 /// Requests within the counts from which the shares mean something.
 const MIN_REQUESTS: f64 = 2.0;
 /// Permits within the counts by which a customer has to be ahead of another to leave room for it.
@@ -35,6 +40,17 @@
     pub customer: Arc<str>,
 }
 
+/// How a request stands to the others that ask for permits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Standing {
+    /// It gets the room that others leave.
+    Takes,
+    /// Neither.
+    Equal,
+    /// It leaves room for others.
+    Leaves,
+}
+
 /// Decaying counts of the requests of one priority or customer.
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
@@ -66,6 +82,10 @@
         }
     }
 
+    fn granted_share(&self) -> f64 {
+        self.granted / self.requested.max(f64::MIN_POSITIVE)
+    }
+
     fn is_starving_among(&self, all: &Self) -> bool {
         self.requested >= MIN_REQUESTS
             && self.granted * all.requested < STARVING_SHARE * all.granted * self.requested
@@ -88,28 +108,50 @@
 }
 
 impl Urgency {
-    /// Whether a request leaves room for others.
-    pub(super) fn leaves_room(&self, now_us: u64, rank: &PermitRank) -> bool {
+    /// How a request stands to the others.
+    pub(super) fn standing(&self, now_us: u64, rank: &PermitRank) -> Standing {
         let all = self.all.at(now_us);
-        let own_priority = self.by_priority.get(&rank.priority);
-        let own_customer = self.by_customer.get(&rank.customer);
-        let is_starving = |counts: Option<&Counts>| {
-            counts.is_some_and(|counts| counts.at(now_us).is_starving_among(&all))
-        };
-        if is_starving(own_priority) || is_starving(own_customer) {
-            return false;
+        let at_present = |counts: Option<&Counts>| counts.map(|counts| counts.at(now_us));
+        let own_priority = at_present(self.by_priority.get(&rank.priority));
+        let own_customer = at_present(self.by_customer.get(&rank.customer));
+        let is_starving =
+            |counts: Option<Counts>| counts.is_some_and(|counts| counts.is_starving_among(&all));
+        let is_starving_priority = is_starving(own_priority);
+        if is_starving(own_customer) {
+            return Standing::Takes;
         }
+        // Of two priorities that starve, the less urgent one still leaves room.
+        let own_share = match is_starving_priority {
+            true => SIMILAR_SHARES * own_priority.map_or(0.0, |counts| counts.granted_share()),
+            false => 1.0,
+        };
         let mut more_urgent = self.by_priority.range(..rank.priority);
-        if more_urgent.any(|(priority, counts)| counts.has_denied(now_us, *priority)) {
-            return true;
+        if more_urgent.any(|(priority, counts)| {
+            counts.has_denied(now_us, *priority) && counts.at(now_us).granted_share() <= own_share
+        }) {
+            return Standing::Leaves;
+        }
+        if is_starving_priority {
+            return Standing::Takes;
         }
-        let granted = own_customer.map_or(0.0, |counts| counts.at(now_us).granted);
+        let granted = own_customer.map_or(0.0, |counts| counts.granted);
         let mut others = self.by_customer.iter();
-        others.any(|(customer, counts)| {
+        let has_got_more = others.any(|(customer, counts)| {
             *customer != rank.customer
                 && counts.has_denied(now_us, rank.priority)
                 && counts.at(now_us).granted + CUSTOMER_LEAD <= granted
-        })
+        });
+        if has_got_more {
+            return Standing::Leaves;
+        }
+        let above = (Bound::Excluded(rank.priority), Bound::Unbounded);
+        let mut less_urgent = self.by_priority.range(above);
+        let has_less_urgent =
+            less_urgent.any(|(_, counts)| counts.at(now_us).requested >= MIN_REQUESTS);
+        match has_less_urgent {
+            true => Standing::Takes,
+            false => Standing::Equal,
+        }
     }
 
     /// Counts a decision.
