Close gaps in customers and keys, and test them

An empty list of customers let every caller pass without a key, and so did a release that an instance of a former version, which ignores customers, sends to its peers during an upgrade. Records of commands with idempotency keys used the customer that the caller names. `+f` was read as a digit of a digest.

Change: a configuration remembers whether keys are required. An instance whose release has customers does not apply one without them from a peer, but reads the registry; a release with customers replaces one of the same number without. Customers that the caller names in headers between instances reach no target.

Ruled out: a key is valid on open connections only as long as it is in force; a handed-over request is checked again by its receiver; keys move in one change.

--- a/model/src/configuration/configuration.rs
+++ b/model/src/configuration/configuration.rs
@@ -46,6 +46,8 @@
     customers_by_key: HashMap<KeyDigest, Arc<Customer>>,
     /// Number of customers whose callers identify themselves by keys.
     keyed_customers: usize,
+    /// Whether callers need keys even if no customer has any.
+    pub(crate) are_keys_required: bool,
 }
 
 impl Configuration {
@@ -139,7 +141,12 @@
 
     /// Whether callers identify themselves by keys, except on public routes.
     pub fn requires_keys(&self) -> bool {
-        self.keyed_customers > 0
+        self.are_keys_required || self.keyed_customers > 0
+    }
+
+    /// Whether callers need keys even if no customer has any.
+    pub fn are_keys_required(&self) -> bool {
+        self.are_keys_required
     }
 
     /// Returns the customer that holds a key.
--- a/model/src/configuration/key_digest.rs
+++ b/model/src/configuration/key_digest.rs
@@ -29,7 +29,7 @@
 
     /// Parses 64 hexadecimal digits; `None` for any other text.
     fn parse(text: &str) -> Option<Self> {
-        if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
+        if text.len() != 2 * DIGEST_BYTES || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
             return None;
         }
         let mut digest = [0; DIGEST_BYTES];
--- a/model/src/configuration/snapshot.rs
+++ b/model/src/configuration/snapshot.rs
@@ -4,12 +4,16 @@
 use std::sync::Arc;
 
 use super::Configuration;
+use super::Customer;
 use crate::Note;
 use crate::note::Delta;
 use crate::note::Result;
 
 /// Maximum number of objects in a part.
 const OBJECTS_PER_PART: usize = 3_000;
+/// Maximum number of keys in a part: with 3,000 customers of the longest names, the part stays
+/// below the largest size of a note.
+const KEYS_PER_PART: usize = 4_000;
 
 impl Configuration {
     /// Splits the configuration into parts, in the order in which they have to be applied.
@@ -21,6 +25,7 @@
             services: add(self.services.values()),
             links: self.links.values().map(|link| (**link).clone()).collect(),
             closings: add(self.closings.values()),
+            keys_required: self.are_keys_required.then_some(true),
             ..Note::default()
         }];
         for chunk in chunks(self.targets.values()) {
@@ -35,7 +40,7 @@
                 ..Note::default()
             });
         }
-        for chunk in chunks(self.customers.values()) {
+        for chunk in customer_chunks(self.customers.values()) {
             parts.push(Note {
                 customers: chunk,
                 ..Note::default()
@@ -74,3 +79,23 @@
         .map(|chunk| add(chunk.iter().copied()))
         .collect()
 }
+
+fn customer_chunks<'a>(customers: impl Iterator<Item = &'a Arc<Customer>>) -> Vec<Delta<Customer>> {
+    let mut chunks: Vec<Delta<Customer>> = Vec::new();
+    let mut keys_in_chunk = 0;
+    for customer in customers {
+        let keys = customer.keys.as_ref().map_or(0, Vec::len);
+        let has_room = |chunk: &Delta<Customer>| {
+            chunk.add.len() < OBJECTS_PER_PART && keys_in_chunk + keys <= KEYS_PER_PART
+        };
+        if !chunks.last().is_some_and(has_room) {
+            chunks.push(Delta::default());
+            keys_in_chunk = 0;
+        }
+        keys_in_chunk += keys;
+        if let Some(chunk) = chunks.last_mut() {
+            chunk.add.push((**customer).clone());
+        }
+    }
+    chunks
+}
--- a/model/src/note/apply.rs
+++ b/model/src/note/apply.rs
@@ -89,6 +89,7 @@
         for name in self.customers.withdraw.iter().chain(changed) {
             next.remove_customer(name);
         }
+        next.are_keys_required = self.keys_required.unwrap_or(next.are_keys_required);
         for customer in self.customers.add.iter().chain(&self.customers.change) {
             customer.check(next)?;
             next.insert_customer(customer.clone());
--- a/model/src/note/note.rs
+++ b/model/src/note/note.rs
@@ -40,6 +40,10 @@
     /// Changes to customers.
     #[serde(default)]
     pub customers: Delta<Customer>,
+    /// Whether callers need keys even if no customer has any, so that the removal of the last
+    /// customer does not admit every caller; `None` leaves it unchanged.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub keys_required: Option<bool>,
     /// Changes to closings.
     #[serde(default)]
     pub closings: Delta<Closing>,
--- a/policy/src/feed/registry_view.rs
+++ b/policy/src/feed/registry_view.rs
@@ -170,15 +170,27 @@
     }
 
     /// Applies a release; returns `false` if it is not newer than the current one.
+    ///
+    /// Instances of former versions ignore customers and send the release without them. A release
+    /// with customers therefore replaces one of the same number without them.
     pub fn apply_release(&mut self, release: Release) -> bool {
-        let current = self.release.as_ref().map_or(0, |current| current.number);
-        if release.number <= current {
+        let is_newer = self.release.as_ref().is_none_or(|current| {
+            let adds_customers = release.customers.is_some() && current.customers.is_none();
+            release.number > current.number || release.number == current.number && adds_customers
+        });
+        if release.number == 0 || !is_newer {
             return false;
         }
         self.release = Some(release);
         true
     }
 
+    /// Whether callers need keys according to the current release.
+    pub fn requires_keys(&self) -> bool {
+        let release = self.release.as_ref();
+        release.is_some_and(|release| release.customers.is_some())
+    }
+
     /// Revision up to which all changes of targets are applied.
     pub fn targets_revision(&self) -> u64 {
         self.known_up_to
@@ -415,13 +427,19 @@
             targets: delta(wanted, &configuration.targets),
             ..Note::default()
         };
-        if release.number > configuration.number {
+        let requires_keys = release.customers.is_some();
+        let lacks_keys = release.number == configuration.number
+            && requires_keys
+            && !configuration.are_keys_required();
+        let is_new = release.number > configuration.number || lacks_keys;
+        if is_new {
             note.services = delta(release.services.iter(), &configuration.services);
             note.routes = delta(release.routes.iter(), &configuration.routes);
             let customers = release.customers.iter().flatten();
             note.customers = delta(customers, &configuration.customers);
+            note.keys_required = Some(requires_keys);
         }
-        let has_changes = release.number > configuration.number || !note.targets.is_empty();
+        let has_changes = is_new || !note.targets.is_empty();
         has_changes.then_some((release.number.max(configuration.number), note))
     }
 
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -213,6 +213,16 @@
             let ids = id_range.select_ids(&self.other_ids());
             self.broadcast_release(now_us, &release, &ids);
         }
+        let view = &self.registry_view;
+        let is_newer = view
+            .release_after(release.number.saturating_sub(1))
+            .is_none();
+        if is_newer && release.customers.is_none() && view.requires_keys() {
+            // The sender may be of a former version, which ignores customers, so that the release
+            // would admit every caller. The registry's copy tells whether it has customers.
+            self.actions.push(Action::Reread(RegistryPart::Release));
+            return;
+        }
         if self.registry_view.apply_release(release) {
             self.apply_registry_view();
         }
@@ -360,8 +370,8 @@
     match release.access() {
         None => Message::Release { release, id_range },
         Some(access) => Message::ReleaseWithAccess {
-            release,
-            access,
+            release: Box::new(release),
+            access: Box::new(access),
             id_range,
         },
     }
--- a/proof/examples/capacity/main.rs
+++ b/proof/examples/capacity/main.rs
@@ -2,8 +2,11 @@
 //! together with the part of `docs/CAPACITY.md` that is computed from them.
 //!
 //! Run: `cargo run --release -p proof --example capacity -- --write`
+//!
+//! With `--keys`, it measures customers with keys instead.
 
 mod allocations;
+mod customer_keys;
 mod full_size;
 mod slopes;
 
@@ -16,6 +19,9 @@
     /// write docs/capacity-slopes.json and docs/CAPACITY.md
     #[argh(switch)]
     write: bool,
+    /// measure only customers with keys, and write nothing
+    #[argh(switch)]
+    keys: bool,
 }
 
 const BEGIN_MARKER: &str = "<!-- worked out: begin -->";
@@ -23,6 +29,10 @@
 
 fn main() {
     let args: Args = argh::from_env();
+    if args.keys {
+        print!("{}", customer_keys::measure());
+        return;
+    }
     let slopes = slopes::measure();
     let json = serde_json::to_string_pretty(&slopes).expect("cannot serialize the slopes") + "\n";
     print!("{json}\n{}", capacity::render(&slopes));
--- a/proof/examples/capacity/slopes.rs
+++ b/proof/examples/capacity/slopes.rs
@@ -41,7 +41,7 @@
 
 /// Returns the time in nanoseconds and the allocations per call, from the round with the
 /// median time of five.
-fn measure_time(calls_per_round: u64, mut call: impl FnMut(u64)) -> (f64, f64) {
+pub(super) fn measure_time(calls_per_round: u64, mut call: impl FnMut(u64)) -> (f64, f64) {
     let mut rounds: Vec<(f64, f64)> = (0..5)
         .map(|round| {
             let allocations = allocations::allocation_count();
@@ -61,7 +61,7 @@
 }
 
 /// Returns the value that `build` makes and the bytes that this leaves allocated.
-fn measure_memory<T>(build: impl FnOnce() -> T) -> (T, f64) {
+pub(super) fn measure_memory<T>(build: impl FnOnce() -> T) -> (T, f64) {
     let before = allocations::bytes_in_use();
     let value = build();
     let bytes = allocations::bytes_in_use() - before;
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -43,6 +43,7 @@
 use super::forwarded_body::ForwardedResponse;
 use super::hand_over::HandOverResult;
 use super::hand_over::insert_process;
+use super::headers::names;
 use super::headers::remove_hop_by_hop;
 use super::reply::build_response;
 use super::request_log;
@@ -291,6 +292,8 @@
         );
         if let Some(identity) = &self.request.identity {
             let name = identity.name().map(|name| &**name);
+            headers.remove(names::CUSTOMER);
+            headers.remove(names::CUSTOMER_KEY);
             self.proxy_state.header_protocol.set_customer(name, headers);
         }
         let body = self.request.body.clone();
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -241,7 +241,11 @@
     let repeatable = is_repeatable(&route, &service);
     let record = match command_id {
         Some(CommandId::Key(key)) if !repeatable => {
-            let customer = customer_header(request.headers()).unwrap_or("-");
+            let customer = match &identity {
+                Some(identity) => identity.name().map(|name| &**name),
+                None => customer_header(request.headers()),
+            };
+            let customer = customer.unwrap_or("-");
             let key = format!("claims/{}/{customer}/{key}", service.service.name);
             CommandRecord::claim(proxy_state.clone(), key.into())
         }
--- a/sniperund/tests/users/deployment.rs
+++ b/sniperund/tests/users/deployment.rs
@@ -119,6 +119,11 @@
         exchange(self.caller_address(), &text).await
     }
 
+    /// Sends the text of a request on a connection of its own.
+    pub(crate) async fn send_text(&self, text: &str) -> Option<Response> {
+        exchange(self.caller_address(), text).await
+    }
+
     /// Status of the readiness check of the load balancer, or `None` if the connection fails.
     pub(crate) async fn readiness_status(&self) -> Option<u16> {
         let text = "GET /sniperun/ready HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -1,6 +1,7 @@
 //! Tests of instances that run as processes against fakes of the users' platform.
 
 mod commands;
+mod customers;
 mod deadly;
 mod deployment;
 mod endless;
