Check configurations of the users' platform before a rollout

Cause: an operator learned only from the instances' logs that a configuration is rejected, one error at a time.

Change: `sniperun configuration check FILE [--against FILE] [--json]`. Entries are decoded one by one with the types of the instances' decoder, rules look for entries that never match and limits that contradict each other, and in the end the configuration is applied as an instance applies it. Codes 701 to 710; exit code 0 without errors, 1 with errors, 2 for a file that cannot be read.

Ruled out: reporting unknown fields, which instances ignore.

--- a/model/src/code/result_code.rs
+++ b/model/src/code/result_code.rs
@@ -144,6 +144,26 @@
     PeerVersionMismatch = 602, 0, NotRun, "peer speaks another version";
     /// A message from a peer cannot be decoded.
     PeerMessageUndecodable = 603, 0, NotRun, "peer message cannot be read";
+    /// An entry of a configuration never matches a request or a caller.
+    EntryNeverMatches = 701, 0, NotRun, "entry can never match";
+    /// The host of a route is not written in lower case.
+    HostInCapitals = 702, 0, NotRun, "host in capitals";
+    /// No route sends requests to the service.
+    ServiceUnused = 703, 0, NotRun, "service that no route uses";
+    /// The timeout of a route is below its objective.
+    TimeoutBelowObjective = 704, 0, NotRun, "timeout below the objective";
+    /// A route allows no attempt.
+    NoAttempts = 705, 0, NotRun, "no attempt allowed";
+    /// All weights of a route are 0.
+    AllWeightsZero = 706, 0, NotRun, "all weights are 0";
+    /// A customer has a burst, but no rate.
+    BurstWithoutRate = 707, 0, NotRun, "burst without a rate";
+    /// The body limit is above the largest body that instances forward.
+    BodyLimitTooLarge = 708, 0, NotRun, "body limit too large";
+    /// Two customers have the same key.
+    KeyHeldTwice = 709, 0, NotRun, "two customers with one key";
+    /// A customer has no key that callers can send.
+    CustomerWithoutKeys = 710, 0, NotRun, "customer without keys";
 }
 
 impl fmt::Display for ResultCode {
--- a/model/src/configuration/configuration.rs
+++ b/model/src/configuration/configuration.rs
@@ -17,7 +17,7 @@
 use super::Target;
 
 /// Number of leading path segments considered by a route lookup.
-const MAX_ROUTE_SEGMENTS: usize = 16;
+pub const MAX_ROUTE_SEGMENTS: usize = 16;
 
 /// One version of the configuration: the state after a release note.
 #[derive(Clone, Debug, Default)]
--- a/model/src/configuration/mod.rs
+++ b/model/src/configuration/mod.rs
@@ -12,6 +12,7 @@
 
 pub use closing::Closing;
 pub use configuration::Configuration;
+pub use configuration::MAX_ROUTE_SEGMENTS;
 pub use customer::Customer;
 pub use customer::Quota;
 pub use data_centre::Link;
--- a/sniperun/src/cli/args.rs
+++ b/sniperun/src/cli/args.rs
@@ -27,6 +27,8 @@
 pub enum Command {
     /// Check, submit and read release notes.
     Note(NoteArgs),
+    /// Check configurations of the users' platform.
+    Configuration(ConfigurationArgs),
     /// Check settings of instances.
     Settings(SettingsArgs),
     /// Show the state that instances report.
@@ -170,6 +172,44 @@
     pub platform: String,
 }
 
+/// Check configurations of the users' platform.
+///
+/// Example: sniperun configuration check new.json --against old.json
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "configuration")]
+pub struct ConfigurationArgs {
+    /// command to run
+    #[argh(subcommand)]
+    pub command: ConfigurationCommand,
+}
+
+/// A command on configurations of the users' platform.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum ConfigurationCommand {
+    /// Check a configuration.
+    Check(ConfigurationCheckArgs),
+}
+
+/// Check a configuration before it is rolled out.
+///
+/// Exits with 0 without errors, 1 with errors, and 2 if a file cannot be read.
+///
+/// Example: sniperun configuration check new.json --against old.json
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct ConfigurationCheckArgs {
+    /// file with the configuration, JSON
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// file with the configuration in force, to show what would change
+    #[argh(option)]
+    pub against: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Check settings of instances.
 ///
 /// Example: sniperun settings check settings.jsonc
--- a/sniperun/src/cli/mod.rs
+++ b/sniperun/src/cli/mod.rs
@@ -4,6 +4,9 @@
 
 pub use args::Args;
 pub use args::Command;
+pub use args::ConfigurationArgs;
+pub use args::ConfigurationCheckArgs;
+pub use args::ConfigurationCommand;
 pub use args::Deployment;
 pub use args::ExplainArgs;
 pub use args::NoteArgs;
--- a/sniperun/src/commands/command_error.rs
+++ b/sniperun/src/commands/command_error.rs
@@ -28,6 +28,15 @@
         /// Error of the operating system.
         source: std::io::Error,
     },
+    /// A configuration to check cannot be read, as opposed to one that has errors.
+    #[display("{}: {}: {source}", ResultCode::FileUnreadable, path.display())]
+    #[from(skip)]
+    Unreadable {
+        /// Path of the file.
+        path: PathBuf,
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
     /// A document cannot be parsed.
     #[display("{_0}")]
     Document(DocumentError),
--- a/sniperun/src/commands/run.rs
+++ b/sniperun/src/commands/run.rs
@@ -1,6 +1,8 @@
 //! Dispatch of parsed arguments to the commands.
 
+use super::Output;
 use super::Result;
+use super::configuration;
 use super::explain;
 use super::note;
 use super::settings;
@@ -8,6 +10,7 @@
 use super::status;
 use crate::cli::Args;
 use crate::cli::Command;
+use crate::cli::ConfigurationCommand;
 use crate::cli::NoteCommand;
 use crate::cli::SettingsCommand;
 use crate::cli::StandInCommand;
@@ -18,8 +21,11 @@
 /// # Errors
 ///
 /// Returns [`super::CommandError`] if the command fails.
-pub async fn run(args: Args) -> Result<String> {
-    match args.command {
+pub async fn run(args: Args) -> Result<Output> {
+    let text = match args.command {
+        Command::Configuration(args) => match args.command {
+            ConfigurationCommand::Check(args) => return configuration::check(&args),
+        },
         Command::Note(args) => match args.command {
             NoteCommand::Check(args) => note::check(&args.file, args.platform.as_deref()).await,
             NoteCommand::Submit(args) => {
@@ -40,5 +46,6 @@
             StandInCommand::Platform(args) => stand_in::run_platform(args.address).await,
             StandInCommand::Backends(args) => stand_in::run_backends(&args.note).await,
         },
-    }
+    };
+    text.map(Output::from)
 }
