Give the soak customers with keys

Cause: the soak's callers had no keys, so that no random fault met the check of keys, the replacement of the customer's name and the withdrawal of a key.

Change: callers send the key of a customer and pretend to be another. One request in forty has a key that nobody holds, and one a key that is withdrawn while the moving route points to the second service. Three promises: targets see the customer, withdrawn keys are refused, known keys are accepted. These requests are kept apart from the others, since they may be refused at any time.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -17,7 +17,10 @@
 use super::Request;
 use super::RequestEnd;
 use super::RequestKind;
+use crate::testbed::CUSTOMERS;
+use crate::testbed::GUEST;
 use crate::testbed::Testbed;
+use crate::testbed::key_of;
 
 /// Time limit that a caller sends with a request.
 const TIME_LIMIT_MS: u64 = 8_000;
@@ -26,6 +29,8 @@
 const PAUSE_MS: std::ops::Range<u64> = 20..120;
 /// Pause before reconnecting after a request that received no complete response.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
+/// Customer that every caller pretends to be.
+const ASSUMED_CUSTOMER: &str = "admin";
 const BODY_BYTES: std::ops::Range<usize> = 0..3_000;
 
 struct Connection {
@@ -45,9 +50,16 @@
             None => testbed.pick_instance(&mut rng),
         };
         sent += 1;
+        let kind = draw_kind(&mut rng);
+        let customer = match kind {
+            RequestKind::Guest => Some(GUEST),
+            RequestKind::Stranger => None,
+            _ => Some(CUSTOMERS[number as usize % CUSTOMERS.len()]),
+        };
         let mut request = Request {
             id: format!("{number:04x}{sent:012x}").into(),
-            kind: draw_kind(&mut rng),
+            kind,
+            customer: customer.map(Arc::from),
             instance,
             sent_ms: testbed.now_ms(),
             ended_ms: 0,
@@ -72,10 +84,12 @@
 }
 
 fn draw_kind(rng: &mut ChaCha8Rng) -> RequestKind {
-    match rng.random_range(0..10) {
-        0..4 => RequestKind::Read,
-        4..8 => RequestKind::Command,
-        _ => RequestKind::MovingRoute,
+    match rng.random_range(0..40) {
+        0..15 => RequestKind::Read,
+        15..30 => RequestKind::Command,
+        30..38 => RequestKind::MovingRoute,
+        38 => RequestKind::Guest,
+        _ => RequestKind::Stranger,
     }
 }
 
@@ -112,11 +126,15 @@
 
 fn encode_request(request: &Request, body: &str) -> String {
     let (method, path) = match request.kind {
-        RequestKind::Read => ("GET", "/read/x"),
+        RequestKind::Read | RequestKind::Guest | RequestKind::Stranger => ("GET", "/read/x"),
         RequestKind::Command => ("POST", "/command/x"),
         RequestKind::MovingRoute => ("GET", "/moved/x"),
     };
-    RawMessage::request(method, path, &request.id, TIME_LIMIT_MS, body)
+    let text = RawMessage::request(method, path, &request.id, TIME_LIMIT_MS, body);
+    let key = key_of(request.customer.as_deref().unwrap_or("nobody"));
+    // The customer that a caller names itself must not reach a target.
+    let lines = format!("\r\nx-key: {key}\r\nx-tenant: {ASSUMED_CUSTOMER}\r\n\r\n");
+    text.replacen("\r\n\r\n", &lines, 1)
 }
 
 async fn read_response(open: &mut Connection) -> io::Result<Option<RawMessage>> {
--- a/soak/src/checks/mod.rs
+++ b/soak/src/checks/mod.rs
@@ -4,6 +4,7 @@
 //! Each check returns its violations with the request concerned, so that a report can
 //! show the log lines of that request.
 
+pub(crate) mod customers;
 mod fleet;
 mod requests;
 mod routing;
@@ -26,6 +27,9 @@
         routing::targets_that_say_they_leave_get_nothing,
         routing::configurations_are_in_force,
         routing::configurations_never_revert,
+        customers::targets_see_the_customer,
+        customers::withdrawn_keys_are_refused,
+        customers::known_keys_are_accepted,
         fleet::retries_are_bound,
         fleet::the_floor_holds,
         fleet::service_returns,
--- a/soak/src/checks/routing.rs
+++ b/soak/src/checks/routing.rs
@@ -15,7 +15,7 @@
 /// `drain`: time within which all instances must apply the draining of a target.
 const DRAIN_MS: u64 = 2_000;
 /// `configApply`: time within which a configuration must be in force.
-const APPLY_MS: u64 = 2_000;
+pub(super) const APPLY_MS: u64 = 2_000;
 /// `rollbackSlack`: time after which an instance must not return to an older configuration.
 const ROLLBACK_SLACK_MS: u64 = 250;
 
@@ -169,13 +169,13 @@
 }
 
 /// Period in which the moving route points to one service.
-struct RoutePeriod<'a> {
-    from_ms: u64,
-    to_ms: u64,
-    service: &'a Arc<str>,
+pub(super) struct RoutePeriod<'a> {
+    pub(super) from_ms: u64,
+    pub(super) to_ms: u64,
+    pub(super) service: &'a Arc<str>,
 }
 
-fn route_periods(record: &Record) -> Vec<RoutePeriod<'_>> {
+pub(super) fn route_periods(record: &Record) -> Vec<RoutePeriod<'_>> {
     let route_moves = route_moves(record);
     let ends = route_moves.iter().skip(1).map(|(at_ms, _)| *at_ms);
     let ends = ends.chain(std::iter::once(u64::MAX));
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -11,6 +11,10 @@
     Command,
     /// Idempotent request on the route that moves between services.
     MovingRoute,
+    /// Idempotent request with a key that only some configurations contain.
+    Guest,
+    /// Idempotent request with a key that no configuration contains.
+    Stranger,
 }
 
 /// Result of a request as its caller observed it.
@@ -42,6 +46,8 @@
     pub id: Arc<str>,
     /// Kind of request.
     pub kind: RequestKind,
+    /// Customer that holds the key of the request; `None` if nobody does.
+    pub customer: Option<Arc<str>>,
     /// Number of the instance that the caller sent it to.
     pub instance: usize,
     /// Time at which its last byte was sent.
@@ -63,6 +69,8 @@
     pub target: Arc<str>,
     /// Service of the target.
     pub service: Arc<str>,
+    /// Customer that the request names.
+    pub customer: Option<Arc<str>>,
 }
 
 /// A change during the run: an update that the store acknowledged, or a start or stop of an
@@ -123,6 +131,9 @@
 pub struct Record {
     /// Requests as callers observed them.
     pub requests: Vec<Request>,
+    /// Requests with keys that not all configurations contain, apart from the others, as they may be
+    /// refused at any time.
+    pub guests: Vec<Request>,
     /// Requests as targets received them, ordered by time.
     pub arrivals: Vec<Arrival>,
     /// Pairs of request id and target, one per execution of a request.
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -15,10 +15,12 @@
 use parking_lot::Mutex;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 use standin::UsersStore;
 use standin::UsersTarget;
 use standin::users::CONFIGURATION_KEY;
 use standin::users::configuration;
+use standin::users::wire::header;
 use standin::users::wire::read_message;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -28,12 +30,19 @@
 use super::Link;
 use super::Record;
 use super::Request;
+use super::RequestKind;
 use super::Size;
+use crate::checks::customers::SERVICE_WITH_GUEST;
 use crate::process::InstanceSpec;
 use crate::process::Process;
 
 /// Services for reads and for commands. The moving route points to one of them at a time.
 const SERVICES: [&str; 2] = ["reads", "gates"];
+/// Customers of all configurations.
+pub(crate) const CUSTOMERS: [&str; 2] = ["kilo", "lima"];
+/// Customer whose key is withdrawn while the moving route points to another service than
+/// [`SERVICE_WITH_GUEST`].
+pub(crate) const GUEST: &str = "guest";
 /// Processing time of a request at a target.
 const PROCESSING_TIME: Duration = Duration::from_millis(15);
 /// Pause between readiness checks of the load balancer, and the timeout of a check.
@@ -151,7 +160,11 @@
 
     /// Records a request as its caller observed it.
     pub(crate) fn record_request(&self, request: Request) {
-        self.record.lock().requests.push(request);
+        let mut record = self.record.lock();
+        match request.kind {
+            RequestKind::Guest | RequestKind::Stranger => record.guests.push(request),
+            _ => record.requests.push(request),
+        }
     }
 
     /// Records a change at the current time.
@@ -250,8 +263,16 @@
     pub(crate) fn put_configuration(&self, service: usize) {
         let version = self.version.fetch_add(1, Ordering::Relaxed);
         let service = SERVICES[service % SERVICES.len()];
-        self.store
-            .put(CONFIGURATION_KEY, &configuration(version, service));
+        let mut document = configuration(version, service);
+        document["tenants"] = CUSTOMERS
+            .iter()
+            .map(|name| (name.to_string(), json!({"apiKeys": [key_of(name)]})))
+            .collect::<serde_json::Map<_, _>>()
+            .into();
+        if service == SERVICE_WITH_GUEST {
+            document["tenants"][GUEST] = json!({"apiKeys": [key_of(GUEST)]});
+        }
+        self.store.put(CONFIGURATION_KEY, &document);
         self.record_change(Change::RouteMoved {
             service: service.into(),
         });
@@ -324,6 +345,13 @@
                 id: arrival.id.into(),
                 target: target.clone(),
                 service: handle.service.into(),
+                customer: None,
+            });
+            // A target records the head of a request together with its arrival.
+            let customers = received.heads.iter().map(|head| header(head, "x-tenant"));
+            let arrivals = arrivals.zip(customers).map(|(arrival, customer)| Arrival {
+                customer: customer.map(Into::into),
+                ..arrival
             });
             record.arrivals.extend(arrivals);
             let ran = received.ran.into_iter();
@@ -335,6 +363,11 @@
     }
 }
 
+/// Returns the key of a customer.
+pub(crate) fn key_of(customer: &str) -> String {
+    format!("key-of-{customer}")
+}
+
 /// Returns the second and third octet of the loopback addresses of a run. Each run uses a
 /// block of its own.
 fn next_address_block() -> [u8; 2] {
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -27,6 +27,7 @@
     Request {
         id: id.into(),
         kind,
+        customer: Some("kilo".into()),
         instance: 0,
         sent_ms,
         ended_ms: sent_ms + 20,
@@ -40,6 +41,7 @@
         id: id.into(),
         target: target.into(),
         service: service.into(),
+        customer: Some("kilo".into()),
     }
 }
 
@@ -340,3 +342,55 @@
         );
     }
 }
+
+#[test]
+fn a_target_that_sees_another_customer_or_the_request_of_nobody() {
+    for customer in [None, Some("lima".into())] {
+        let mut record = valid_record();
+        record.requests[7].customer = customer;
+        assert_eq!(violated_invariants(&record), ["targets see the customer"]);
+    }
+    let mut record = valid_record();
+    record.arrivals[7].customer = None;
+    assert_eq!(violated_invariants(&record), ["targets see the customer"]);
+}
+
+#[test]
+fn a_key_that_is_used_after_its_withdrawal() {
+    let violated = |sent_ms: u64, is_frozen: bool| {
+        let mut record = valid_record();
+        for (at_ms, service) in [(0, "reads"), (1_000, "gates"), (8_000, "reads")] {
+            let service = service.into();
+            record.changes.push((at_ms, Change::RouteMoved { service }));
+        }
+        let end = answered(200, Some("t0"));
+        let guest = request("g", RequestKind::Guest, sent_ms, end);
+        record.guests.push(guest);
+        record
+            .arrivals
+            .push(arrival("g", sent_ms + 1, "t0", "reads"));
+        if is_frozen {
+            record.fault_periods.push(FaultPeriod {
+                from_ms: 900,
+                to_ms: 6_000,
+                component: Component::Instance(0),
+            });
+        }
+        violated_invariants(&record)
+    };
+    assert_eq!(violated(7_000, false), ["withdrawn keys are refused"]);
+    for (sent_ms, is_frozen) in [(500, false), (1_100, false), (7_000, true), (9_000, false)] {
+        assert_eq!(violated(sent_ms, is_frozen), Vec::<&str>::new());
+    }
+}
+
+#[test]
+fn a_known_key_that_is_refused() {
+    let mut record = valid_record();
+    let refused = answered(401, None);
+    record
+        .requests
+        .push(request("a", RequestKind::Read, 100, refused));
+    let names = violated_invariants(&record);
+    assert!(names.contains(&"known keys are accepted"), "{names:?}");
+}
