--- a/model/src/configuration/configuration.rs
+++ b/model/src/configuration/configuration.rs
@@ -18,7 +18,7 @@
 use super::Target;
 
 /// Number of leading path segments considered by a route lookup.
-const MAX_ROUTE_SEGMENTS: usize = 16;
+pub const MAX_ROUTE_SEGMENTS: usize = 16;
 
 /// One version of the configuration: the state after a release note.
 #[derive(Clone, Debug, Default)]
@@ -49,6 +49,8 @@
     keyed_customers: usize,
     /// Number of routes and customers with a priority.
     prioritized: usize,
+    /// Whether callers need keys even if no customer has any.
+    pub(crate) are_keys_required: bool,
 }
 
 impl Configuration {
@@ -144,7 +146,12 @@
 
     /// Whether callers identify themselves by keys, except on public routes.
     pub fn requires_keys(&self) -> bool {
-        self.keyed_customers > 0
+        self.are_keys_required || self.keyed_customers > 0
+    }
+
+    /// Whether callers need keys even if no customer has any.
+    pub fn are_keys_required(&self) -> bool {
+        self.are_keys_required
     }
 
     /// Returns the customer that holds a key.
