Decide what memory bodies may take

Cause: an instance buffers bodies without a bound over all connections, sends any number of them to one target, and TCP_USER_TIMEOUT counts a closed receive window as a dead peer.

Change: BodyMemory decides which body fits (code 211 otherwise), when memory is scarce, and what a connection and a socket may hold then. TargetLoad counts the bodies in flight to a target, 8 MB at most; targets at the bound have no room for a body.

--- a/model/src/code/result_code.rs
+++ b/model/src/code/result_code.rs
@@ -86,6 +86,8 @@
     Quarantined = 208, 503, NotRun, "request crashes the targets that run it";
     /// The customer has sent as many requests as its quota allows.
     QuotaExceeded = 210, 429, NotRun, "customer over its quota";
+    /// The instance has no memory left for the body of the request.
+    BodyMemoryFull = 211, 503, NotRun, "no memory for the body";
     /// No connection to a target could be established.
     ConnectFailed = 301, 502, NotRun, "no connection to a target";
     /// The target rejected the request before running it.
--- a/policy/src/exchange/body_progress.rs
+++ b/policy/src/exchange/body_progress.rs
@@ -9,7 +9,7 @@
 /// microseconds: the users allow half a second.
 const NEARLY_WHOLE_TIME_US: u64 = 400_000;
 /// Time without progress after which a response is broken off, in microseconds.
-const STALL_TIMEOUT_US: u64 = 60_000_000;
+pub const STALL_TIMEOUT_US: u64 = 60_000_000;
 /// Maximum time between checks, in microseconds. Timers do not count the time for which a machine
 /// was suspended.
 const CHECK_PERIOD_US: u64 = 500_000;
--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -25,6 +25,7 @@
 use crate::limits::Refusal;
 use crate::limits::RefusedRequest;
 use crate::quarantine::Fingerprint;
+use crate::routing::BodyInFlight;
 use crate::routing::Choice;
 use crate::routing::ChoiceParams;
 use crate::routing::ServiceTable;
@@ -218,6 +219,8 @@
     /// Whether the request is the trial of one in quarantine.
     is_trial: bool,
     has_handed_over: bool,
+    /// Bytes for which the request's body counts at its target.
+    pub(super) body_bytes: u64,
     outcome: Outcome,
 }
 
@@ -240,10 +243,26 @@
             last_answers_us: None,
             is_trial: false,
             has_handed_over: false,
+            body_bytes: 0,
             outcome: Outcome::NotRun,
         }
     }
 
+    /// Sets the bytes for which the request's body counts at its target.
+    pub fn with_body_bytes(self, body_bytes: u64) -> Self {
+        Self { body_bytes, ..self }
+    }
+
+    /// Whether the request has a body.
+    pub fn has_body(&self) -> bool {
+        self.body_bytes > 0
+    }
+
+    /// The body of an attempt, for which its target has room; `None` if there is none.
+    pub fn body_in_flight(&self, attempt: usize) -> Option<Arc<BodyInFlight>> {
+        self.attempts[attempt].slot.as_ref()?.body()
+    }
+
     /// The table from which the exchange chooses its targets.
     pub fn table(&self) -> &Arc<ServiceTable> {
         &self.table
@@ -496,6 +515,7 @@
             left_us: self.request.deadline_us.saturating_sub(now_us),
             tried: &self.tried,
             only_unlimited: false,
+            body_bytes: self.body_bytes,
         }
     }
 
--- a/policy/src/limits/mod.rs
+++ b/policy/src/limits/mod.rs
@@ -1,7 +1,8 @@
-//! Admission control, fair queueing, permits and retry budgets: limits that prevent retries and
+//! Admission control, fair queueing, body memory, permits and retry budgets: limits that prevent retries and
 //! queues from amplifying an overload.
 
 mod admission;
+mod body_memory;
 mod customers;
 mod fair_queue;
 mod load_estimate;
@@ -13,6 +14,10 @@
 
 pub use admission::Admission;
 pub use admission::AdmissionGuard;
+pub use body_memory::BodyMemory;
+pub use body_memory::BodyReservation;
+pub use body_memory::DEFAULT_BODY_MEMORY_BYTES;
+pub use body_memory::MEMORY_DIVISOR;
 pub use customers::CustomerGuard;
 pub use customers::Customers;
 pub use fair_queue::FairQueue;
--- a/policy/src/routing/choice.rs
+++ b/policy/src/routing/choice.rs
@@ -28,6 +28,8 @@
     pub tried: &'a [usize],
     /// Whether only targets without a rate limit are eligible, as no permit can be requested.
     pub only_unlimited: bool,
+    /// Bytes for which the request's body counts.
+    pub body_bytes: u64,
 }
 
 /// Result of the choice.
@@ -35,7 +37,7 @@
 pub enum Choice {
     /// The candidate with this index, and the slot acquired for the request.
     Target(usize, Slot),
-    /// All candidates are at their concurrency limits or paused.
+    /// All candidates are at their limits or paused.
     AllBusy,
     /// There is no eligible candidate.
     NoTarget,
@@ -65,7 +67,11 @@
         }
         let mut free: Vec<usize> = open
             .into_iter()
-            .filter(|index| self.candidates[*index].load.has_room(now_us))
+            .filter(|index| {
+                self.candidates[*index]
+                    .load
+                    .has_room_for(now_us, choice_params.body_bytes)
+            })
             .collect();
         while !free.is_empty() {
             let index = match (self.choice_strategy, repeatable) {
@@ -77,7 +83,10 @@
                     self.choose_unrepeatable(now_us, &free, rng)
                 }
             };
-            if let Some(slot) = self.candidates[index].load.take(now_us) {
+            if let Some(slot) = self.candidates[index]
+                .load
+                .take_for(now_us, choice_params.body_bytes)
+            {
                 return Choice::Target(index, slot);
             }
             free.retain(|other| *other != index);
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -6,8 +6,10 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use super::BodyInFlight;
 use super::Reachability;
 use super::TableFreshness;
+use super::body_bound::add_body;
 use crate::evidence::BASE_FAILURE_PROBABILITY;
 use crate::evidence::FailureEstimate;
 use crate::evidence::LatencyProfile;
@@ -32,6 +34,8 @@
 #[derive(Debug)]
 pub struct TargetLoad {
     in_flight: AtomicU32,
+    /// Bytes of the bodies of the requests in flight.
+    body_bytes: AtomicU64,
     slots: u32,
     limit_milli: AtomicU32,
     latency_us: AtomicU64,
@@ -75,6 +79,7 @@
     pub fn new(slots: u32) -> Self {
         Self {
             in_flight: AtomicU32::new(0),
+            body_bytes: AtomicU64::new(0),
             slots,
             limit_milli: AtomicU32::new(slots * MILLI),
             latency_us: AtomicU64::new(0),
@@ -262,17 +267,52 @@
         self.in_flight() < limit && now_us >= self.paused_until_us()
     }
 
+    /// Whether the target has room for a request with a body of `body_bytes`.
+    pub fn has_room_for(&self, now_us: u64, body_bytes: u64) -> bool {
+        let held_bytes = self.body_bytes.load(Ordering::Acquire);
+        self.has_room(now_us) && add_body(held_bytes, body_bytes).is_some()
+    }
+
     /// Acquires a slot, or returns `None` if the target has no room or is closed.
     pub fn take(self: &Arc<Self>, now_us: u64) -> Option<Slot> {
+        self.take_for(now_us, 0)
+    }
+
+    /// Acquires a slot for a request with a body of `body_bytes`, or returns `None` if the target
+    /// has no room for it or is closed.
+    pub fn take_for(self: &Arc<Self>, now_us: u64, body_bytes: u64) -> Option<Slot> {
         if !self.has_room(now_us) || self.is_closed(now_us) {
             return None;
         }
+        let body = match body_bytes {
+            0 => None,
+            _ => Some(self.take_body(body_bytes)?),
+        };
         let limit = (self.limit_milli.load(Ordering::Relaxed) / MILLI).max(1);
         let increment = |in_flight: u32| (in_flight < limit).then_some(in_flight + 1);
         self.in_flight
             .fetch_update(Ordering::AcqRel, Ordering::Relaxed, increment)
             .ok()?;
-        Some(Slot { load: self.clone() })
+        Some(Slot {
+            load: self.clone(),
+            body,
+        })
+    }
+
+    fn take_body(self: &Arc<Self>, body_bytes: u64) -> Option<Arc<BodyInFlight>> {
+        let add = |held_bytes| add_body(held_bytes, body_bytes);
+        self.body_bytes
+            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, add)
+            .ok()?;
+        Some(Arc::new(BodyInFlight {
+            load: self.clone(),
+            bytes: body_bytes,
+        }))
+    }
+
+    /// Counts a body as no longer in flight.
+    pub(super) fn release_body(&self, body_bytes: u64) {
+        self.body_bytes.fetch_sub(body_bytes, Ordering::AcqRel);
     }
 
     /// Stops new requests to the target, as the registry says that it leaves or is gone.
@@ -345,6 +385,15 @@
 #[derive(Debug)]
 pub struct Slot {
     load: Arc<TargetLoad>,
+    body: Option<Arc<BodyInFlight>>,
+}
+
+impl Slot {
+    /// The body of the request, for which the target has room until all guards are dropped; `None`
+    /// if there is none.
+    pub fn body(&self) -> Option<Arc<BodyInFlight>> {
+        self.body.clone()
+    }
 }
 
 impl Drop for Slot {
--- a/policy/src/routing/mod.rs
+++ b/policy/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! Load balancing: the targets that requests may go to, and the choice among them.
 
+mod body_bound;
 mod candidate;
 mod choice;
 mod floor;
@@ -11,6 +12,8 @@
 mod target_process;
 mod working_set;
 
+pub use body_bound::BodyInFlight;
+pub use body_bound::counted_body_bytes;
 pub use candidate::Candidate;
 pub use choice::Choice;
 pub use choice::ChoiceParams;
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -240,7 +240,9 @@
         let is_available = |(index, candidate): &(usize, &Candidate)| {
             !denied.contains(index)
                 && !choice_params.tried.contains(index)
-                && candidate.load.has_room(now_us)
+                && candidate
+                    .load
+                    .has_room_for(now_us, choice_params.body_bytes)
         };
         let available = self.usable(now_us).filter(is_available);
         let available =
@@ -254,7 +256,8 @@
             None => self.choose_trial(&suspect, EAGER_TRIALS, rng),
         };
         let index = index?;
-        Some((index, self.candidates[index].load.take(now_us)?))
+        let load = &self.candidates[index].load;
+        Some((index, load.take_for(now_us, choice_params.body_bytes)?))
     }
 
     /// The healthy targets.
--- a/policy/tests/target_choice.rs
+++ b/policy/tests/target_choice.rs
@@ -61,6 +61,7 @@
         left_us: 8 * SECOND_US,
         tried: &[],
         only_unlimited: false,
+        body_bytes: 0,
     };
     choose_for(table, now_us, choice_params, rng)
 }
@@ -206,6 +207,7 @@
         left_us: 850_000,
         tried: &[],
         only_unlimited: false,
+        body_bytes: 0,
     };
     assert_ne!(choose_for(&table, SECOND_US, choice_params, &mut rng), 3);
     assert_eq!(
@@ -276,6 +278,7 @@
         left_us: 8 * SECOND_US,
         tried: &[],
         only_unlimited: false,
+        body_bytes: 0,
     };
     let choice = table.choose(last_us + 1, choice_params, &mut rng);
     assert!(matches!(choice, Choice::NoTarget), "{choice:?}");
