Bound the memory of bodies and keep uploads whole

Cause: 330 unread responses took 71 MB, 40 of them read buffers that nothing counted; a target that paused for 3 s in a body lost the request; the pool closed the connection on which the rest of a body was being sent.

Change: each connection counts the bytes that wait for being written, and the read buffers of long bodies. While an eighth of the limit is held, connections hold 16 KB and read 8 KB at once. Sockets hold a bounded number of unsent bytes. While a body is unacknowledged, the connection to a target moves TCP_USER_TIMEOUT ahead as long as the target acknowledges probes. After an early response a connection stays open until its body was sent, and is put back only then. A body that breaks off on the caller's side is no evidence against the target.

Ruled out: requests alone, whose targets hang, take 31 MB.

--- a/policy/src/limits/body_memory.rs
+++ b/policy/src/limits/body_memory.rs
@@ -21,16 +21,20 @@
 /// Memory that a streamed body takes besides the bytes that are counted as they pass, in bytes: the
 /// read buffer of its connection.
 const STREAM_BYTES: u64 = 32 << 10;
-/// Part of the limit beyond which memory is scarce, as a divisor.
-const SCARCE_DIVISOR: u64 = 4;
-/// Bytes held beyond which memory is scarce whatever the limit: 128 connections with full buffers.
-/// Their read buffers, which are not counted, take as much again, and a whole process should stay
-/// within 80 MB.
-const MAX_UNSCARCE_BYTES: u64 = 8 << 20;
+/// Length from which the read buffers of a body's connection grow, in bytes.
+const LONG_BODY_BYTES: u64 = 16 << 10;
+/// Memory that the read buffers of a long body take, in bytes. 330 unread responses took 120 KB each
+/// besides the bytes that were counted as they passed.
+const LONG_BODY_BUFFER_BYTES: u64 = 128 << 10;
+/// Part of the limit beyond which memory is scarce, as a divisor: of a machine of 160 MB, 40 long
+/// bodies with full buffers. 260 MB and 600 callers that read nothing keep a process below 60 MB.
+const SCARCE_DIVISOR: u64 = 8;
 /// Bytes that a connection may hold while memory is scarce.
 const SCARCE_CONNECTION_BYTES: u64 = 16 << 10;
 /// Bytes that are read from a connection at once while memory is scarce.
 const SCARCE_READ_BYTES: usize = 8 << 10;
+/// Memory that the read buffers of a long body take while memory is scarce, in bytes: two reads.
+const SCARCE_BUFFER_BYTES: u64 = 2 * SCARCE_READ_BYTES as u64;
 /// Part of the limit that a socket may hold unsent, as a divisor, and its bounds. Bytes in flight
 /// are not counted, so that throughput on long links is unchanged.
 const UNSENT_DIVISOR: u64 = 64;
@@ -106,6 +110,15 @@
         self.held_bytes.fetch_sub(bytes, Ordering::AcqRel);
     }
 
+    /// Memory that the read buffers of a body take of which `passed_bytes` were passed on.
+    pub fn read_buffer_bytes(&self, passed_bytes: u64) -> u64 {
+        match (passed_bytes > LONG_BODY_BYTES, self.is_scarce()) {
+            (false, _) => 0,
+            (true, false) => LONG_BODY_BUFFER_BYTES,
+            (true, true) => SCARCE_BUFFER_BYTES,
+        }
+    }
+
     /// Whether a connection that holds `connection_bytes` may take more.
     pub fn may_take_more(&self, connection_bytes: u64) -> bool {
         connection_bytes < SCARCE_CONNECTION_BYTES || !self.is_scarce()
@@ -123,7 +136,7 @@
     }
 
     fn is_scarce(&self) -> bool {
-        self.held_bytes() > (self.limit_bytes / SCARCE_DIVISOR).min(MAX_UNSCARCE_BYTES)
+        self.held_bytes() > self.limit_bytes / SCARCE_DIVISOR
     }
 }
 
--- a/sniperund/src/app/app.rs
+++ b/sniperund/src/app/app.rs
@@ -19,6 +19,7 @@
 use policy::instance::ConfigurationSource;
 use policy::instance::EvidenceSharing;
 use policy::limits::Admission;
+use policy::limits::BodyMemory;
 use policy::limits::Customers;
 use policy::membership::Member;
 use policy::membership::Status;
@@ -87,7 +88,8 @@
     ///
     /// Returns [`AppError`] if an address cannot be bound.
     pub async fn start_with(settings: &Settings, environment: &Environment) -> Result<Self> {
-        let metrics = Arc::new(Metrics::default());
+        let body_memory = Arc::new(BodyMemory::new(settings.limits.body_memory_bytes));
+        let metrics = Arc::new(Metrics::default().with_body_memory(body_memory.clone()));
         let clock = Clock::default();
         let started_ms = unix_ms();
         let reread_signals = Arc::new(RereadSignals::default());
@@ -134,8 +136,9 @@
             started_ms,
             clock,
             control: control.clone(),
-            pool: Pool::new(settings.limits.idle_connections),
+            pool: Pool::new(settings.limits.idle_connections, body_memory.clone()),
             admission: Arc::new(Admission::new(settings.limits.in_flight)),
+            body_memory,
             customers: Arc::new(Customers::default()),
             request_queues: RequestQueues::default(),
             permits,
--- a/sniperund/src/app/environment.rs
+++ b/sniperund/src/app/environment.rs
@@ -15,6 +15,8 @@
 use platform::UsersHeaderProtocol;
 use platform::UsersRegistry;
 use policy::instance::RetryLimits;
+use policy::limits::DEFAULT_BODY_MEMORY_BYTES;
+use policy::limits::MEMORY_DIVISOR;
 use policy::routing::DEFAULT_DEPARTURE_LIMIT_US;
 
 use super::app::LAST_ANSWERS_TIME;
@@ -148,6 +150,12 @@
         .saturating_sub(margin_ms.min(MAX_STOP_MARGIN_MS))
 }
 
+/// Returns the memory that bodies may take on the users' machines, in bytes.
+fn users_body_memory_bytes(boot: &BootSettings) -> u64 {
+    let memory_bytes = boot.memory_mb.map(|memory_mb| memory_mb << 20);
+    memory_bytes.map_or(DEFAULT_BODY_MEMORY_BYTES, |bytes| bytes / MEMORY_DIVISOR)
+}
+
 /// Converts the users' boot settings to instance settings.
 pub fn users_settings(boot: &BootSettings) -> Settings {
     Settings {
@@ -166,6 +174,7 @@
             in_flight: USERS_IN_FLIGHT,
             connections: USERS_CONNECTIONS,
             idle_connections: 2,
+            body_memory_bytes: users_body_memory_bytes(boot),
             ..Limits::default()
         },
     }
--- a/sniperund/src/callers/admitted_request.rs
+++ b/sniperund/src/callers/admitted_request.rs
@@ -12,6 +12,7 @@
 use policy::exchange::HEDGE_CHECK_PERIOD_US;
 use policy::exchange::overdue_after_us;
 use policy::limits::AdmissionGuard;
+use policy::limits::BodyReservation;
 use policy::limits::CustomerGuard;
 
 use super::body::CallerBody;
@@ -30,6 +31,8 @@
 pub(super) struct AdmissionGuards {
     pub(super) _admitted: AdmissionGuard,
     pub(super) _customer: Option<CustomerGuard>,
+    /// Memory that the body of the request takes.
+    pub(super) _body: BodyReservation,
 }
 
 /// Who makes a request, if callers identify themselves by keys.
--- a/sniperund/src/callers/caller_connection.rs
+++ b/sniperund/src/callers/caller_connection.rs
@@ -20,6 +20,7 @@
 use policy::exchange::BodyProgress;
 use policy::exchange::BodyStep;
 use policy::exchange::BreakOffReason;
+use policy::limits::BodyMemory;
 use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -28,6 +29,7 @@
 use tokio::time::Sleep;
 
 use crate::Clock;
+use crate::bodies::ConnectionBuffer;
 
 /// The limits of a response, and the connection that it is written to.
 #[derive(Clone, Debug)]
@@ -45,13 +47,28 @@
 }
 
 /// The state of a connection that its requests share.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct CallerConnection {
+    buffer: ConnectionBuffer,
     response: Mutex<Option<Arc<ResponseWatch>>>,
     is_broken_off: AtomicBool,
 }
 
 impl CallerConnection {
+    /// Creates the state of a connection whose bytes of bodies count in `memory`.
+    pub(super) fn new(memory: Arc<BodyMemory>) -> Self {
+        Self {
+            buffer: ConnectionBuffer::new(memory),
+            response: Mutex::default(),
+            is_broken_off: AtomicBool::new(false),
+        }
+    }
+
+    /// The bytes of responses that wait for being written.
+    pub(super) fn buffer(&self) -> &ConnectionBuffer {
+        &self.buffer
+    }
+
     /// Watches the response that is written to the connection.
     fn watch(&self, progress: BodyProgress) -> Arc<ResponseWatch> {
         let watch = Arc::new(ResponseWatch {
@@ -209,8 +226,15 @@
 
 impl CallerStream {
     pub(super) fn new(stream: TcpStream, connection: Arc<CallerConnection>) -> Self {
+        connection.buffer.limit_unsent(&stream);
         Self { stream, connection }
     }
+
+    fn record_written(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.connection.buffer.record_written(*bytes);
+        }
+    }
 }
 
 impl Drop for CallerStream {
@@ -230,7 +254,9 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        let this = &mut *self;
+        let connection = &this.connection;
+        connection.buffer.poll_read(&mut this.stream, cx, buffer)
     }
 }
 
@@ -240,7 +266,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.record_written(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -248,7 +276,9 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.record_written(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -258,6 +288,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.stream).poll_flush(cx);
         if flushed.is_ready() {
+            self.connection.buffer.clear();
             self.connection.record_flush();
         }
         flushed
--- a/sniperund/src/callers/crash_check.rs
+++ b/sniperund/src/callers/crash_check.rs
@@ -15,7 +15,6 @@
 use policy::routing::TargetProcess;
 
 use super::ProxyState;
-use crate::targets::Connection;
 
 /// A request that was sent to a target, whose connection may break.
 #[derive(Clone, Debug)]
@@ -48,7 +47,7 @@
         }
         let proxy_state = proxy_state.clone();
         tokio::spawn(async move {
-            let result = match Connection::open(self.address).await {
+            let result = match proxy_state.pool.open(self.address).await {
                 Ok(connection) => {
                     proxy_state.pool.put_back(connection);
                     "accepted".to_owned()
--- a/sniperund/src/callers/forwarded_body.rs
+++ b/sniperund/src/callers/forwarded_body.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
 use hyper::body::Body;
@@ -22,14 +23,17 @@
 use policy::exchange::Event;
 use policy::exchange::Exchange;
 use policy::exchange::Observation;
+use policy::routing::BodyInFlight;
 
 use super::ProxyState;
 use super::admitted_request::AdmissionGuards;
 use super::body::BoxError;
+use super::caller_connection::CallerConnection;
 use super::caller_connection::ResponseLimits;
 use super::caller_connection::ResponseWatch;
 use super::command::CommandRecord;
 use super::crash_check::CrashCheck;
+use super::early_response::put_back_when_sent;
 use crate::Clock;
 use crate::control::PermitGuard;
 use crate::metrics::RequestLabels;
@@ -50,6 +54,8 @@
     pub(super) observation: Observation,
     pub(super) connection: Option<Connection>,
     pub(super) guards: Option<AdmissionGuards>,
+    /// The request's body, for which the target has room.
+    pub(super) body_in_flight: Option<Arc<BodyInFlight>>,
     pub(super) crash_check: CrashCheck,
     /// Permit under which the request was sent, held until the response ends.
     pub(super) _permit: Option<PermitGuard>,
@@ -60,6 +66,7 @@
     incoming: Incoming,
     watch: Arc<ResponseWatch>,
     clock: Clock,
+    caller: Arc<CallerConnection>,
     response: Option<ForwardedResponse>,
 }
 
@@ -70,6 +77,7 @@
         let mut body = Self {
             watch: response.limits.watch(clock.now_us(), length),
             clock,
+            caller: response.limits.connection.clone(),
             incoming,
             response: Some(response),
         };
@@ -94,6 +102,7 @@
             Event::Ended => self.watch.finish(self.clock.now_us()),
             _ => response.limits.connection.mark_broken_off(),
         }
+        self.caller.buffer().end_body();
         response.end(event, &self.watch);
     }
 }
@@ -123,7 +132,7 @@
         if event == Event::Ended
             && let Some(connection) = self.connection.take()
         {
-            self.proxy_state.pool.put_back(connection);
+            put_back_when_sent(&self.proxy_state, connection, self.body_in_flight.take());
         }
         if event == Event::Cut {
             self.crash_check.start(&self.proxy_state);
@@ -169,6 +178,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        ready!(self.caller.buffer().poll_room(cx));
         let now_us = self.clock.now_us();
         self.watch.wait_for_target(now_us);
         match Pin::new(&mut self.incoming).poll_frame(cx) {
@@ -176,6 +186,7 @@
                 let bytes = frame.data_ref().map_or(0, Bytes::len);
                 self.watch.receive(now_us, bytes);
                 self.add_passed_on(bytes);
+                self.caller.buffer().add(bytes);
                 if self.incoming.is_end_stream() {
                     self.end(Event::Ended);
                 }
--- a/sniperund/src/callers/hand_over.rs
+++ b/sniperund/src/callers/hand_over.rs
@@ -114,7 +114,7 @@
     }
 
     async fn ask_helper(&mut self, helper: &Helper) -> HelperAnswer {
-        let Ok(mut connection) = Connection::open(helper.address).await else {
+        let Ok(mut connection) = self.proxy_state.pool.open(helper.address).await else {
             return HelperAnswer::NotRun;
         };
         let Some(body) = self.request.body.take() else {
@@ -212,7 +212,10 @@
         };
         let proxy_state = self.proxy_state.clone();
         tokio::spawn(async move {
-            let opened = Connection::open(table.candidates[candidate].target.address).await;
+            let opened = proxy_state
+                .pool
+                .open(table.candidates[candidate].target.address)
+                .await;
             let now_us = proxy_state.clock.now_us();
             record_connection(now_us, &table, candidate, opened.is_ok());
             if let Ok(connection) = opened {
--- a/sniperund/src/callers/listener.rs
+++ b/sniperund/src/callers/listener.rs
@@ -104,7 +104,7 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let caller_connection = Arc::new(CallerConnection::default());
+        let caller_connection = Arc::new(CallerConnection::new(proxy_state.body_memory.clone()));
         let stream = CallerStream::new(stream, caller_connection.clone());
         let service = ServiceBuilder::new()
             .layer(CheckLayer {
--- a/sniperund/src/callers/mod.rs
+++ b/sniperund/src/callers/mod.rs
@@ -11,6 +11,7 @@
 mod check;
 mod command;
 mod crash_check;
+mod early_response;
 mod forwarded_body;
 mod hand_over;
 mod headers;
--- a/sniperund/src/callers/proxy_state.rs
+++ b/sniperund/src/callers/proxy_state.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use policy::command::TicketTable;
 use policy::limits::Admission;
+use policy::limits::BodyMemory;
 use policy::limits::Customers;
 use tokio::sync::watch;
 
@@ -37,6 +38,8 @@
     pub pool: Pool,
     /// Admission control by class.
     pub admission: Arc<Admission>,
+    /// Memory that the bodies of requests and responses take.
+    pub body_memory: Arc<BodyMemory>,
     /// Concurrency limits by customer.
     pub customers: Arc<Customers>,
     /// Queues of requests that wait for a target.
--- a/sniperund/src/callers/relayed_body.rs
+++ b/sniperund/src/callers/relayed_body.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
 use hyper::body::Body;
@@ -15,6 +16,7 @@
 use super::body::BoxError;
 use super::caller_connection::ResponseLimits;
 use super::caller_connection::ResponseWatch;
+use super::early_response::close_when_sent;
 use crate::Clock;
 use crate::targets::Connection;
 
@@ -25,7 +27,8 @@
     watch: Arc<ResponseWatch>,
     clock: Clock,
     has_ended: bool,
-    connection: Connection,
+    /// Taken when the response has ended.
+    connection: Option<Connection>,
     _guards: Option<AdmissionGuards>,
 }
 
@@ -44,7 +47,7 @@
             limits,
             clock,
             has_ended: false,
-            connection,
+            connection: Some(connection),
             _guards: guards,
         }
     }
@@ -58,6 +61,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        ready!(self.limits.connection.buffer().poll_room(cx));
         let now_us = self.clock.now_us();
         self.watch.wait_for_target(now_us);
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
@@ -65,7 +69,10 @@
             Poll::Ready(Some(Ok(frame))) => {
                 let bytes = frame.data_ref().map_or(0, Bytes::len);
                 self.watch.receive(now_us, bytes);
-                self.connection.add_passed_on(bytes);
+                if let Some(connection) = &self.connection {
+                    connection.add_passed_on(bytes);
+                }
+                self.limits.connection.buffer().add(bytes);
             }
             // The only sign of the end of a body without a length.
             Poll::Ready(None) => self.has_ended = true,
@@ -85,8 +92,12 @@
 
 impl Drop for RelayedBody {
     fn drop(&mut self) {
+        self.limits.connection.buffer().end_body();
         if self.has_ended || self.incoming.is_end_stream() {
             self.watch.finish(self.clock.now_us());
+            if let Some(connection) = self.connection.take() {
+                close_when_sent(connection);
+            }
             return;
         }
         self.limits.connection.mark_broken_off();
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -2,6 +2,7 @@
 //! events back to it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use border::ResponseKind;
 use futures::FutureExt;
@@ -56,6 +57,9 @@
 
 const MICROS_PER_MILLI: u64 = 1_000;
 const NEVER_US: u64 = u64::MAX / 4;
+/// Time after which a request is enqueued again if the targets with free slots have no room for its
+/// body.
+const BODY_ROOM_PERIOD: Duration = Duration::from_millis(20);
 
 struct FinishedAttempt {
     attempt: usize,
@@ -243,7 +247,17 @@
                     if let Some(table) = current.services.get(&table.service.name) {
                         self.request.exchange.refresh_table(table.clone());
                     }
-                    return self.handle_event(Event::Dequeued);
+                    match self.handle_event(Event::Dequeued) {
+                        // Targets have free slots, but no room for the body.
+                        Step::Enqueue if self.request.exchange.has_body() => {
+                            let wait = tokio::time::sleep(BODY_ROOM_PERIOD);
+                            match limits.wait(wait).await {
+                                Ok(()) => return Step::Enqueue,
+                                Err(end) => end,
+                            }
+                        }
+                        step => return step,
+                    }
                 }
                 Err(end) => end,
             };
@@ -386,6 +400,7 @@
                     SendFailure::Unreachable => (AttemptEnd::Unreachable, Failure::NotSent),
                     SendFailure::Cut => (AttemptEnd::Cut, Failure::Cut),
                     SendFailure::AckTimeout => (AttemptEnd::Unreachable, Failure::Cut),
+                    SendFailure::BodyCut => (AttemptEnd::Cancelled, Failure::Cut),
                     SendFailure::Malformed => (AttemptEnd::Cut, Failure::Malformed),
                 };
                 self.handle_failure(attempt, end, failure)
@@ -553,6 +568,7 @@
         let sent = &self.sent[attempt];
         let target = sent.target.clone();
         let is_handed_over = self.request.exchange.is_handed_over();
+        let body_in_flight = self.request.exchange.body_in_flight(attempt);
         let now_us = self.proxy_state.clock.now_us();
         let response_us = now_us.saturating_sub(self.request.began_us);
         let target_us = now_us.saturating_sub(sent.sent_us);
@@ -584,6 +600,7 @@
             limits: self.request.response_limits.clone(),
             observation: sent.observation(sent.answered.unwrap_or(AttemptEnd::Cancelled)),
             connection: Some(head.connection),
+            body_in_flight,
             guards: self.request.guards,
             _permit: self.permit,
         };
--- a/sniperund/src/callers/sending.rs
+++ b/sniperund/src/callers/sending.rs
@@ -67,7 +67,7 @@
     let opened = match idle {
         Some(connection) => Ok(connection),
         None => {
-            let opened = Connection::open(target.address).await;
+            let opened = proxy_state.pool.open(target.address).await;
             record_connection(proxy_state.clock.now_us(), table, candidate, opened.is_ok());
             opened
         }
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -15,6 +15,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
@@ -29,9 +30,11 @@
 use policy::exchange::Event;
 use policy::exchange::Exchange;
 use policy::exchange::MAX_ATTEMPTS;
+use policy::limits::BodyReservation;
 use policy::quarantine::RequestContent;
 use policy::routing::RoutingTable;
 use policy::routing::ServiceTable;
+use policy::routing::counted_body_bytes;
 use rand::RngExt;
 use tower::Service;
 
@@ -353,7 +356,7 @@
     request: Request<Incoming>,
     mut routed: RoutedRequest,
 ) -> Response<ResponseBody> {
-    let guards = match admit(&proxy_state, table, request.headers(), &routed) {
+    let guards = match admit(&proxy_state, table, &request, &routed) {
         Ok(guards) => guards,
         Err(code) => return refuse(&proxy_state, &mut routed, code),
     };
@@ -390,6 +393,7 @@
         body_length: body.length(),
         body: body.buffered(),
     };
+    let body_bytes = counted_body_bytes(body.length());
     let request = policy::exchange::Request {
         fingerprint: content.fingerprint(),
         may_hand_over: !has_id && !is_handed_over,
@@ -422,7 +426,7 @@
             class,
             note: table.configuration.number,
             repeatable: request.repeatable,
-            exchange: Exchange::new(request, routed.service),
+            exchange: Exchange::new(request, routed.service).with_body_bytes(body_bytes),
             record: routed.record,
             guards: Some(guards),
             customer,
@@ -501,12 +505,12 @@
 fn admit(
     proxy_state: &Arc<ProxyState>,
     table: &RoutingTable,
-    headers: &HeaderMap,
+    request: &Request<Incoming>,
     routed: &RoutedRequest,
 ) -> Result<AdmissionGuards, ResultCode> {
     let customer = match &routed.identity {
         Some(identity) => identity.customer.as_ref(),
-        None => match customer_header(headers) {
+        None => match customer_header(request.headers()) {
             Some(name) => {
                 let customers = &table.configuration.customers;
                 Some(customers.get(name).ok_or(ResultCode::UnknownCustomer)?)
@@ -527,6 +531,30 @@
     Ok(AdmissionGuards {
         _admitted: admitted.ok_or(ResultCode::QueueFull)?,
         _customer: customer,
+        _body: reserve_body(proxy_state, request)?,
+    })
+}
+
+/// Reserves the memory that the body of a request takes.
+fn reserve_body(
+    proxy_state: &ProxyState,
+    request: &Request<Incoming>,
+) -> Result<BodyReservation, ResultCode> {
+    let length = request.body().size_hint().exact();
+    let memory = &proxy_state.body_memory;
+    let kept_body_bytes = proxy_state.limits.kept_body_bytes as u64;
+    let reservation = match length {
+        Some(length) if length <= kept_body_bytes => memory.reserve_kept(length),
+        _ => memory.reserve_streamed(length),
+    };
+    reservation.ok_or_else(|| {
+        proxy_state.metrics.body_memory_refusals.inc();
+        log::warn!(
+            "event=body-memory-full body_bytes={length:?} held_bytes={} limit_bytes={}",
+            memory.held_bytes(),
+            memory.limit_bytes()
+        );
+        ResultCode::BodyMemoryFull
     })
 }
 
--- a/sniperund/src/callers/ticket_relay.rs
+++ b/sniperund/src/callers/ticket_relay.rs
@@ -21,7 +21,6 @@
 use super::relayed_body::RelayedBody;
 use super::reply::build_refusal;
 use super::wait_limits::WaitLimits;
-use crate::targets::Connection;
 use crate::targets::SendFailure;
 
 /// Relays a request to the instance that issued its ticket, and returns the response.
@@ -41,7 +40,7 @@
     let Some(issuer) = directory.get(&ticket.instance) else {
         return build_refusal(&*proxy_state.header_protocol, ResultCode::TicketLost, None);
     };
-    let Ok(mut connection) = Connection::open(issuer.caller_address).await else {
+    let Ok(mut connection) = proxy_state.pool.open(issuer.caller_address).await else {
         return build_refusal(&*proxy_state.header_protocol, ResultCode::TicketLost, None);
     };
     let mut request = request.map(BodyExt::boxed);
--- a/sniperund/src/lib.rs
+++ b/sniperund/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod app;
+pub mod bodies;
 pub mod callers;
 pub mod clock;
 pub mod control;
--- a/sniperund/src/metrics/metrics.rs
+++ b/sniperund/src/metrics/metrics.rs
@@ -13,6 +13,8 @@
 use policy::instance::PermitAnswer;
 use policy::invariant;
 use policy::invariant::Invariant;
+use policy::limits::BodyMemory;
+use policy::limits::DEFAULT_BODY_MEMORY_BYTES;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -74,6 +76,10 @@
     pub target_crashes: Counter,
     /// Processes of targets that have said that they leave.
     pub stated_departures: Counter,
+    /// Requests refused as there was no memory for their bodies.
+    pub body_memory_refusals: Counter,
+    /// Memory that the bodies of requests and responses take.
+    pub body_memory: Arc<BodyMemory>,
     /// Requests handed to other instances.
     pub handed_over: Counter,
     /// Counters of messages between instances.
@@ -152,7 +158,15 @@
             "Requests handed to other instances, as no target was reached",
             handed_over.clone(),
         );
+        let body_memory_refusals = Counter::default();
+        counters.register(
+            "body_memory_refusals",
+            "Requests refused as there was no memory for their bodies",
+            body_memory_refusals.clone(),
+        );
         Self {
+            body_memory_refusals,
+            body_memory: Arc::new(BodyMemory::new(DEFAULT_BODY_MEMORY_BYTES)),
             handed_over,
             target_crashes,
             stated_departures,
@@ -173,6 +187,14 @@
 }
 
 impl Metrics {
+    /// Sets the memory that the bodies of requests and responses take.
+    pub fn with_body_memory(self, body_memory: Arc<BodyMemory>) -> Self {
+        Self {
+            body_memory,
+            ..self
+        }
+    }
+
     /// Counts a finished request.
     pub fn count_request(&self, labels: &RequestLabels) {
         self.requests.get_or_create(labels).inc();
@@ -215,6 +237,14 @@
     /// Returns all metrics in text format, `gauges` first.
     pub fn text(&self, gauges: &str) -> String {
         let mut text = gauges.to_owned();
+        let gauges = [
+            ("body_memory_held_bytes", self.body_memory.held_bytes()),
+            ("body_memory_limit_bytes", self.body_memory.limit_bytes()),
+        ];
+        for (name, value) in gauges {
+            let _ = writeln!(text, "# TYPE sniperun_{name} gauge");
+            let _ = writeln!(text, "sniperun_{name} {value}");
+        }
         add_encoded(&mut text, &self.counters);
         self.add_counters(&mut text);
         add_encoded(&mut text, &self.histograms);
--- a/sniperund/src/settings/limits.rs
+++ b/sniperund/src/settings/limits.rs
@@ -1,5 +1,6 @@
 //! Bounds on the resources that callers, peers and targets can make the instance use.
 
+use policy::limits::DEFAULT_BODY_MEMORY_BYTES;
 use serde::Deserialize;
 
 /// Maximum use of resources by callers, peers and targets.
@@ -16,6 +17,8 @@
     pub header_bytes: usize,
     /// Bytes of a request body that are buffered so that the request can be retried.
     pub kept_body_bytes: usize,
+    /// Bytes of the bodies of requests and responses that are held at a time.
+    pub body_memory_bytes: u64,
     /// Tickets stored.
     pub tickets: usize,
     /// Concurrent claims of idempotency keys that are not yet recorded.
@@ -34,6 +37,7 @@
             peer_connections: 1_024,
             header_bytes: 16_384,
             kept_body_bytes: 65_536,
+            body_memory_bytes: DEFAULT_BODY_MEMORY_BYTES,
             tickets: 100_000,
             claims: 64,
             platform_calls_per_s: 50,
--- a/sniperund/src/settings/settings.rs
+++ b/sniperund/src/settings/settings.rs
@@ -134,6 +134,11 @@
             limits.header_bytes >= 1_024,
             "limits.header_bytes",
             "expected at least 1024",
+        )?;
+        require(
+            limits.body_memory_bytes >= 1 << 20,
+            "limits.body_memory_bytes",
+            "expected at least 1048576",
         )
     }
 }
--- a/sniperund/src/targets/connection.rs
+++ b/sniperund/src/targets/connection.rs
@@ -5,7 +5,9 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -16,6 +18,9 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use policy::exchange::ACK_TIMEOUT_US;
+use policy::exchange::STALL_TIMEOUT_US;
+use policy::limits::BodyMemory;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
@@ -23,6 +28,8 @@
 
 use super::target_stream::ReadAllowance;
 use super::target_stream::TargetStream;
+use crate::bodies::ConnectionBuffer;
+use crate::bodies::MeteredBody;
 
 /// Body of a request to a target.
 pub type OutBody = BoxBody<Bytes, hyper::Error>;
@@ -30,13 +37,17 @@
 /// Timeout for opening a connection: less than the one second after which TCP retransmits a lost
 /// SYN, as another target can be tried sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time after which a connection with unacknowledged bytes is closed (`TCP_USER_TIMEOUT`).
-const ACK_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a connection with unacknowledged bytes is closed (`TCP_USER_TIMEOUT`), unless
+/// the target pauses while it reads a body.
+const ACK_TIMEOUT: Duration = Duration::from_micros(ACK_TIMEOUT_US);
 /// Idle time before TCP keep-alive probes, and the time between them: the shortest that the system
 /// allows. If the link has been cut, the probes stay unacknowledged and [`ACK_TIMEOUT`] closes the
 /// connection.
 const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time between checks whether the rest of a body was sent.
+const SENDING_CHECK_PERIOD: Duration = Duration::from_millis(50);
+
 /// Maximum size of a response head, as a faulty target may send bytes without end; the heads of
 /// the users' targets take under 1 KB.
 pub(super) const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -59,6 +70,9 @@
     /// The target acknowledged no bytes in time, which may be a fault of the network.
     #[display("connection timed out without acknowledgement")]
     AckTimeout,
+    /// The caller's body broke off while it was sent, which says nothing about the target.
+    #[display("body of the request broke off")]
+    BodyCut,
     /// The response head was malformed.
     #[display("malformed response")]
     Malformed,
@@ -68,18 +82,19 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
-    sender: http1::SendRequest<OutBody>,
+    sender: http1::SendRequest<MeteredBody<OutBody>>,
     allowance: ReadAllowance,
+    buffer: Arc<ConnectionBuffer>,
     task: JoinHandle<()>,
 }
 
 impl Connection {
-    /// Opens a connection to `address`.
+    /// Opens a connection to `address`. The bytes of bodies that it holds count in `memory`.
     ///
     /// # Errors
     ///
     /// Returns the error of connecting, or a timeout.
-    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+    pub async fn open(address: SocketAddr, memory: Arc<BodyMemory>) -> io::Result<Self> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         let socket = SockRef::from(&stream);
@@ -88,12 +103,14 @@
             .with_time(KEEPALIVE_PERIOD)
             .with_interval(KEEPALIVE_PERIOD);
         socket.set_tcp_keepalive(&keep_alive)?;
+        let buffer = Arc::new(ConnectionBuffer::new(memory));
+        buffer.limit_unsent(&stream);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let allowance = ReadAllowance::default();
         // For what a target sends before any request.
         allowance.begin_head();
-        let stream = TargetStream::new(stream, allowance.clone());
+        let stream = TargetStream::new(stream, allowance.clone(), buffer.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -103,6 +120,7 @@
             address,
             sender,
             allowance,
+            buffer,
             task,
         })
     }
@@ -122,6 +140,34 @@
         self.sender.is_ready()
     }
 
+    /// Whether the body of a request is still being sent, as the response came early.
+    pub fn is_sending(&self) -> bool {
+        self.buffer.is_sending()
+    }
+
+    /// Waits until the target has acknowledged the rest of the body of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a timeout if nothing was written for [`STALL_TIMEOUT_US`], or the connection has ended.
+    pub async fn finish_sending(&self) -> io::Result<()> {
+        let mut written = (self.buffer.written_bytes(), Instant::now());
+        while self.buffer.has_upload() {
+            if self.sender.is_closed() {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+            let written_bytes = self.buffer.written_bytes();
+            if written_bytes != written.0 {
+                written = (written_bytes, Instant::now());
+            }
+            if written.1.elapsed() >= Duration::from_micros(STALL_TIMEOUT_US) {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            tokio::time::sleep(SENDING_CHECK_PERIOD).await;
+        }
+        Ok(())
+    }
+
     /// Sends a request and waits for the head of its response.
     ///
     /// # Errors
@@ -136,6 +182,8 @@
             .await
             .map_err(|_| SendFailure::NotSent)?;
         self.allowance.begin_head();
+        let buffer = self.buffer.clone();
+        let request = request.map(|body| MeteredBody::new(body, buffer));
         let response = self.sender.try_send_request(request).await;
         let response = response.map_err(|mut error| {
             if error.take_message().is_some() {
@@ -143,6 +191,7 @@
             }
             match io_error_kind(error.error()) {
                 _ if error.error().is_parse() => SendFailure::Malformed,
+                _ if error.error().is_user() => SendFailure::BodyCut,
                 // More bytes than the head of a response.
                 Some(io::ErrorKind::InvalidData) => SendFailure::Malformed,
                 // The target acknowledged no bytes in time.
--- a/sniperund/src/targets/mod.rs
+++ b/sniperund/src/targets/mod.rs
@@ -3,6 +3,7 @@
 mod connection;
 mod pool;
 mod prober;
+mod send_state;
 mod target_stream;
 
 pub use connection::Connection;
--- a/sniperund/src/targets/pool.rs
+++ b/sniperund/src/targets/pool.rs
@@ -1,11 +1,14 @@
 //! Pool of idle connections to targets.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use parking_lot::Mutex;
+use policy::limits::BodyMemory;
 
 use super::Connection;
 
@@ -17,17 +20,29 @@
 pub struct Pool {
     idle: Mutex<HashMap<SocketAddr, Vec<(Instant, Connection)>>>,
     max_idle_per_address: usize,
+    body_memory: Arc<BodyMemory>,
 }
 
 impl Pool {
-    /// Creates a pool that holds up to `max_idle_per_address` idle connections to each address.
-    pub fn new(max_idle_per_address: usize) -> Self {
+    /// Creates a pool that holds up to `max_idle_per_address` idle connections to each address,
+    /// whose bytes of bodies count in `body_memory`.
+    pub fn new(max_idle_per_address: usize, body_memory: Arc<BodyMemory>) -> Self {
         Self {
             idle: Mutex::new(HashMap::new()),
             max_idle_per_address,
+            body_memory,
         }
     }
 
+    /// Opens a connection to `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of connecting, or a timeout.
+    pub async fn open(&self, address: SocketAddr) -> io::Result<Connection> {
+        Connection::open(address, self.body_memory.clone()).await
+    }
+
     /// Returns a connection to the pool after its exchange is complete; closes it if the pool is
     /// full for its address.
     pub fn put_back(&self, connection: Connection) {
--- a/sniperund/src/targets/prober.rs
+++ b/sniperund/src/targets/prober.rs
@@ -1,6 +1,7 @@
 //! Health probes of targets.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +9,8 @@
 use http_body_util::Empty;
 use hyper::Request;
 use hyper::StatusCode;
+use policy::limits::BodyMemory;
+use policy::limits::DEFAULT_BODY_MEMORY_BYTES;
 
 use super::Connection;
 
@@ -28,7 +31,9 @@
 }
 
 async fn get_status(address: SocketAddr, path: &str) -> Option<StatusCode> {
-    let mut connection = Connection::open(address).await.ok()?;
+    // A probe has no body.
+    let memory = Arc::new(BodyMemory::new(DEFAULT_BODY_MEMORY_BYTES));
+    let mut connection = Connection::open(address, memory).await.ok()?;
     let request = Request::get(path)
         .header("host", address.to_string())
         .body(
--- a/sniperund/src/targets/target_stream.rs
+++ b/sniperund/src/targets/target_stream.rs
@@ -4,7 +4,11 @@
 //! chunk size, extensions, trailers. They are read without being passed on to anyone, so that
 //! reading them would occupy the instance. A connection therefore reads only a limited number of
 //! bytes more than were passed on.
+//!
+//! While the body of a request is unacknowledged, the socket tells a target that pauses from a dead
+//! one.
 
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -12,13 +16,23 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
+use policy::exchange::WINDOW_CHECK_PERIOD_US;
+use policy::exchange::WindowStep;
+use policy::exchange::WindowWatch;
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::Sleep;
 
 use super::connection::MAX_HEAD_BYTES;
+use super::send_state::read_send_state;
+use crate::Clock;
+use crate::bodies::ConnectionBuffer;
 
 /// Bytes that are read while no head of a response was received: the head, and what is read of the
 /// body with it.
@@ -62,11 +76,64 @@
 pub(super) struct TargetStream {
     stream: TcpStream,
     allowance: ReadAllowance,
+    buffer: Arc<ConnectionBuffer>,
+    clock: Clock,
+    window: WindowWatch,
+    /// Time of the next look at the window; `None` while nothing is watched.
+    next_check: Option<Pin<Box<Sleep>>>,
+}
+
+impl TargetStream {
+    pub(super) fn new(
+        stream: TcpStream,
+        allowance: ReadAllowance,
+        buffer: Arc<ConnectionBuffer>,
+    ) -> Self {
+        Self {
+            stream,
+            allowance,
+            buffer,
+            clock: Clock::default(),
+            window: WindowWatch::default(),
+            next_check: None,
+        }
+    }
+
+    /// Looks at the window from time to time while bytes of a body are unacknowledged.
+    fn poll_window(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        if !self.buffer.has_upload() {
+            return Ok(());
+        }
+        let period = Duration::from_micros(WINDOW_CHECK_PERIOD_US);
+        let next_check = self
+            .next_check
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(period)));
+        while next_check.as_mut().poll(cx).is_ready() {
+            next_check.as_mut().reset(Instant::now() + period);
+            let state = read_send_state(&self.stream)?;
+            match self.window.check(self.clock.now_us(), state) {
+                WindowStep::Keep => {}
+                WindowStep::SetTimeout(timeout_us) => {
+                    let timeout = Duration::from_micros(timeout_us);
+                    SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout))?;
+                }
+                WindowStep::Dead => return Err(io::ErrorKind::TimedOut.into()),
+            }
+            if !state.has_unacked && !self.buffer.is_sending() {
+                self.buffer.end_upload();
+                self.next_check = None;
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
 }
 
 impl TargetStream {
-    pub(super) fn new(stream: TcpStream, allowance: ReadAllowance) -> Self {
-        Self { stream, allowance }
+    fn record_written(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.buffer.record_written(*bytes);
+        }
     }
 }
 
@@ -81,7 +148,9 @@
             let reason = "bytes that are no response";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
         }
-        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        self.poll_window(cx)?;
+        let this = &mut *self;
+        let read = this.buffer.poll_read(&mut this.stream, cx, buffer);
         let read_bytes = buffer.filled().len() - filled_bytes;
         self.allowance.use_up(read_bytes);
         read
@@ -94,7 +163,10 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        self.poll_window(cx)?;
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.record_written(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -102,7 +174,10 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        self.poll_window(cx)?;
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.record_written(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -110,7 +185,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if flushed.is_ready() {
+            self.buffer.clear();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
