Test and describe bounded body memory

Guards: pauses in a body, early responses, uploads that stop half way, in chunks after Expect: 100-continue and of 64 MB, refusals while small bodies go on, the bound of a target, and 400 peers that read nothing.

--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -1,5 +1,7 @@
 //! Tests of instances that run as processes against fakes of the users' platform.
 
+mod bodies;
+mod body_target;
 mod commands;
 mod deadly;
 mod deployment;
