--- a/sniperund/tests/users/bodies.rs
+++ b/sniperund/tests/users/bodies.rs
@@ -115,7 +115,8 @@
     };
     let read = async {
         let mut buffer = [0; 4_096];
-        reader.read(&mut buffer).await.expect("no response");
+        let count = reader.read(&mut buffer).await;
+        assert!(buffer[..count.expect("no response")].starts_with(b"HTTP/1.1 200"));
         let second = upload(address, "2a02", MIB).await;
         assert!(second.starts_with("HTTP/1.1 200"), "{second}");
     };
