Wait for all unread uploads before their memory is checked

One of 200 uploads had not reached a target after the last of 30 commands in a whole run of the package's tests beside other builds (199 of 200). All 200 are still required.

--- a/sniperund/tests/users/bodies.rs
+++ b/sniperund/tests/users/bodies.rs
@@ -326,8 +326,11 @@
     }
     let unread = endless.bodies().len();
     assert!(unread >= SLOW_PEERS - 20, "only {unread} responses");
-    let at_targets: usize = targets.iter().map(|target| target.bodies().len()).sum();
-    assert_eq!(at_targets, SLOW_PEERS);
+    wait_until("all uploads to reach a target", async || {
+        let at_targets = targets.iter().map(|target| target.bodies().len());
+        at_targets.sum::<usize>() == SLOW_PEERS
+    })
+    .await;
     let memory_bytes = instance.peak_memory_bytes();
     assert!(memory_bytes < MAX_MEMORY_BYTES, "{memory_bytes}");
     drop(readers);
