--- a/policy/src/instance/quotas.rs
+++ b/policy/src/instance/quotas.rs
@@ -33,18 +33,20 @@
 const REPORT_SPACING_US: u64 = 150_000;
 /// Time after which a report counts as lost, in microseconds.
 const REPORT_TIMEOUT_US: u64 = 60_000;
+/// Time after which the report of a period is repeated if it was not answered, in microseconds.
+const REPEAT_US: u64 = 200_000;
 /// Time after its last report for which an instance counts at an owner, in microseconds. The rest of
 /// [`STATEMENT_TTL_US`] covers the way of the report.
 const COUNTED_FOR_US: u64 = 1_000_000;
 /// Time without an answer from which an instance looks for another owner, in microseconds.
 const SEARCH_AFTER_US: u64 = 600_000;
 /// Time between attempts to return to the highest-ranked owner, in microseconds.
-const RETURN_PERIOD_US: u64 = 3_000_000;
+const RETURN_PERIOD_US: u64 = 1_000_000;
 /// Time after the start in which the number of instances is not known, in microseconds: members
 /// are exchanged in that time.
 const START_US: u64 = 1_500_000;
 /// Time after a first start in which quotas count as unused, in microseconds.
-const FIRST_START_US: u64 = 6_000_000;
+const FIRST_START_US: u64 = 3_000_000;
 /// Time after the start in which the addresses of the settings count as instances, in microseconds.
 const SEEDS_US: u64 = 60_000_000;
 /// Time for which an owner keeps the counts of an instance that does not report, in microseconds.
@@ -97,6 +99,8 @@
     is_silence_logged: bool,
     number: u64,
     sent: BTreeMap<u64, SentReport>,
+    /// When reports were sent to instances that may become the owner, by number.
+    searches: BTreeMap<u64, u64>,
     last_sent_us: u64,
     next_return_us: u64,
 }
@@ -136,7 +140,12 @@
         self.update_accounts(now_us);
         let since_us = now_us.saturating_sub(self.quotas.last_sent_us);
         let is_due = since_us >= REPORT_SPACING_US && self.shared.quota_gate().is_report_due();
-        if is_due || since_us >= REPORT_PERIOD_US {
+        let is_answered = self.quotas.answered_us >= Some(self.quotas.last_sent_us);
+        let period_us = match is_answered {
+            true => REPORT_PERIOD_US,
+            false => REPEAT_US,
+        };
+        if is_due || since_us >= period_us {
             self.report_quotas(now_us);
         }
         self.log_silent_owner(now_us, instances);
@@ -285,25 +294,44 @@
             uses: uses.clone(),
         };
         self.quotas.sent.insert(number, sent);
-        let mut receivers: Vec<Arc<str>> = owner.iter().cloned().collect();
+        let mut others: Vec<Arc<str>> = Vec::new();
         let is_gone = owner
             .as_ref()
             .is_some_and(|owner| !candidates.contains(owner));
         let is_return_due = is_gone || now_us >= self.quotas.next_return_us;
         if is_searching {
-            let others = candidates.into_iter();
-            receivers.extend(others.filter(|id| Some(id) != owner.as_ref()));
+            let candidates = candidates.into_iter();
+            others.extend(candidates.filter(|id| Some(id) != owner.as_ref()));
         } else if is_return_due && candidates.first() != owner.as_ref() {
             self.quotas.next_return_us = now_us + RETURN_PERIOD_US;
-            receivers.extend(candidates.into_iter().take(1));
+            others.extend(candidates.into_iter().take(1));
+        }
+        self.search_owner(now_us, number, others);
+        // This instance may have answered itself and become its owner.
+        if let Some(owner) = owner.filter(|owner| self.quotas.owner.as_ref() == Some(owner)) {
+            let report = Message::QuotaReport {
+                number,
+                process: self.quotas.process,
+                is_counted,
+                uses,
+            };
+            self.send(now_us, &owner, report);
+        }
+    }
+
+    /// Asks instances whether they keep the accounts.
+    fn search_owner(&mut self, now_us: u64, number: u64, receivers: Vec<Arc<str>>) {
+        let is_recent = |at_us: u64| now_us.saturating_sub(at_us) < SEARCH_AFTER_US;
+        self.quotas.searches.retain(|_, at_us| is_recent(*at_us));
+        if !receivers.is_empty() {
+            self.quotas.searches.insert(number, now_us);
         }
         for id in receivers {
-            let is_owner = Some(&id) == owner.as_ref();
             let report = Message::QuotaReport {
                 number,
                 process: self.quotas.process,
-                is_counted: is_counted && is_owner,
-                uses: if is_owner { uses.clone() } else { Vec::new() },
+                is_counted: false,
+                uses: Vec::new(),
             };
             self.send(now_us, &id, report);
         }
@@ -424,18 +452,14 @@
         let gate = self.shared.quota_gate();
         gate.apply_answer(now_us, sent_us, &sent.uses, leases);
         self.actions.push(Action::QuotaAnswered);
-        if self.shared.quota_gate().has_wanted() {
-            self.report_quotas(now_us);
-        }
     }
 
     /// Turns to an instance that has answered, if the present owner is silent or this one ranks
     /// highest.
     fn consider_owner(&mut self, now_us: u64, from: &Arc<str>, number: u64) {
-        let Some(sent) = self.quotas.sent.get(&number) else {
-            return;
-        };
-        if now_us >= sent.sent_us + SEARCH_AFTER_US {
+        let searches = &self.quotas.searches;
+        let is_recent = |sent_us: &u64| now_us < sent_us + SEARCH_AFTER_US;
+        if !searches.get(&number).is_some_and(is_recent) {
             return;
         }
         let key: Arc<str> = OWNER_KEY.into();
@@ -461,6 +485,7 @@
         self.quotas.answered_us = Some(now_us);
         self.quotas.counted_from_us = now_us;
         self.quotas.sent.clear();
+        self.quotas.searches.clear();
         self.shared.quota_gate().change_owner();
         self.actions.push(Action::Log(LogEvent::QuotaOwnerChanged {
             owner: from.clone(),
--- a/policy/src/limits/quota/quota_gate.rs
+++ b/policy/src/limits/quota/quota_gate.rs
@@ -326,6 +326,10 @@
             let restricted = leases.iter().filter(|lease| lease.is_restricted);
             state.restricted = restricted.map(|lease| lease.customer.clone()).collect();
         }
+        // All waiting requests decide again and want their tokens anew.
+        for gate in state.customers.values_mut() {
+            gate.wanted = 0;
+        }
         for reported in reported {
             if let Some(gate) = state.customers.get_mut(&reported.customer) {
                 gate.acknowledged = gate.acknowledged.max(reported.used);
@@ -379,10 +383,4 @@
         let mut customers = state.customers.values();
         customers.any(|gate| gate.is_report_due(state.instances))
     }
-
-    /// Whether requests wait for an answer of the owner.
-    pub fn has_wanted(&self) -> bool {
-        let state = self.state.lock();
-        state.customers.values().any(|gate| gate.wanted > 0)
-    }
 }
