--- a/policy/src/instance/quotas.rs
+++ b/policy/src/instance/quotas.rs
@@ -30,7 +30,7 @@
 /// Period of the reports of an instance, in microseconds.
 const REPORT_PERIOD_US: u64 = 500_000;
 /// Smallest interval of reports for which no request waits, in microseconds.
-const REPORT_SPACING_US: u64 = 150_000;
+const REPORT_SPACING_US: u64 = 40_000;
 /// Time after which a report counts as lost, in microseconds.
 const REPORT_TIMEOUT_US: u64 = 60_000;
 /// Time after which the report of a period is repeated if it was not answered, in microseconds.
@@ -40,6 +40,9 @@
 const COUNTED_FOR_US: u64 = 1_000_000;
 /// Time without an answer from which an instance looks for another owner, in microseconds.
 const SEARCH_AFTER_US: u64 = 600_000;
+/// Time for which only the highest-ranked instance is accepted as owner, in microseconds: instances
+/// that turn to different owners find smaller accounts there.
+const PREFERENCE_US: u64 = 300_000;
 /// Time between attempts to return to the highest-ranked owner, in microseconds.
 const RETURN_PERIOD_US: u64 = 1_000_000;
 /// Time after the start in which the number of instances is not known, in microseconds: members
@@ -465,9 +468,14 @@
         let key: Arc<str> = OWNER_KEY.into();
         let candidates = self.owners.of(&key, &self.membership);
         let owner = self.quotas.owner.clone();
-        let is_silent = self.quotas.silent_us(now_us) >= STATEMENT_TTL_US;
+        let silent_us = self.quotas.silent_us(now_us);
+        let is_silent = silent_us >= STATEMENT_TTL_US;
         let is_first = candidates.first() == Some(from);
-        if owner.is_some() && !is_silent && !is_first {
+        let accept_others_us = match owner {
+            Some(_) => STATEMENT_TTL_US + PREFERENCE_US,
+            None => START_US + 3 * PREFERENCE_US,
+        };
+        if !is_first && silent_us < accept_others_us {
             return;
         }
         if let Some(owner) = owner.filter(|_| !is_silent) {
