Return tokens that were not used in time

Cause: tokens that arrive after their request has stopped waiting were lost to the customer.

Change: an instance returns them with its next report.

--- a/policy/src/instance/quotas.rs
+++ b/policy/src/instance/quotas.rs
@@ -285,7 +285,7 @@
         let silent_us = self.quotas.silent_us(now_us);
         let is_searching = owner.is_none() || silent_us >= SEARCH_AFTER_US;
         let is_counted = !is_searching && now_us >= self.quotas.counted_from_us;
-        let uses = self.shared.quota_gate().take_uses();
+        let uses = self.shared.quota_gate().take_uses(now_us);
         self.quotas.number += 1;
         self.quotas.last_sent_us = now_us;
         let number = self.quotas.number;
@@ -385,6 +385,7 @@
             let Some(account) = self.quotas.accounts.get_mut(&reported.customer) else {
                 continue;
             };
+            account.give_back(reported.returned);
             if account.charge(charged).is_some() {
                 let event = restriction_event(&reported.customer, account, true);
                 self.actions.push(Action::Log(event));
@@ -480,7 +481,7 @@
         }
         if let Some(owner) = owner.filter(|_| !is_silent) {
             // The former owner no longer counts this instance from now on.
-            let uses = self.shared.quota_gate().take_uses();
+            let uses = self.shared.quota_gate().take_uses(now_us);
             let report = Message::QuotaReport {
                 number: 0,
                 process: self.quotas.process,
--- a/policy/src/limits/quota/quota_account.rs
+++ b/policy/src/limits/quota/quota_account.rs
@@ -80,6 +80,11 @@
         self.change_restriction()
     }
 
+    /// Adds granted tokens that were not used.
+    pub fn give_back(&mut self, returned: u32) {
+        self.balance = (self.balance + f64::from(returned)).min(self.terms.capacity);
+    }
+
     /// Grants as many of the wanted tokens as there are. Returns their number and, if some are
     /// missing, the time until another one is due, in milliseconds.
     pub fn grant(&mut self, wanted: u32) -> (u32, u32) {
--- a/policy/src/limits/quota/quota_gate.rs
+++ b/policy/src/limits/quota/quota_gate.rs
@@ -39,6 +39,8 @@
     pub used: u64,
     /// Those of them that an owner has acknowledged.
     pub acknowledged: u64,
+    /// Tokens that were not used in time, since the last report.
+    pub returned: u32,
     /// Tokens wanted for waiting requests.
     pub wanted: u32,
 }
@@ -86,6 +88,8 @@
     wanted: u32,
     tokens: u32,
     tokens_until_us: u64,
+    /// Tokens to return with the next report.
+    returned: u32,
     refused_until_us: u64,
     /// Tokens of requests that were handed to other instances, which count them.
     refunded: u32,
@@ -103,6 +107,7 @@
             wanted: 0,
             tokens: 0,
             tokens_until_us: 0,
+            returned: 0,
             refused_until_us: 0,
             refunded: 0,
             refunded_until_us: 0,
@@ -119,6 +124,13 @@
         is_taken
     }
 
+    /// Sets tokens aside that were not used in time.
+    fn expire_tokens(&mut self, now_us: u64) {
+        if now_us >= self.tokens_until_us {
+            self.returned += std::mem::take(&mut self.tokens);
+        }
+    }
+
     /// Requests admitted on credit that no owner has acknowledged.
     fn unreported(&self) -> u64 {
         self.used.saturating_sub(self.acknowledged)
@@ -297,14 +309,19 @@
     }
 
     /// What is to report to the owner: all that it has not acknowledged, and wanted tokens.
-    pub fn take_uses(&self) -> Vec<QuotaUse> {
+    pub fn take_uses(&self, now_us: u64) -> Vec<QuotaUse> {
         let mut state = self.state.lock();
+        for gate in state.customers.values_mut() {
+            gate.expire_tokens(now_us);
+        }
         let customers = state.customers.iter_mut();
-        let reported = customers.filter(|(_, gate)| gate.unreported() > 0 || gate.wanted > 0);
+        let reported = customers
+            .filter(|(_, gate)| gate.unreported() > 0 || gate.wanted > 0 || gate.returned > 0);
         let uses = reported.map(|(customer, gate)| QuotaUse {
             customer: customer.clone(),
             used: gate.used,
             acknowledged: gate.acknowledged,
+            returned: std::mem::take(&mut gate.returned),
             wanted: std::mem::take(&mut gate.wanted),
         });
         uses.collect()
@@ -343,9 +360,7 @@
             let Some(gate) = state.customers.get_mut(&lease.customer) else {
                 continue;
             };
-            if now_us >= gate.tokens_until_us {
-                gate.tokens = 0;
-            }
+            gate.expire_tokens(now_us);
             if lease.granted > 0 {
                 gate.tokens += lease.granted;
                 gate.tokens_until_us = sent_us + TOKEN_TTL_US;
@@ -368,6 +383,7 @@
     pub fn change_owner(&self) {
         for gate in self.state.lock().customers.values_mut() {
             gate.tokens = 0;
+            gate.returned = 0;
             gate.refused_until_us = 0;
         }
     }
--- a/policy/tests/quotas/scenario.rs
+++ b/policy/tests/quotas/scenario.rs
@@ -292,12 +292,17 @@
     summary
 }
 
-/// Guards against requests beyond the bound while limits change, and against refusals of customers
-/// below their quotas while nothing fails.
+/// Guards against requests beyond the bound while demands rise and limits change.
 #[test]
-fn nobody_below_its_quota_is_refused_without_faults() {
+fn the_bound_holds_without_faults() {
     let summary = run_all(false);
     assert!(summary.over.is_empty(), "over the bound: {summary:?}");
+}
+
+/// Guards against refusals of customers below their quotas while nothing fails.
+#[test]
+fn nobody_below_its_quota_is_refused_without_faults() {
+    let summary = run_all(false);
     assert!(summary.refused.is_empty(), "refused: {summary:?}");
 }
 
--- a/policy/tests/quotas/units.rs
+++ b/policy/tests/quotas/units.rs
@@ -99,7 +99,7 @@
     let admitted = (0..100).filter(|_| is_admitted(gate.admit(2, &customer)));
     let credit = QuotaTerms::of(&quota()).credit(3.0);
     assert_eq!(admitted.count() as u64, credit);
-    let uses = gate.take_uses();
+    let uses = gate.take_uses(3);
     gate.apply_answer(3, 2, &uses, &[]);
     assert!(is_admitted(gate.admit(4, &customer)));
 }
@@ -169,5 +169,5 @@
     assert!(is_admitted(gate.admit(1, &customer)));
     gate.refund(2, "c");
     assert!(is_admitted(gate.admit(3, &customer)));
-    assert_eq!(gate.take_uses()[0].used, 1);
+    assert_eq!(gate.take_uses(4)[0].used, 1);
 }
