Prefer a subset of a service's targets at each instance

Cause: with 101 instances and 294 targets, an instance's own count of requests in flight says nothing about a target's load, and idle connections expire unused.

Change: where instances x targets of a service exceed 4,000 pairs and the configuration has customers or priorities, each instance prefers the targets on its arcs of a ring of slots. Each slot is in equally many subsets. A request goes to the cheaper of two idle targets of the subset, or to any target if none is idle or fewer than three are healthy. Gauges service_subset_targets, service_sent_within_subset and service_sent_outside_subset.

Measured: policy/tests/subset.rs (evenness, coverage, stability, fallback) and target_choice.rs pass. The effect on load is not measured yet.

--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -370,7 +370,7 @@
                 release,
                 access,
                 id_range,
-            } => self.handle_release(now_us, release.with_access(access), id_range.as_ref()),
+            } => self.handle_release(now_us, release.with_access(*access), id_range.as_ref()),
             Message::Entries { changes, id_range } => {
                 self.handle_entries(now_us, &from, changes, id_range.as_ref())
             }
--- a/policy/src/instance/members.rs
+++ b/policy/src/instance/members.rs
@@ -198,6 +198,7 @@
         let members = self.peer_ids.len() as u64 + 1;
         self.health_monitor.set_members(members);
         self.is_watcher = self.is_elected_watcher();
+        self.update_subset_place();
         self.drop_services_not_owned();
     }
 
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -309,9 +309,9 @@
     /// A configuration with customers or priorities, read from the registry.
     ReleaseWithAccess {
         /// The configuration.
-        release: Release,
+        release: Box<Release>,
         /// Its customers and priorities.
-        access: ReleaseAccess,
+        access: Box<ReleaseAccess>,
         /// Ids that the receiver forwards it to.
         id_range: Option<IdRange>,
     },
--- a/policy/src/instance/publishing.rs
+++ b/policy/src/instance/publishing.rs
@@ -8,6 +8,8 @@
 use super::Instance;
 use crate::invariant;
 use crate::invariant::Invariant;
+use crate::routing::SubsetPlace;
+use crate::routing::permits_subsets;
 
 impl Instance {
     /// Rebuilds the tables affected by a note.
@@ -49,7 +51,8 @@
                 .filter_map(|name| old.targets.get(name))
                 .map(|target| target.service.clone()),
         );
-        if !note.links.is_empty() {
+        let changes_subsets = permits_subsets(&configuration) != permits_subsets(old);
+        if !note.links.is_empty() || changes_subsets {
             services = configuration.services.keys().cloned().collect();
         }
         self.routing_table.configuration = configuration;
@@ -99,6 +102,26 @@
         self.drop_withdrawn_services();
     }
 
+    /// Determines the instance's place among the present ones, and rebuilds the tables if their
+    /// subsets may have changed.
+    pub(super) fn update_subset_place(&mut self) {
+        let own = self.membership.own();
+        let present = self.membership.present();
+        let instances = present.map(|member| (&member.id, &member.data_centre));
+        let place = SubsetPlace::new(&own.id, &own.data_centre, instances);
+        if self.table_builder.subset_place == place {
+            return;
+        }
+        self.table_builder.subset_place = place;
+        if !permits_subsets(&self.routing_table.configuration) {
+            return;
+        }
+        let services: Vec<Arc<str>> = self.routing_table.services.keys().cloned().collect();
+        for service in services {
+            self.rebuild_service(&service);
+        }
+    }
+
     pub(super) fn rebuild_service_of_target(&mut self, target: &str) {
         let service = self
             .note_log
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -360,8 +360,8 @@
     match release.access() {
         None => Message::Release { release, id_range },
         Some(access) => Message::ReleaseWithAccess {
-            release,
-            access,
+            release: Box::new(release),
+            access: Box::new(access),
             id_range,
         },
     }
--- a/policy/src/instance/table_builder.rs
+++ b/policy/src/instance/table_builder.rs
@@ -18,10 +18,13 @@
 use crate::routing::ChoiceStrategy;
 use crate::routing::ServiceLoad;
 use crate::routing::ServiceTable;
+use crate::routing::Subset;
+use crate::routing::SubsetPlace;
 use crate::routing::TableFreshness;
 use crate::routing::TargetLoad;
 use crate::routing::TargetProcess;
 use crate::routing::enforce_floor;
+use crate::routing::permits_subsets;
 
 /// Builder of service tables, and owner of the load counters, which outlive the tables that
 /// refer to them.
@@ -37,6 +40,7 @@
     former_loads: FormerLoads,
     pub(super) retry_reserve: RetryReserve,
     pub(super) choice_strategy: ChoiceStrategy,
+    pub(super) subset_place: SubsetPlace,
 }
 
 /// Whose bound holds for the retries to a service.
@@ -186,7 +190,7 @@
         let leaving = leaving.into_iter().filter(|(target, _, _)| !target.leaving);
         let leaving = leaving.map(|(target, health, _)| (target, health));
         let set = enforce_floor(service, staying);
-        let candidates = set
+        let candidates: Vec<Candidate> = set
             .members
             .into_iter()
             .chain(leaving)
@@ -198,11 +202,16 @@
                 health,
             })
             .collect();
+        let subset = (self.choice_strategy == ChoiceStrategy::FailureProbability
+            && permits_subsets(configuration))
+        .then(|| Subset::new(&self.subset_place, &candidates))
+        .flatten();
         Arc::new(ServiceTable {
             service: service.clone(),
             load: self.service_load(service),
             candidates,
             choice_strategy: self.choice_strategy,
+            subset,
         })
     }
 }
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -383,6 +383,10 @@
     pub local_slots: AtomicU32,
     /// Whether the load exceeds the capacity of the healthy targets.
     pub overload: OverloadState,
+    /// Requests that were sent to a target of the instance's subset.
+    pub sent_within_subset: AtomicU64,
+    /// Requests that were sent to another target although the instance has a subset.
+    pub sent_outside_subset: AtomicU64,
 }
 
 impl ServiceLoad {
@@ -405,6 +409,8 @@
             fleet_rate_milli: AtomicU64::new(0),
             local_slots: AtomicU32::new(0),
             overload: OverloadState::default(),
+            sent_within_subset: AtomicU64::new(0),
+            sent_outside_subset: AtomicU64::new(0),
             median_us: AtomicU64::new(0),
             slow_us: AtomicU64::new(0),
             latency_profile: AtomicU64::new(0),
--- a/policy/src/routing/service_table.rs
+++ b/policy/src/routing/service_table.rs
@@ -8,6 +8,7 @@
 
 use super::Candidate;
 use super::ServiceLoad;
+use super::Subset;
 use crate::evidence::LatencyProfile;
 
 /// Share of the responses that may take longer than the response time of a service.
@@ -34,6 +35,8 @@
     pub candidates: Vec<Candidate>,
     /// Strategy by which a candidate is chosen.
     pub choice_strategy: ChoiceStrategy,
+    /// Targets that this instance prefers; `None` if it uses all.
+    pub subset: Option<Subset>,
 }
 
 impl ServiceTable {
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -13,12 +13,14 @@
 
 use rand::Rng;
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 use rand::seq::IteratorRandom;
 
 use super::Candidate;
 use super::ChoiceParams;
 use super::ServiceTable;
 use super::Slot;
+use super::Subset;
 use super::load::MAX_HEALTHY_PROBABILITY;
 
 /// Failure probability of a target without recent signs of failure: reached 4 s after an overdue
@@ -55,6 +57,9 @@
 const LATE_SHARE: f64 = 0.6;
 /// Utilization of the local data centre's targets above which remote ones are used too.
 const LOCAL_UTILIZATION: f64 = 0.6;
+/// Healthy targets of a subset below which all targets are used. With three tenths of the targets
+/// failing, the targets of a smaller set would get all requests of several instances.
+const MIN_HEALTHY_IN_SUBSET: usize = 3;
 
 /// When and how often suspect targets get trial requests.
 #[derive(Clone, Copy, Debug)]
@@ -105,6 +110,18 @@
             true => healthy,
             false => self.least_suspect(healthy),
         };
+        if let Some(subset) = &self.subset {
+            let index = self.choose_in_subset(now_us, subset, healthy, free, rng);
+            let load = &self.load;
+            let count = match index {
+                Some(_) => &load.sent_within_subset,
+                None => &load.sent_outside_subset,
+            };
+            count.fetch_add(1, Ordering::Relaxed);
+            if let Some(index) = index {
+                return index;
+            }
+        }
         let pool = if self.utilization_of(healthy) > SCARCE_UTILIZATION {
             healthy.iter().map(|(_, index)| *index).collect()
         } else {
@@ -310,26 +327,72 @@
             .then(|| eligible[rng.random_range(0..eligible.len())])
     }
 
+    /// The cheaper of two random idle targets of the instance's subset. Returns `None` if all
+    /// targets should be considered: if the subset has fewer than [`MIN_HEALTHY_IN_SUBSET`] healthy
+    /// ones, or none of them is idle by the instance's own count, as an instance with more callers
+    /// than others would overload them.
+    fn choose_in_subset(
+        &self,
+        now_us: u64,
+        subset: &Subset,
+        healthy: &[(f64, usize)],
+        free: &[usize],
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        let (max_probability, _) = healthy.last()?;
+        let preferred = match self.prefers_local(healthy, rng) {
+            true => &subset.local,
+            false => &subset.remote,
+        };
+        let is_eligible = |index: &usize| {
+            let load = &self.candidates[*index].load;
+            free.binary_search(index).is_ok()
+                && load.failure_probability(now_us) <= *max_probability
+        };
+        // The slots of a target are adjacent.
+        let mut targets: Vec<usize> = preferred.clone();
+        targets.dedup();
+        targets.retain(is_eligible);
+        if targets.len() < MIN_HEALTHY_IN_SUBSET {
+            return None;
+        }
+        let is_idle = |index: &usize| self.candidates[*index].load.in_flight() == 0;
+        targets.retain(is_idle);
+        let is_listed = |index: &&usize| targets.contains(index);
+        let idle: Vec<usize> = preferred.iter().filter(is_listed).copied().collect();
+        let first = *idle.choose(rng)?;
+        let second = *idle.choose(rng)?;
+        Some(match self.cost(now_us, second) < self.cost(now_us, first) {
+            true => second,
+            false => first,
+        })
+    }
+
     /// Targets of a working set in the local data centre, or the remote ones for the share of
     /// requests that the local ones cannot carry.
     fn local_or_remote(&self, set: &[(f64, usize)], rng: &mut impl Rng) -> Vec<usize> {
         let is_local = |index: &usize| self.candidates[*index].is_local;
-        let (local, remote): (Vec<usize>, Vec<usize>) =
-            set.iter().map(|(_, index)| *index).partition(is_local);
-        if local.is_empty() || remote.is_empty() {
-            return if local.is_empty() { remote } else { local };
+        let is_preferred_local = self.prefers_local(set, rng);
+        let indexes = set.iter().map(|(_, index)| *index);
+        indexes
+            .filter(|index| is_local(index) == is_preferred_local)
+            .collect()
+    }
+
+    /// Whether a request goes to the local targets of a working set: a random decision if these
+    /// cannot carry all requests of the data centre.
+    fn prefers_local(&self, set: &[(f64, usize)], rng: &mut impl Rng) -> bool {
+        let candidates = set.iter().map(|(_, index)| &self.candidates[*index]);
+        let local = candidates.filter(|candidate| candidate.is_local);
+        let (local, slots) = local.fold((0, 0), |(count, slots), candidate| {
+            (count + 1, slots + candidate.target.slots)
+        });
+        if local == 0 || local == set.len() {
+            return local > 0;
         }
-        let slots: u32 = local
-            .iter()
-            .map(|index| self.candidates[*index].target.slots)
-            .sum();
         let needed_local_slots = self.load.local_slots.load(Ordering::Relaxed);
         let share = LOCAL_UTILIZATION * f64::from(slots) / f64::from(needed_local_slots.max(1));
-        if rng.random_bool(share.min(1.0)) {
-            local
-        } else {
-            remote
-        }
+        rng.random_bool(share.min(1.0))
     }
 
     fn cost(&self, now_us: u64, index: usize) -> f64 {
--- a/policy/tests/exchange.rs
+++ b/policy/tests/exchange.rs
@@ -69,6 +69,7 @@
         load: Arc::new(ServiceLoad::new(1.0, Arc::default())),
         candidates: (0..targets).map(candidate).collect(),
         choice_strategy: ChoiceStrategy::HealthState,
+        subset: None,
     })
 }
 
--- a/policy/tests/hedging.rs
+++ b/policy/tests/hedging.rs
@@ -74,6 +74,7 @@
             load: Arc::new(load),
             candidates: (0..4).map(candidate).collect(),
             choice_strategy: ChoiceStrategy::FailureProbability,
+            subset: None,
         });
         let request = Request {
             deadline_us: BEGAN_US + 3_000 * MS_US,
--- a/policy/tests/shutdown.rs
+++ b/policy/tests/shutdown.rs
@@ -69,6 +69,7 @@
         load: Arc::new(ServiceLoad::new(1.0, Arc::default())),
         candidates: vec![candidate],
         choice_strategy: ChoiceStrategy::FailureProbability,
+        subset: None,
     })
 }
 
--- a/policy/tests/target_choice.rs
+++ b/policy/tests/target_choice.rs
@@ -52,6 +52,7 @@
         load: Arc::new(load),
         candidates: (0..local + remote).map(candidate).collect(),
         choice_strategy: ChoiceStrategy::FailureProbability,
+        subset: None,
     }
 }
 
--- a/sniperund/src/metrics/gauges.rs
+++ b/sniperund/src/metrics/gauges.rs
@@ -10,6 +10,7 @@
 use policy::quarantine::QuarantineView;
 use policy::routing::RoutingTable;
 use policy::routing::ServiceTable;
+use policy::routing::Subset;
 
 /// Failure probability from which a target is counted as suspect: it is more likely to be failing
 /// than healthy.
@@ -88,6 +89,29 @@
         self.add_per_service("strained", table, |service| {
             u8::from(service.load.degraded.load(Ordering::Relaxed))
         });
+        self.add_subsets(table);
+    }
+
+    /// Adds the size of the subset of each service's targets, and the numbers of requests that were
+    /// sent to targets in it and to others. Nothing is added without a subset.
+    fn add_subsets(&mut self, table: &RoutingTable) {
+        if table
+            .services
+            .values()
+            .all(|service| service.subset.is_none())
+        {
+            return;
+        }
+        self.add_per_service("subset_targets", table, |service| {
+            let subset = service.subset.as_ref();
+            subset.map_or(service.candidates.len(), Subset::target_count)
+        });
+        self.add_per_service("sent_within_subset", table, |service| {
+            service.load.sent_within_subset.load(Ordering::Relaxed)
+        });
+        self.add_per_service("sent_outside_subset", table, |service| {
+            service.load.sent_outside_subset.load(Ordering::Relaxed)
+        });
     }
 
     /// Returns the text of all gauges added.
