Measure the choice of targets without a network

Adds the part balancing to the example measure: discrete events, targets with 3 slots, a queue of 12 and log-normal service times, mean speeds that differ by a factor of three, and the oracle that knows all queues.

--- a/proof/examples/measure/main.rs
+++ b/proof/examples/measure/main.rs
@@ -5,6 +5,7 @@
 //!
 //! Run: `cargo run --release -p proof --example measure -- --write`
 
+mod balancing;
 mod control;
 mod detection;
 mod false_ejections;
@@ -21,7 +22,7 @@
     /// seeds per table row of detection and storm (default 24)
     #[argh(option, default = "24")]
     seeds: u64,
-    /// part to run: detection, storm, false, wald, load, control (default all)
+    /// part to run: detection, storm, false, wald, load, control, balancing (default all)
     #[argh(option)]
     only: Option<String>,
     /// write docs/MEASUREMENTS.md
@@ -68,6 +69,9 @@
     if is_selected("control") {
         page += &control::measure();
     }
+    if is_selected("balancing") {
+        page += &balancing::measure();
+    }
     if args.write {
         let previous_page =
             std::fs::read_to_string(PAGE_PATH).expect("cannot read docs/MEASUREMENTS.md");
