Choose the idle targets of a subset in turn

Cause: random choices among idle targets of a subset leave some without requests and give others several times the mean.

Change: of the subset's idle targets, the half chosen longest ago, and of these the cheapest.

--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -42,6 +42,7 @@
     failure_probability_milli: AtomicU32,
     failure_estimate_updated_us: AtomicU64,
     unreachable_until_us: AtomicU64,
+    chosen_us: AtomicU64,
     /// Requests per second that the target takes from all instances, in thousandths.
     rate_limit_milli: AtomicU32,
     limit_named_us: AtomicU64,
@@ -87,6 +88,7 @@
             ),
             failure_estimate_updated_us: AtomicU64::new(0),
             unreachable_until_us: AtomicU64::new(0),
+            chosen_us: AtomicU64::new(0),
             rate_limit_milli: AtomicU32::new(UNLIMITED),
             limit_named_us: AtomicU64::new(0),
             denied_until_us: AtomicU64::new(0),
@@ -251,6 +253,16 @@
         )
     }
 
+    /// When the target was last chosen from the instance's subset, in microseconds; 0 if never.
+    pub(super) fn chosen_us(&self) -> u64 {
+        self.chosen_us.load(Ordering::Relaxed)
+    }
+
+    /// Records that the target was chosen from the instance's subset.
+    pub(super) fn record_choice(&self, now_us: u64) {
+        self.chosen_us.store(now_us, Ordering::Relaxed);
+    }
+
     /// Requests in flight from this instance.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Relaxed)
--- a/policy/src/routing/working_set.rs
+++ b/policy/src/routing/working_set.rs
@@ -9,12 +9,13 @@
 //! is scarce or the service is degraded. The failure probability of a target without requests
 //! decays with time.
 
+use std::cmp::Reverse;
 use std::sync::atomic::Ordering;
 
 use rand::Rng;
 use rand::RngExt;
-use rand::seq::IndexedRandom;
 use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 
 use super::Candidate;
 use super::ChoiceParams;
@@ -327,10 +328,10 @@
             .then(|| eligible[rng.random_range(0..eligible.len())])
     }
 
-    /// The cheaper of two random idle targets of the instance's subset. Returns `None` if all
-    /// targets should be considered: if the subset has fewer than [`MIN_HEALTHY_IN_SUBSET`] healthy
-    /// ones, or none of them is idle by the instance's own count, as an instance with more callers
-    /// than others would overload them.
+    /// The cheapest of the half of the subset's idle targets that were chosen longest ago, so that
+    /// each of them gets requests in turn. Returns `None` if all targets should be considered: if the
+    /// subset has fewer than [`MIN_HEALTHY_IN_SUBSET`] healthy ones, or none of them is idle by the
+    /// instance's own count, as an instance with more callers than others would overload them.
     fn choose_in_subset(
         &self,
         now_us: u64,
@@ -350,22 +351,28 @@
                 && load.failure_probability(now_us) <= *max_probability
         };
         // The slots of a target are adjacent.
-        let mut targets: Vec<usize> = preferred.clone();
-        targets.dedup();
-        targets.retain(is_eligible);
-        if targets.len() < MIN_HEALTHY_IN_SUBSET {
+        let targets = preferred.chunk_by(|a, b| a == b);
+        let eligible: Vec<&[usize]> = targets.filter(|slots| is_eligible(&slots[0])).collect();
+        if eligible.len() < MIN_HEALTHY_IN_SUBSET {
             return None;
         }
-        let is_idle = |index: &usize| self.candidates[*index].load.in_flight() == 0;
-        targets.retain(is_idle);
-        let is_listed = |index: &&usize| targets.contains(index);
-        let idle: Vec<usize> = preferred.iter().filter(is_listed).copied().collect();
-        let first = *idle.choose(rng)?;
-        let second = *idle.choose(rng)?;
-        Some(match self.cost(now_us, second) < self.cost(now_us, first) {
-            true => second,
-            false => first,
-        })
+        let idle = eligible.iter().filter_map(|slots| {
+            let index = slots[0];
+            let load = &self.candidates[index].load;
+            // A target with more slots in the subset has its turn more often.
+            let turn_us = now_us.saturating_sub(load.chosen_us()) * slots.len() as u64;
+            (load.in_flight() == 0).then_some((turn_us, index))
+        });
+        let mut idle: Vec<(u64, usize)> = idle.collect();
+        // Targets that were never chosen are equal.
+        idle.shuffle(rng);
+        idle.sort_by_key(|(turn_us, _)| Reverse(*turn_us));
+        idle.truncate(idle.len().div_ceil(2));
+        let cost = |index: usize| self.cost(now_us, index);
+        let indexes = idle.into_iter().map(|(_, index)| index);
+        let index = indexes.min_by(|a, b| cost(*a).total_cmp(&cost(*b)))?;
+        self.candidates[index].load.record_choice(now_us);
+        Some(index)
     }
 
     /// Targets of a working set in the local data centre, or the remote ones for the share of
--- a/policy/tests/subset.rs
+++ b/policy/tests/subset.rs
@@ -299,3 +299,26 @@
     let failing: Vec<&usize> = local.iter().skip(2).collect();
     assert!(failing.iter().all(|index| !used.contains(index)));
 }
+
+/// Guards against a target of the subset that gets many more requests than another, and against one
+/// that joined and gets none.
+#[test]
+fn idle_targets_of_the_subset_get_requests_in_turn() {
+    let table = table();
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    let mut counts: BTreeMap<usize, usize> = BTreeMap::new();
+    for request in 1..=1_000u64 {
+        let (index, _) = choose(&table, request * 100_000, &mut rng);
+        *counts.entry(index).or_insert(0) += 1;
+    }
+    let local = &table.subset.as_ref().unwrap().local;
+    for (index, count) in &counts {
+        let slots = local.iter().filter(|slot| *slot == index).count();
+        let fair = 1_000.0 * slots as f64 / local.len() as f64;
+        let ratio = *count as f64 / fair;
+        assert!(
+            (0.5..2.0).contains(&ratio),
+            "target {index}: {count}, fair {fair:.0}"
+        );
+    }
+}
--- a/proof/examples/measure/main.rs
+++ b/proof/examples/measure/main.rs
@@ -22,7 +22,8 @@
     /// seeds per table row of detection and storm (default 24)
     #[argh(option, default = "24")]
     seeds: u64,
-    /// part to run: detection, storm, false, wald, load, control, balancing (default all)
+    /// part to run: detection, storm, false, wald, load, control, balancing, balancing-large (default
+    /// all)
     #[argh(option)]
     only: Option<String>,
     /// write docs/MEASUREMENTS.md
@@ -72,6 +73,9 @@
     if is_selected("balancing") {
         page += &balancing::measure();
     }
+    if is_selected("balancing-large") {
+        page += &balancing::measure_large();
+    }
     if args.write {
         let previous_page =
             std::fs::read_to_string(PAGE_PATH).expect("cannot read docs/MEASUREMENTS.md");
