--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -47,6 +47,7 @@
     failure_probability_milli: AtomicU32,
     failure_estimate_updated_us: AtomicU64,
     unreachable_until_us: AtomicU64,
+    chosen_us: AtomicU64,
     /// Requests per second that the target takes from all instances, in thousandths.
     rate_limit_milli: AtomicU32,
     limit_named_us: AtomicU64,
@@ -93,6 +94,7 @@
             ),
             failure_estimate_updated_us: AtomicU64::new(0),
             unreachable_until_us: AtomicU64::new(0),
+            chosen_us: AtomicU64::new(0),
             rate_limit_milli: AtomicU32::new(UNLIMITED),
             limit_named_us: AtomicU64::new(0),
             denied_until_us: AtomicU64::new(0),
@@ -257,6 +259,16 @@
         )
     }
 
+    /// When the target was last chosen from the instance's subset, in microseconds; 0 if never.
+    pub(super) fn chosen_us(&self) -> u64 {
+        self.chosen_us.load(Ordering::Relaxed)
+    }
+
+    /// Records that the target was chosen from the instance's subset.
+    pub(super) fn record_choice(&self, now_us: u64) {
+        self.chosen_us.store(now_us, Ordering::Relaxed);
+    }
+
     /// Requests in flight from this instance.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Relaxed)
@@ -440,6 +452,10 @@
     pub priorities: ServicePriorities,
     /// Requests that were refused by the quotas of their customers.
     pub over_quota: AtomicU64,
+    /// Requests that were sent to a target of the instance's subset.
+    pub sent_within_subset: AtomicU64,
+    /// Requests that were sent to another target although the instance has a subset.
+    pub sent_outside_subset: AtomicU64,
 }
 
 impl ServiceLoad {
@@ -465,6 +481,8 @@
             overload: OverloadState::default(),
             priorities: ServicePriorities::default(),
             over_quota: AtomicU64::new(0),
+            sent_within_subset: AtomicU64::new(0),
+            sent_outside_subset: AtomicU64::new(0),
             median_us: AtomicU64::new(0),
             slow_us: AtomicU64::new(0),
             latency_profile: AtomicU64::new(0),
