Withhold no retry because the caller could come back

Cause: a refused caller with time to come back left two thirds of the retry budget to others.

Change: only the last third of the budget is left, to the most urgent requests of the service.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -600,17 +600,11 @@
             loan.after = Some(failure);
             return Step::Continue;
         }
-        let use_of_retry = self.use_of_retry(now_us, failure);
-        if self
-            .table
-            .load
-            .retries
-            .take_above(use_of_retry.kept_share())
-        {
+        if self.take_retry_for_urgency() {
             return self.choose_and_send(now_us, rng);
         }
-        if !self.table.shares_retries() || !use_of_retry.may_borrow() {
-            self.retry_denial = Some(use_of_retry.denial());
+        if !self.table.shares_retries() {
+            self.retry_denial = Some(RetryDenial::NoBudget);
             return self.give_up(now_us, failure.into(), rng);
         }
         self.borrow_retry(now_us, Some(failure))
--- a/policy/src/exchange/retries.rs
+++ b/policy/src/exchange/retries.rs
@@ -28,8 +28,6 @@
     NotRepeatable,
     /// The request has been sent to as many targets as allowed, or to all there are.
     NoAttemptLeft,
-    /// The caller has time to come back, and the rest of the budget is left to others.
-    CanComeBack,
     /// Neither the instance nor the peers it asked have a retry left.
     NoBudget,
     /// The service is overloaded.
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -433,8 +433,8 @@
     pub reachability: Reachability,
     /// Requests started.
     pub begun: AtomicU64,
-    /// Requests that ended with the refusal of a target that has free slots. Their callers come
-    /// back, and would otherwise count as load several times.
+    /// Requests that ended with the refusal of a target that has free slots. They used no slot, and
+    /// count once more if their callers come back.
     pub returned: AtomicU64,
     /// Requests that ended without a response from a target.
     pub unserved: AtomicU64,
--- a/policy/tests/priorities/simulation.rs
+++ b/policy/tests/priorities/simulation.rs
@@ -204,6 +204,7 @@
             load: Arc::new(load),
             candidates: (0..TARGETS).map(candidate).collect(),
             choice_strategy: ChoiceStrategy::FailureProbability,
+            subset: None,
         }),
         queue: FairQueue::default(),
     }
--- a/policy/tests/subset.rs
+++ b/policy/tests/subset.rs
@@ -224,6 +224,7 @@
         left_us: 8_000_000,
         tried: &[],
         only_unlimited: false,
+        body_bytes: 0,
     };
     match table.choose(now_us, choice_params, rng) {
         Choice::Target(index, slot) => (index, slot),
