Average the share of requests over their quotas

Cause: an instance sees few requests in a second, so that its share of refusals by quotas of four seconds often made a service count as degraded; commands then try suspect targets.

Change: the share is averaged over some 12 seconds.

--- a/policy/src/instance/demand.rs
+++ b/policy/src/instance/demand.rs
@@ -36,6 +36,9 @@
 /// service counts as degraded: just below one tenth, the failure share at which the floor
 /// has to hold.
 const DEGRADED_FLEET_FAILURE_SHARE: f64 = 0.09;
+/// Weight of a new measurement in the share of requests over their quotas. It lasts as long as a
+/// customer exceeds its quota, and an instance sees only a few of these requests in a second.
+const OVER_QUOTA_WEIGHT: f64 = 0.04;
 /// Failures in the fleet up to which a service does not count as degraded, so that the first
 /// failures of a few targets are not enough.
 const DEGRADED_MIN_FLEET_FAILURES: f64 = 6.0;
@@ -58,8 +61,8 @@
     recent_unserved: f64,
     recent_reported_failures: f64,
     last_over_quota: u64,
-    /// Recent requests that were refused by the quotas of their customers.
-    recent_over_quota: f64,
+    /// Share of the requests that were refused by the quotas of their customers, long-term average.
+    over_quota_share: f64,
     weighted_requests: f64,
     weighted_s: f64,
     latency_us: f64,
@@ -120,7 +123,11 @@
         let over_quota = load.over_quota.load(Ordering::Relaxed);
         let new_over_quota = over_quota.saturating_sub(self.last_over_quota) as f64;
         self.last_over_quota = over_quota;
-        self.recent_over_quota = self.recent_over_quota * RECENT_DECAY + new_over_quota;
+        let new_arrivals = new_requests + new_over_quota;
+        if new_arrivals > 0.0 {
+            let new_share = new_over_quota / new_arrivals;
+            self.over_quota_share += OVER_QUOTA_WEIGHT * (new_share - self.over_quota_share);
+        }
         if self.last_begun > 0 {
             // A request that ends in one period may have begun in an earlier one.
             let new_load = self.weighted_requests * (1.0 - RATE_WEIGHT) + new_requests;
@@ -138,9 +145,7 @@
         let window_s = MEASURE_PERIOD_US as f64 / 1e6 / (1.0 - RECENT_DECAY);
         let fleet_requests = fleet_rate_per_s * window_s;
         // The floor counts these among the requests that are not served.
-        let over_quota_share =
-            self.recent_over_quota / (self.recent_requests + self.recent_over_quota).max(1.0);
-        let unserved_share = unresponsive_share + over_quota_share;
+        let unserved_share = unresponsive_share + self.over_quota_share;
         let failed = self.recent_reported_failures + unserved_share * fleet_requests;
         many_own_unserved
             || unresponsive_share > DEGRADED_FLEET_FAILURE_SHARE
