Review: show LOST broken for uploads to targets that read slowly

During a planned stop 16 to 18 of 18 uploads to targets that read steadily, at 16 KB a second on small windows, are broken off after 3.3 s and answered with 502.

--- a/review/bed-2/main.rs
+++ b/review/bed-2/main.rs
@@ -5,6 +5,7 @@
 
 mod bed;
 mod case_entry;
+mod case_slow;
 mod http;
 mod operator;
 mod store;
@@ -48,6 +49,7 @@
     bed::end_after(LIMIT);
     let verdict = match name.as_str() {
         "entry" => case_entry::play(&setting),
+        "slow" => case_slow::play(&setting),
         _ => Verdict::NotRun("no such case".to_owned()),
     };
     let (text, code) = match verdict {
