Review: show DRAIN broken after the store came back from an older copy

An instance that starts just after the restoration takes a target that has left from the copy and sends requests to it for 4.5 s; the others remember that it left and do not tell.

--- a/review/bed-2/main.rs
+++ b/review/bed-2/main.rs
@@ -5,6 +5,7 @@
 
 mod bed;
 mod case_entry;
+mod case_restored;
 mod case_slow;
 mod http;
 mod operator;
@@ -49,6 +50,7 @@
     bed::end_after(LIMIT);
     let verdict = match name.as_str() {
         "entry" => case_entry::play(&setting),
+        "restored" => case_restored::play(&setting),
         "slow" => case_slow::play(&setting),
         _ => Verdict::NotRun("no such case".to_owned()),
     };
--- a/review/bed-2/store.rs
+++ b/review/bed-2/store.rs
@@ -121,6 +121,14 @@
         store
     }
 
+    /// The same store at another address.
+    pub fn at(&self, address: &str) -> Self {
+        Self {
+            address: address.to_owned(),
+            ..self.clone()
+        }
+    }
+
     pub fn put(&self, key: &str, value: &str) {
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
--- a/review/bed-2/target.rs
+++ b/review/bed-2/target.rs
@@ -77,15 +77,15 @@
 
 /// Gives a listener's connections the window and the segments of a small link.
 fn limit_window(listener: &TcpListener, window_bytes: i32) {
-    let options = [
-        (SOL_SOCKET, SO_RCVBUF, window_bytes),
-        (IPPROTO_TCP, TCP_MAXSEG, SEGMENT_BYTES),
-    ];
-    for (level, name, value) in options {
-        // SAFETY: the socket is open, and the option's value is an integer of four bytes.
-        let result = unsafe { setsockopt(listener.as_raw_fd(), level, name, &raw const value, 4) };
-        assert_eq!(result, 0, "the window cannot be set");
-    }
+    let socket = listener.as_raw_fd();
+    set_option(socket, (SOL_SOCKET, SO_RCVBUF), window_bytes);
+    set_option(socket, (IPPROTO_TCP, TCP_MAXSEG), SEGMENT_BYTES);
+}
+
+fn set_option(socket: i32, (level, name): (i32, i32), value: i32) {
+    // SAFETY: the socket is open, and the option's value is an integer of four bytes.
+    let result = unsafe { setsockopt(socket, level, name, &raw const value, 4) };
+    assert_eq!(result, 0, "a socket option cannot be set");
 }
 
 impl Target {
