Review: show GONE broken for uploads whose clients left while targets asked for a pause

A body that is not read hides the end of its caller's connection. 23 to 25 of 35 uploads are sent to a target 0.7 s after their clients had left.

--- a/review/bed-2/main.rs
+++ b/review/bed-2/main.rs
@@ -5,6 +5,7 @@
 
 mod bed;
 mod case_entry;
+mod case_leave;
 mod case_restored;
 mod case_slow;
 mod http;
@@ -50,6 +51,7 @@
     bed::end_after(LIMIT);
     let verdict = match name.as_str() {
         "entry" => case_entry::play(&setting),
+        "leave" => case_leave::play(&setting),
         "restored" => case_restored::play(&setting),
         "slow" => case_slow::play(&setting),
         _ => Verdict::NotRun("no such case".to_owned()),
