Review: show CONFIG broken where idle channels to the store go silent

A watch that hangs is noticed by its own time limit only, while pings on another channel make the view count as fresh. Commands go to the service of the older version up to several seconds after the bound.

--- a/review/bed-2/main.rs
+++ b/review/bed-2/main.rs
@@ -7,9 +7,11 @@
 mod case_entry;
 mod case_leave;
 mod case_restored;
+mod case_silent;
 mod case_slow;
 mod http;
 mod operator;
+mod proxy;
 mod store;
 mod target;
 
@@ -53,6 +55,7 @@
         "entry" => case_entry::play(&setting),
         "leave" => case_leave::play(&setting),
         "restored" => case_restored::play(&setting),
+        "silent" => case_silent::play(&setting),
         "slow" => case_slow::play(&setting),
         _ => Verdict::NotRun("no such case".to_owned()),
     };
