--- a/review/bed-2/tests/case_entry.rs
+++ b/review/bed-2/tests/case_entry.rs
@@ -60,16 +60,16 @@
     targets.iter().for_each(|target| target.register(&store));
     let routes = [
         Route {
-            name: "gate-commands",
-            prefix: "/commands/",
+            name: "gate-commands".to_owned(),
+            prefix: "/commands/".to_owned(),
             kind: "non_idempotent",
             service: COMMANDS,
             timeout_ms: 4_000,
             objective_ms: 2_000,
         },
         Route {
-            name: "level-reads",
-            prefix: "/levels/",
+            name: "level-reads".to_owned(),
+            prefix: "/levels/".to_owned(),
             kind: "idempotent",
             service: READS,
             timeout_ms: 3_000,
--- a/review/bed-2/tests/case_leave.rs
+++ b/review/bed-2/tests/case_leave.rs
@@ -68,8 +68,8 @@
         targets.push(target);
     }
     let route = Route {
-        name: "depot-uploads",
-        prefix: "/uploads/",
+        name: "depot-uploads".to_owned(),
+        prefix: "/uploads/".to_owned(),
         kind: "upload",
         service: INTAKE,
         timeout_ms: DEADLINE_MS,
--- a/review/bed-2/tests/case_restored.rs
+++ b/review/bed-2/tests/case_restored.rs
@@ -59,8 +59,8 @@
     staying.iter().for_each(|target| target.register(&store));
     leaving.register_once(&store);
     let route = Route {
-        name: "gate-commands",
-        prefix: "/commands/",
+        name: "gate-commands".to_owned(),
+        prefix: "/commands/".to_owned(),
         kind: "non_idempotent",
         service: COMMANDS,
         timeout_ms: 4_000,
--- a/review/bed-2/tests/case_silent.rs
+++ b/review/bed-2/tests/case_silent.rs
@@ -137,8 +137,8 @@
 
 fn configuration(version: u32, service: usize) -> String {
     let route = Route {
-        name: "gate-commands",
-        prefix: "/commands/",
+        name: "gate-commands".to_owned(),
+        prefix: "/commands/".to_owned(),
         kind: "non_idempotent",
         service: SERVICES[service],
         timeout_ms: 4_000,
--- a/review/bed-2/tests/case_slow.rs
+++ b/review/bed-2/tests/case_slow.rs
@@ -70,8 +70,8 @@
         target.register(&store);
     }
     let route = Route {
-        name: "depot-uploads",
-        prefix: "/uploads/",
+        name: "depot-uploads".to_owned(),
+        prefix: "/uploads/".to_owned(),
         kind: "upload",
         service: INTAKE,
         timeout_ms: DEADLINE_MS,
--- a/review/bed-2/tests/main.rs
+++ b/review/bed-2/tests/main.rs
@@ -5,6 +5,7 @@
 
 mod bed;
 mod case_entry;
+mod case_large;
 mod case_leave;
 mod case_restored;
 mod case_silent;
@@ -53,6 +54,7 @@
     bed::end_after(LIMIT);
     let verdict = match name.as_str() {
         "entry" => case_entry::play(&setting),
+        "large" => case_large::play(&setting),
         "leave" => case_leave::play(&setting),
         "restored" => case_restored::play(&setting),
         "silent" => case_silent::play(&setting),
--- a/review/bed-2/tests/operator.rs
+++ b/review/bed-2/tests/operator.rs
@@ -1,9 +1,10 @@
 //! The configuration that the operator writes.
 
 /// A route of the configuration.
+#[derive(Clone)]
 pub struct Route {
-    pub name: &'static str,
-    pub prefix: &'static str,
+    pub name: String,
+    pub prefix: String,
     pub kind: &'static str,
     pub service: &'static str,
     pub timeout_ms: u64,
@@ -25,7 +26,7 @@
                 objective_ms,
             } = route;
             format!(
-                "\"{name}\":{{\"host\":\"{HOST}\",\"pathPrefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeout\":\"{timeout_ms}ms\",\"latencySlo\":\"{objective_ms}ms\",\"priority\":1,\"service\":\"{service}\",\"maxAttempts\":2,\"public\":false}}"
+                "\"{name}\":{{\"host\":\"{HOST}\",\"pathPrefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeout\":\"{timeout_ms}ms\",\"latencySlo\":\"{objective_ms}ms\",\"priority\":1,\"service\":\"{service}\",\"maxAttempts\":2}}"
             )
         })
         .collect();
--- a/review/bed-2/tests/proxy.rs
+++ b/review/bed-2/tests/proxy.rs
@@ -19,20 +19,55 @@
     is_open: AtomicBool,
 }
 
+/// A link of limited speed towards the instances.
+struct Link {
+    bytes_per_s: u64,
+    free_from: Mutex<Instant>,
+}
+
+impl Link {
+    /// Waits until the bytes have passed.
+    fn pass(&self, bytes: usize) {
+        let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s as f64);
+        let until = {
+            let mut free_from = self.free_from.lock().unwrap();
+            *free_from = (*free_from).max(Instant::now()) + time;
+            *free_from
+        };
+        std::thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+}
+
 #[derive(Clone)]
 pub struct Proxy {
     pub address: String,
     flows: Arc<Mutex<Vec<Arc<Flow>>>>,
+    link: Option<Arc<Link>>,
 }
 
 impl Proxy {
     pub fn start(ip: &str, to: &str) -> Self {
+        Self::start_with(ip, to, None)
+    }
+
+    /// Starts a proxy on a link of a speed in Mbit/s.
+    pub fn start_on_link(ip: &str, to: &str, mbps: u64) -> Self {
+        let link = Link {
+            bytes_per_s: mbps * 1_000_000 / 8,
+            free_from: Mutex::new(Instant::now()),
+        };
+        Self::start_with(ip, to, Some(Arc::new(link)))
+    }
+
+    fn start_with(ip: &str, to: &str, link: Option<Arc<Link>>) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("the proxy cannot listen");
         let address = listener.local_addr().expect("no address").to_string();
         let proxy = Self {
             address,
             flows: Arc::default(),
+            link,
         };
+        let link = proxy.link.clone();
         let (flows, to) = (proxy.flows.clone(), to.to_owned());
         std::thread::spawn(move || {
             for caller in listener.incoming().flatten() {
@@ -49,9 +84,10 @@
                 let _ = store.set_nodelay(true);
                 if let (Ok(from), Ok(to)) = (caller.try_clone(), store.try_clone()) {
                     let flow = flow.clone();
-                    std::thread::spawn(move || carry(from, to, &flow));
+                    std::thread::spawn(move || carry(from, to, &flow, None));
                 }
-                std::thread::spawn(move || carry(store, caller, &flow));
+                let link = link.clone();
+                std::thread::spawn(move || carry(store, caller, &flow, link.as_deref()));
             }
         });
         proxy
@@ -75,7 +111,7 @@
 }
 
 /// Carries bytes in one direction until the channel ends. What comes on a silent one is dropped.
-fn carry(mut from: TcpStream, mut to: TcpStream, flow: &Flow) {
+fn carry(mut from: TcpStream, mut to: TcpStream, flow: &Flow, link: Option<&Link>) {
     let mut part = [0; 16 * 1024];
     while let Ok(bytes) = from.read(&mut part) {
         if bytes == 0 {
@@ -85,6 +121,9 @@
             continue;
         }
         *flow.used.lock().unwrap() = Instant::now();
+        if let Some(link) = link {
+            link.pass(bytes);
+        }
         if to.write_all(&part[..bytes]).is_err() {
             break;
         }
