--- a/review/6/run.sh
+++ b/review/bed-2/run-large.sh
@@ -8,6 +8,6 @@
 trap 'rm -rf "$folder"' EXIT
 [ -x target/release/sniperund ] && [ -x target/review-2/cases-2 ] || { echo "not built"; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-target/review-2/cases-2 large "$here/record.txt" "$folder"
+target/review-2/cases-2 large "$here/record-large.txt" "$folder"
 code=$?
 case $code in 0 | 1 | 2) exit $code ;; *) exit 2 ;; esac
