--- a/sniperund/tests/users/deployment.rs
+++ b/sniperund/tests/users/deployment.rs
@@ -78,8 +78,18 @@
 
     /// Kills the process and starts it again with the same settings and addresses.
     pub(crate) fn restart(&mut self) {
+        self.kill();
+        self.start();
+    }
+
+    /// Kills the process.
+    pub(crate) fn kill(&mut self) {
         self.child.kill().expect("failed to kill the process");
         self.child.wait().expect("failed to wait for the process");
+    }
+
+    /// Starts a killed process again with the same settings and addresses.
+    pub(crate) fn start(&mut self) {
         let log = std::fs::File::options().append(true).open(&self.log);
         let log = Stdio::from(log.expect("failed to open the log file"));
         self.child = spawn(&self.settings, log);
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod endless;
 mod faulty_targets;
+mod foreign_entries;
 mod leaving;
 mod notices;
 mod outages;
--- a/standin/src/users/mod.rs
+++ b/standin/src/users/mod.rs
@@ -2,6 +2,7 @@
 //! and targets that register in it.
 
 mod documents;
+mod query;
 mod store;
 mod target;
 pub mod wire;
--- a/standin/src/users/store.rs
+++ b/standin/src/users/store.rs
@@ -32,6 +32,8 @@
 use crate::full_body;
 use crate::http::empty_response;
 
+use super::query::Query;
+
 /// Faults of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -256,7 +258,7 @@
     state.data.lock().remove_expired_items();
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
-    let query = parse_query(request.uri().query().unwrap_or(""));
+    let query = Query::parse(request.uri().query().unwrap_or(""));
     let body = request.into_body().collect().await;
     let body = body.map_err(io::Error::other)?.to_bytes();
     match (method, path.as_str()) {
@@ -273,21 +275,13 @@
     }
 }
 
-fn parse_query(text: &str) -> HashMap<String, String> {
-    let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .map(|(name, value)| (name.to_owned(), value.to_owned()))
-        .collect()
-}
-
-fn list_items(state: &State, query: &HashMap<String, String>) -> io::Result<Response<Body>> {
+fn list_items(state: &State, query: &Query) -> io::Result<Response<Body>> {
     let data = state.data.lock();
-    let prefix = query.get("pathPrefix").cloned().unwrap_or_default();
+    let prefix = query.text("pathPrefix");
     let is_endless = data.fault == StoreFault::EndlessPages;
-    let after = query.get("after").cloned().filter(|_| !is_endless);
-    let after = after.unwrap_or_default();
+    let after = if is_endless { "" } else { query.text("after") };
     let matching = data.items.iter();
-    let matching = matching.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+    let matching = matching.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
     let items: Vec<Value> = matching.map(|(key, item)| item_json(key, item)).collect();
     // Two items per page, so that every longer listing exercises paging.
     let page: Vec<Value> = items.iter().take(2).cloned().collect();
@@ -295,12 +289,12 @@
     json_response(&json!({"items": page, "hasMore": has_more, "asOf": data.revision}))
 }
 
-fn read_item(state: &State, query: &HashMap<String, String>) -> io::Result<Response<Body>> {
+fn read_item(state: &State, query: &Query) -> io::Result<Response<Body>> {
     let data = state.data.lock();
-    let key = query.get("key").cloned().unwrap_or_default();
-    match data.items.get(&key) {
+    let key = query.text("key");
+    match data.items.get(key) {
         Some(item) => {
-            let mut body = item_json(&key, item);
+            let mut body = item_json(key, item);
             body["asOf"] = json!(data.revision);
             json_response(&body)
         }
@@ -308,13 +302,10 @@
     }
 }
 
-async fn watch(state: &State, query: &HashMap<String, String>) -> io::Result<Response<Body>> {
-    let number = |name: &str| -> u64 {
-        let text = query.get(name);
-        text.and_then(|text| text.parse().ok()).unwrap_or(0)
-    };
-    let prefix = query.get("pathPrefix").cloned().unwrap_or_default();
-    let (after, wait) = (number("after"), Duration::from_millis(number("waitMs")));
+async fn watch(state: &State, query: &Query) -> io::Result<Response<Body>> {
+    let prefix = query.text("pathPrefix");
+    let after = query.number("after");
+    let wait = Duration::from_millis(query.number("waitMs"));
     let deadline = tokio::time::Instant::now() + wait;
     loop {
         let changed = state.changed.notified();
@@ -331,7 +322,7 @@
             }
             let events = data.events.iter().filter(|(revision, event)| {
                 let key = event["key"].as_str().unwrap_or("");
-                *revision > after && key.starts_with(&prefix)
+                *revision > after && key.starts_with(prefix)
             });
             let events: Vec<Value> = events.map(|(_, event)| event.clone()).collect();
             (events, data.revision)
