Keep the text of other writers within its log line

What was seen: a line break in the name of an entry, or in a value that a decoding error repeats, ended the log line, so that another writer of the store could write any line into an instance's log. A long value made a line as long: the queue of 4,096 lines, meant for about a megabyte, had no bound in bytes against it.

Cause: `event=target-entry-unreadable` and `event=instance-entry-unreadable` put the name and the error of the decoder into the line as they are.

The logger escapes control characters and line separators in all messages (`SingleLine`), so that names in other lines, such as those that a peer of an earlier version passes on, cannot end one either.

Evidence: `an_entry_of_another_writer_adds_no_lines_to_the_log` (a process, entries whose name or state holds line breaks, a state of 400 KB) fails on the code before: a line `level=error event=forged reason=...` in the log.

Not changed: the attempt id of a caller is logged as it came; as a header it holds no line break, but it may hold blanks.

--- a/sniperund/src/lib.rs
+++ b/sniperund/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod settings;
+mod single_line;
 pub mod targets;
 
 pub use app::App;
--- a/sniperund/src/logs.rs
+++ b/sniperund/src/logs.rs
@@ -18,6 +18,8 @@
 use log::LevelFilter;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::single_line::SingleLine;
+
 /// Maximum number of lines waiting for the writer: about a megabyte.
 const QUEUE_CAPACITY: usize = 4_096;
 /// Time during which lines are collected for one write.
@@ -61,6 +63,7 @@
         .format(|out, message, record| {
             let time = humantime::format_rfc3339_millis(SystemTime::now());
             let level = record.level().as_str().to_ascii_lowercase();
+            let message = SingleLine(message);
             out.finish(format_args!("time={time} level={level} {message}"));
         })
         .level(level)
--- a/sniperund/tests/users/foreign_entries.rs
+++ b/sniperund/tests/users/foreign_entries.rs
@@ -165,3 +165,32 @@
     assert_served_by_all_targets(&deployment, "all removed, and a restart").await;
     assert_eq!(trap.observed().heads, Vec::<String>::new());
 }
+
+/// Longest line that an entry of another writer may cause, in bytes.
+const MAX_LINE_BYTES: usize = 1_024;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_of_another_writer_adds_no_lines_to_the_log() {
+    let deployment = Deployment::start(1).await;
+    let instance = &deployment.instances[0];
+    let forged = "x\n\r\u{85}\u{2028}level=error event=forged";
+    let mut entry = deployment.targets[0].entry("reads", "ready");
+    entry["state"] = json!(forged);
+    deployment.store.put(&format!("servers/{forged}"), &entry);
+    deployment
+        .store
+        .put_bytes(&format!("sniperun-instances/{forged}"), Vec::new());
+    entry["state"] = json!("long".repeat(100_000));
+    deployment.store.put("servers/i-9", &entry);
+    wait_until_read(&deployment, "i-10").await;
+    let log = instance.read_log();
+    let of_entries = || {
+        let lines = log.split(['\n', '\r', '\u{85}', '\u{2028}']);
+        lines.filter(|line| line.contains("forged") || line.contains("long"))
+    };
+    assert!(of_entries().count() >= 2, "{log}");
+    for line in of_entries() {
+        assert!(line.starts_with("time="), "{line:?}");
+        assert!(line.len() <= MAX_LINE_BYTES, "{} bytes", line.len());
+    }
+}
