--- a/sniperund/tests/users/foreign_entries.rs
+++ b/sniperund/tests/users/foreign_entries.rs
@@ -194,3 +194,23 @@
         assert!(line.len() <= MAX_LINE_BYTES, "{} bytes", line.len());
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_entries_of_another_writer_add_few_lines_to_the_log() {
+    let mut deployment = Deployment::start(1).await;
+    for number in 0..200 {
+        let key = format!("servers/i-0&{number}");
+        deployment.store.put_bytes(&key, Vec::new());
+    }
+    wait_until_read(&deployment, "i-9").await;
+    let before = unreadable_lines(&deployment);
+    restart_all(&mut deployment).await;
+    wait_until_read(&deployment, "i-10").await;
+    let lines = unreadable_lines(&deployment) - before;
+    assert!((1..=100).contains(&lines), "{lines} lines");
+}
+
+fn unreadable_lines(deployment: &Deployment) -> usize {
+    let log = deployment.instances[0].read_log();
+    log.matches("event=target-entry-unreadable").count()
+}
