--- a/sniperund/tests/users/foreign_entries.rs
+++ b/sniperund/tests/users/foreign_entries.rs
@@ -35,11 +35,12 @@
         entry[field] = value;
         entry
     };
-    let mut without_slots = sound.clone();
-    without_slots
-        .as_object_mut()
-        .expect("the entry is not an object")
-        .remove("slots");
+    let without = |field: &str| {
+        let mut entry = sound.clone();
+        let fields = entry.as_object_mut().expect("the entry is not an object");
+        fields.remove(field);
+        entry
+    };
     let values = [
         changed("service", json!("unnamed")),
         changed("service", json!(7)),
@@ -47,7 +48,13 @@
         changed("slots", json!("6")),
         changed("address", json!("nowhere")),
         changed("born", json!(1.5)),
-        without_slots,
+        changed("version", json!(1)),
+        changed("seq", json!("1")),
+        changed("warmupLeft", json!(0)),
+        without("slots"),
+        without("version"),
+        without("seq"),
+        without("warmupLeft"),
         json!([sound]),
         Value::Null,
     ];
@@ -116,7 +123,14 @@
     let entry = deployment.targets[0].entry("reads", "draining");
     deployment.store.put(&key, &entry);
     for instance in &deployment.instances {
-        instance.wait_for_log(&format!("put=\"{id}\"")).await;
+        wait_until(id, async || {
+            let log = instance.read_log();
+            let mut changes = log
+                .lines()
+                .filter(|line| line.contains("event=targets-in-force"));
+            changes.any(|line| line.contains(id))
+        })
+        .await;
     }
     deployment.store.remove(&key);
 }
@@ -152,14 +166,14 @@
                 .store
                 .put_bytes(&format!("servers/{name}"), value.clone());
         }
-        wait_until_read(&deployment, &format!("i-1{number}")).await;
+        wait_until_read(&deployment, &format!("i-marker-{number:02}")).await;
         let context = String::from_utf8_lossy(&value).into_owned();
         assert_served_by_all_targets(&deployment, &context).await;
     }
     for name in ["i-0z", "i-0&z"] {
         deployment.store.remove(&format!("servers/{name}"));
     }
-    wait_until_read(&deployment, "i-20").await;
+    wait_until_read(&deployment, "i-last").await;
     assert_served_by_all_targets(&deployment, "all removed").await;
     restart_all(&mut deployment).await;
     assert_served_by_all_targets(&deployment, "all removed, and a restart").await;
@@ -182,7 +196,7 @@
         .put_bytes(&format!("sniperun-instances/{forged}"), Vec::new());
     entry["state"] = json!("long".repeat(100_000));
     deployment.store.put("servers/i-9", &entry);
-    wait_until_read(&deployment, "i-10").await;
+    wait_until_read(&deployment, "i-marker").await;
     let log = instance.read_log();
     let of_entries = || {
         let lines = log.split(['\n', '\r', '\u{85}', '\u{2028}']);
@@ -202,10 +216,10 @@
         let key = format!("servers/i-0&{number}");
         deployment.store.put_bytes(&key, Vec::new());
     }
-    wait_until_read(&deployment, "i-9").await;
+    wait_until_read(&deployment, "i-marker").await;
     let before = unreadable_lines(&deployment);
     restart_all(&mut deployment).await;
-    wait_until_read(&deployment, "i-10").await;
+    wait_until_read(&deployment, "i-again").await;
     let lines = unreadable_lines(&deployment) - before;
     assert!((1..=100).contains(&lines), "{lines} lines");
 }
