--- a/sniperund/tests/users/foreign_entries.rs
+++ b/sniperund/tests/users/foreign_entries.rs
@@ -5,6 +5,7 @@
 use standin::UsersTarget;
 
 use crate::deployment::Deployment;
+use crate::deployment::InstanceProcess;
 use crate::deployment::ephemeral_address;
 use crate::deployment::wait_until;
 
@@ -148,8 +149,18 @@
             if let Some(value) = value {
                 deployment.store.put_bytes(&key, value);
             }
+            let logged = format!("event=target-entry-unreadable target={name:?} reason=");
+            let logs = deployment.instances.iter().map(InstanceProcess::read_log);
+            let before: Vec<usize> = logs.map(|log| log.len()).collect();
             restart_all(&mut deployment).await;
             assert_served_by_all_targets(&deployment, &format!("{name:?}")).await;
+            for (instance, before) in deployment.instances.iter().zip(before) {
+                wait_until(&logged, async || {
+                    let log = instance.read_log();
+                    log.get(before..).is_some_and(|log| log.contains(&logged))
+                })
+                .await;
+            }
         }
         deployment.store.remove(&key);
     }
