Soak: add entries of another writer, and restarts of all instances

Change: one to three times in a run another writer adds two neighbouring entries whose names have a meaning in a query; a third of the kinds is removed, the others get another value and stay. In half of the plans all instances are killed at once while some stand. Two promises are new: the address of such entries gets no request, and all instances are ready at the end. The new steps have a random stream of their own, so that the other faults of a seed stay the same.

--- a/soak/src/checks/fleet.rs
+++ b/soak/src/checks/fleet.rs
@@ -170,6 +170,19 @@
     exits.map(to_violation).collect()
 }
 
+/// Checks that all instances are ready again at the end.
+pub(super) fn instances_return(record: &Record) -> Vec<Violation> {
+    let unready = record.unready_instances.iter();
+    let to_violation = |instance: &usize| {
+        violation(
+            "instances return",
+            None,
+            format!("instance {instance} is not ready at the end"),
+        )
+    };
+    unready.map(to_violation).collect()
+}
+
 fn services(record: &Record) -> BTreeSet<Arc<str>> {
     record
         .targets
--- a/soak/src/checks/mod.rs
+++ b/soak/src/checks/mod.rs
@@ -25,6 +25,7 @@
         requests::nothing_is_cut,
         routing::draining_targets_get_nothing,
         routing::targets_that_say_they_leave_get_nothing,
+        routing::foreign_entries_get_nothing,
         routing::configurations_are_in_force,
         routing::configurations_never_revert,
         customers::targets_see_the_customer,
@@ -34,6 +35,7 @@
         fleet::the_floor_holds,
         fleet::service_returns,
         fleet::instances_stay,
+        fleet::instances_return,
     ];
     checks.iter().flat_map(|check| check(record)).collect()
 }
--- a/soak/src/checks/routing.rs
+++ b/soak/src/checks/routing.rs
@@ -7,6 +7,7 @@
 use super::violation::violation;
 use crate::Arrival;
 use crate::Change;
+use crate::FOREIGN_TARGET;
 use crate::Record;
 use crate::Request;
 use crate::RequestEnd;
@@ -96,6 +97,18 @@
     violations
 }
 
+/// Checks that no request goes to the address of an entry of another writer.
+pub(super) fn foreign_entries_get_nothing(record: &Record) -> Vec<Violation> {
+    let arrivals = record.arrivals.iter();
+    let foreign = arrivals.filter(|arrival| &*arrival.target == FOREIGN_TARGET);
+    let to_violation = |arrival: &Arrival| {
+        let description = format!("{} went to the entry of another writer", arrival.id);
+        let id = Some(&arrival.id);
+        violation("foreign entries get nothing", id, description)
+    };
+    foreign.map(to_violation).collect()
+}
+
 fn is_restarted_or_resumed(record: &Record, instance: usize, from_ms: u64, to_ms: u64) -> bool {
     record.changes.iter().any(|(at_ms, change)| {
         let is_excuse =
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod caller;
 pub mod checks;
+mod foreign_entries;
 mod link;
 mod outcome;
 mod plan;
@@ -29,6 +30,7 @@
 pub use record::Arrival;
 pub use record::Change;
 pub use record::Component;
+pub use record::FOREIGN_TARGET;
 pub use record::FaultPeriod;
 pub use record::Record;
 pub use record::Request;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -11,6 +11,7 @@
 
 use super::Mode;
 use super::Size;
+use crate::foreign_entries;
 
 /// Time before the first fault, for instances to become ready and discover each other.
 const WARM_UP_MS: u64 = 1_500;
@@ -19,9 +20,13 @@
 const FAULT_COUNT: std::ops::Range<u32> = 8..16;
 /// Number of targets that say that they leave.
 const DEPARTURE_COUNT: std::ops::Range<u32> = 1..4;
+/// Number of times that another writer writes entries.
+const FOREIGN_ENTRIES_COUNT: std::ops::Range<u32> = 1..4;
 /// Values of `retrySlack` in reloaded settings. Never above the initial value, which the
 /// checks assume.
 const RETRY_SLACK_VALUES: std::ops::Range<u32> = 20..56;
+/// Time for which all instances are down.
+const KILL_ALL_DURATION_MS: std::ops::Range<u64> = 50..1_000;
 /// Duration of a fault: shorter and longer than the two to three seconds after which bounds
 /// must hold.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..4_500;
@@ -65,6 +70,13 @@
     /// replaces it at the end.
     #[display("target {_0} says that it leaves, then is replaced")]
     StateDeparture(usize),
+    /// Writes entries of another writer after that of a target, in the kind of this number. At the
+    /// end, some kinds are removed, and the others get another value.
+    #[display("entries of another writer after that of target {_0}, kind {_1}")]
+    ForeignEntries(usize, usize),
+    /// Kills all instances and restarts them at the end, so that none learns from another.
+    #[display("all instances are killed")]
+    KillAll,
     /// Makes the store fail.
     #[display("store: {_0:?}")]
     StoreFailure(StoreFault),
@@ -119,6 +131,7 @@
                 fault: Fault::StateDeparture(target),
             }
         }));
+        steps.extend(draw_foreign_entries(seed, size));
         steps.sort_by_key(|step| step.at_ms);
         Self { seed, steps }
     }
@@ -130,6 +143,32 @@
     }
 }
 
+/// Draws entries of other writers, and in half of the plans a restart of all instances while some
+/// stand. They have a stream of their own, so that the other faults of a seed stay the same.
+fn draw_foreign_entries(seed: u64, size: Size) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(1);
+    let count = rng.random_range(FOREIGN_ENTRIES_COUNT);
+    let mut steps: Vec<Step> = (0..count)
+        .map(|_| Step {
+            at_ms: WARM_UP_MS + rng.random_range(0..FAULT_START_RANGE_MS),
+            duration_ms: rng.random_range(FAULT_DURATION_MS),
+            fault: Fault::ForeignEntries(
+                rng.random_range(0..2 * size.targets_per_service),
+                rng.random_range(0..foreign_entries::KINDS),
+            ),
+        })
+        .collect();
+    if rng.random_bool(0.5) {
+        steps.push(Step {
+            at_ms: steps[0].at_ms + steps[0].duration_ms / 2,
+            duration_ms: rng.random_range(KILL_ALL_DURATION_MS),
+            fault: Fault::KillAll,
+        });
+    }
+    steps
+}
+
 fn draw_fault(rng: &mut ChaCha8Rng, size: Size) -> Fault {
     let instance = rng.random_range(0..size.instances);
     let target = rng.random_range(0..2 * size.targets_per_service);
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -2,6 +2,9 @@
 
 use std::sync::Arc;
 
+/// Id in arrivals at the address that entries of other writers have.
+pub const FOREIGN_TARGET: &str = "foreign";
+
 /// Kind of a request that a caller sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestKind {
@@ -146,6 +149,8 @@
     pub targets: Vec<(Arc<str>, Arc<str>)>,
     /// Exits without a planned stop, each with its time and the number of the instance.
     pub unexpected_exits: Vec<(u64, usize)>,
+    /// Numbers of the instances that are not ready at the end.
+    pub unready_instances: Vec<usize>,
     /// End of the run.
     pub end_ms: u64,
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -71,6 +71,7 @@
         result?;
     }
     tokio::time::sleep(Duration::from_millis(POST_FAULT_MS)).await;
+    testbed.record_unready_instances();
     testbed.finish();
     for caller in callers {
         caller.await.map_err(io::Error::other)?;
@@ -174,6 +175,22 @@
             testbed.drain_target(&handle);
             testbed.replace_target(number).await?;
         }
+        Fault::KillAll => {
+            for instance in &testbed.instances {
+                *instance.process.lock() = None;
+            }
+            tokio::time::sleep(duration).await;
+            for number in 0..testbed.instances.len() {
+                testbed.start_instance(number)?;
+                testbed.record_fault(start_ms, Component::Instance(number));
+            }
+        }
+        Fault::ForeignEntries(number, kind) => {
+            let target: Arc<str> = testbed.targets.lock()[number].target.id().into();
+            testbed.put_foreign_entries(&target, kind);
+            tokio::time::sleep(duration).await;
+            testbed.change_foreign_entries(&target, kind);
+        }
         Fault::StoreFailure(fault) => {
             testbed.store.set_fault(fault);
             tokio::time::sleep(duration).await;
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -27,12 +27,14 @@
 
 use super::Arrival;
 use super::Change;
+use super::FOREIGN_TARGET;
 use super::Link;
 use super::Record;
 use super::Request;
 use super::RequestKind;
 use super::Size;
 use crate::checks::customers::SERVICE_WITH_GUEST;
+use crate::foreign_entries;
 use crate::process::InstanceSpec;
 use crate::process::Process;
 
@@ -89,6 +91,8 @@
     pub(crate) store: UsersStore,
     pub(crate) instances: Vec<InstanceHandle>,
     pub(crate) targets: Mutex<Vec<Arc<TargetHandle>>>,
+    /// Target at the address that entries of other writers have.
+    foreign_target: UsersTarget,
     /// Targets that were replaced; the requests that they received still count.
     removed_targets: Mutex<Vec<Arc<TargetHandle>>>,
     record: Mutex<Record>,
@@ -121,6 +125,7 @@
             store,
             instances,
             targets: Mutex::default(),
+            foreign_target: UsersTarget::bind(ephemeral_address(), FOREIGN_TARGET).await?,
             removed_targets: Mutex::default(),
             record: Mutex::default(),
             finished: AtomicBool::new(false),
@@ -236,6 +241,12 @@
         self.record.lock().unexpected_exits.push((now_ms, number));
     }
 
+    /// Records which instances did not pass their last readiness check.
+    pub(crate) fn record_unready_instances(&self) {
+        let unready = |number: &usize| !self.instances[*number].is_ready.load(Ordering::Relaxed);
+        self.record.lock().unready_instances = (0..self.instances.len()).filter(unready).collect();
+    }
+
     /// Checks the readiness of an instance, as a load balancer does.
     pub(crate) async fn check_readiness(&self, number: usize) {
         let instance = &self.instances[number];
@@ -318,6 +329,27 @@
         self.store.put(&key, &handle.entry(state));
     }
 
+    /// Writes entries of another writer after that of a target.
+    pub(crate) fn put_foreign_entries(&self, target: &str, kind: usize) {
+        let whole = self.foreign_target.entry(SERVICES[0], "ready");
+        for name in foreign_entries::names(target, kind) {
+            let value = foreign_entries::value(whole.clone(), kind);
+            self.store.put_bytes(&format!("servers/{name}"), value);
+        }
+    }
+
+    /// Removes the entries of another writer if the number of their kind is a multiple of three, else
+    /// gives them another value.
+    pub(crate) fn change_foreign_entries(&self, target: &str, kind: usize) {
+        for name in foreign_entries::names(target, kind) {
+            let key = format!("servers/{name}");
+            match kind % 3 {
+                0 => self.store.remove(&key),
+                _ => self.store.put_bytes(&key, name.into_bytes()),
+            }
+        }
+    }
+
     async fn wait_until_ready(&self) -> io::Result<()> {
         let deadline = Instant::now() + START_TIMEOUT;
         for (number, instance) in self.instances.iter().enumerate() {
@@ -357,6 +389,14 @@
             let ran = received.ran.into_iter();
             record.ran.extend(ran.map(|id| (id.into(), target.clone())));
         }
+        let foreign = self.foreign_target.observed().arrivals.into_iter();
+        record.arrivals.extend(foreign.map(|arrival| Arrival {
+            at_ms: arrival.at.duration_since(self.started).as_millis() as u64,
+            id: arrival.id.into(),
+            target: FOREIGN_TARGET.into(),
+            service: FOREIGN_TARGET.into(),
+            customer: None,
+        }));
         record.arrivals.sort_by_key(|arrival| arrival.at_ms);
         record.end_ms = self.now_ms();
         record
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -5,6 +5,7 @@
 use soak::Arrival;
 use soak::Change;
 use soak::Component;
+use soak::FOREIGN_TARGET;
 use soak::FaultPeriod;
 use soak::Record;
 use soak::Request;
@@ -290,6 +291,24 @@
     assert_eq!(violated_invariants(&record), ["instances stay"]);
 }
 
+#[test]
+fn an_instance_that_is_not_ready_at_the_end() {
+    let mut record = valid_record();
+    record.unready_instances.push(2);
+    assert_eq!(violated_invariants(&record), ["instances return"]);
+}
+
+#[test]
+fn a_request_at_the_address_of_an_entry_of_another_writer() {
+    let mut record = valid_record();
+    record.arrivals[100].target = FOREIGN_TARGET.into();
+    record.ran.remove(100);
+    assert_eq!(
+        violated_invariants(&record),
+        ["foreign entries get nothing"]
+    );
+}
+
 /// A record in which the target `t0` has said at 6 s that it leaves, and gets a request at 9 s.
 fn record_with_stated_departure() -> Record {
     let mut record = valid_record();
