--- a/soak/src/foreign_entries.rs
+++ b/soak/src/foreign_entries.rs
@@ -21,8 +21,8 @@
 /// Number of kinds of entries.
 pub(crate) const KINDS: usize = SUFFIXES.len() * VALUES;
 
-/// Returns the names of two entries that sort after the target `id`, so that one of them is the last
-/// of a page.
+/// Returns the names of two entries that sort after the target `id`. Pages of the fake store have two
+/// items, so one of the entries is the last of a page.
 pub(crate) fn names(id: &str, kind: usize) -> [String; 2] {
     let suffix = SUFFIXES[kind % SUFFIXES.len()];
     ["", "z"].map(|end| format!("{id}{suffix}{end}"))
