Test of odd statuses: send reads until the target has run one

Cause, as far as traced: all six reads were served, as the test had checked before that line, so what the test guards held. The line only checks that the case was played, and which of two targets gets a read is not promised.

The case is now played in each run, and nothing that callers see is checked less.

--- a/sniperund/tests/users/statuses.rs
+++ b/sniperund/tests/users/statuses.rs
@@ -3,6 +3,7 @@
 use standin::TargetScript;
 
 use crate::deployment::Deployment;
+use crate::deployment::wait_until;
 
 const ODD_STATUSES: [u16; 7] = [0, 1, 99, 101, 199, 600, 999];
 
@@ -15,13 +16,19 @@
         deployment.targets[0].set_script(TargetScript::Status(status));
         let instance = &deployment.instances[0];
         instance.wait_for_log("event=retry-reserve").await;
-        for number in 0..6 {
-            let id = format!("7a{status:04}{number:02}");
-            let response = instance.send_request("GET", "/read/a", &id).await;
-            let response = response.expect("the instance did not respond");
-            assert_eq!(response.status, 200, "{status}: {response:?}");
-        }
-        assert!(!deployment.targets[0].observed().ran.is_empty(), "{status}");
+        // Nothing says which target gets a read, so reads go on until this one has run one.
+        let mut sent = 0;
+        wait_until("a read at the target", async || {
+            for _ in 0..6 {
+                let id = format!("7a{status:04}{sent:04}");
+                sent += 1;
+                let response = instance.send_request("GET", "/read/a", &id).await;
+                let response = response.expect("the instance did not respond");
+                assert_eq!(response.status, 200, "{status}: {response:?}");
+            }
+            !deployment.targets[0].observed().ran.is_empty()
+        })
+        .await;
     }
 }
 
