Let the fake store refuse queries that no address can have

A stricter store refuses them, as an address has ASCII characters only, so that a client that sends them would pass here and fail there. The fake now answers 400.

The test of log lines now restarts its instance beside the odd entries, so that the line of an instance's entry is always among those checked; before, that hung on when the instances were listed.

--- a/sniperund/tests/users/foreign_entries.rs
+++ b/sniperund/tests/users/foreign_entries.rs
@@ -195,8 +195,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_of_another_writer_adds_no_lines_to_the_log() {
-    let deployment = Deployment::start(1).await;
-    let instance = &deployment.instances[0];
+    let mut deployment = Deployment::start(1).await;
     let forged = "x\n\r\u{85}\u{2028}level=error event=forged";
     let mut entry = deployment.targets[0].entry("reads", "ready");
     entry["state"] = json!(forged);
@@ -206,13 +205,19 @@
         .put_bytes(&format!("sniperun-instances/{forged}"), Vec::new());
     entry["state"] = json!("long".repeat(100_000));
     deployment.store.put("servers/i-9", &entry);
+    // Instances are listed at a start.
+    restart_all(&mut deployment).await;
+    let instance = &deployment.instances[0];
+    instance
+        .wait_for_log("event=instance-entry-unreadable")
+        .await;
     wait_until_read(&deployment, "i-marker").await;
     let log = instance.read_log();
     let of_entries = || {
         let lines = log.split(['\n', '\r', '\u{85}', '\u{2028}']);
         lines.filter(|line| line.contains("forged") || line.contains("long"))
     };
-    assert!(of_entries().count() >= 2, "{log}");
+    assert!(of_entries().count() >= 3, "{log}");
     for line in of_entries() {
         assert!(line.starts_with("time="), "{line:?}");
         assert!(line.len() <= MAX_LINE_BYTES, "{} bytes", line.len());
--- a/standin/src/users/query.rs
+++ b/standin/src/users/query.rs
@@ -8,15 +8,15 @@
 pub(super) struct Query(HashMap<String, String>);
 
 impl Query {
-    /// Decodes the query of an address. Of a repeated parameter, the last value counts.
-    pub(super) fn parse(text: &str) -> Self {
-        let pairs = text.split('&').map(|pair| pair.split_once('='));
-        let pairs = pairs.flatten();
-        Self(
-            pairs
-                .map(|(name, value)| (decode(name), decode(value)))
-                .collect(),
-        )
+    /// Decodes the query of an address. Of a repeated parameter, the last value counts. `None` if the
+    /// query has characters outside ASCII, which an address cannot contain, or encodes no text.
+    pub(super) fn parse(text: &str) -> Option<Self> {
+        if !text.is_ascii() {
+            return None;
+        }
+        let pairs = text.split('&').filter_map(|pair| pair.split_once('='));
+        let parameters = pairs.map(|(name, value)| Some((decode(name)?, decode(value)?)));
+        parameters.collect::<Option<_>>().map(Self)
     }
 
     /// Value of a parameter; empty if it is missing.
@@ -31,7 +31,8 @@
 }
 
 /// Decodes a name or a value: `+` is a blank, and `%` begins the code of a byte.
-fn decode(text: &str) -> String {
+fn decode(text: &str) -> Option<String> {
     let text = text.replace('+', " ");
-    percent_decode_str(&text).decode_utf8_lossy().into_owned()
+    let decoded = percent_decode_str(&text).decode_utf8().ok()?;
+    Some(decoded.into_owned())
 }
--- a/standin/src/users/store.rs
+++ b/standin/src/users/store.rs
@@ -258,7 +258,9 @@
     state.data.lock().remove_expired_items();
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
-    let query = Query::parse(request.uri().query().unwrap_or(""));
+    let Some(query) = Query::parse(request.uri().query().unwrap_or("")) else {
+        return empty_response(StatusCode::BAD_REQUEST);
+    };
     let body = request.into_body().collect().await;
     let body = body.map_err(io::Error::other)?.to_bytes();
     match (method, path.as_str()) {
