Limit the time of an answer by its pauses and its rate

Requests on moved routes are run by the old service, those on new routes get 404. An instance that starts there is never ready, and one that lists targets beside a large entry gets none.

Cause: a call of the store had 800 ms in all, body included. Base64 text of 1 MB takes as long as that on such a link, at each attempt, and each attempt fills the link for 800 ms.

The logs of the instances at fault have only "no answer within 800 ms" after each other.

Why this works: the limit was there to notice a connection that has silently failed. 800 ms now bound the time to the head of the answer and each pause in it, so this is noticed as soon as before. The whole is bounded by a lowest rate of 1 Mbit/s and by the size of an answer.

Tests, on the code before: small_links: the_largest_configuration_is_read and sound_targets_are_read failed (no answer within 800 ms); users, large_configuration: both failed (version 7 not in force, or not ready, within 30 s). Now they pass.

--- a/border/src/http_platform.rs
+++ b/border/src/http_platform.rs
@@ -10,7 +10,9 @@
 use http_body_util::Full;
 use hyper::Method;
 use hyper::Request;
+use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -25,6 +27,7 @@
 use super::RangeQuery;
 use super::Result;
 use super::SwapOutcome;
+use super::TransferLimit;
 use super::WriteRequest;
 use super::read_answer;
 
@@ -86,8 +89,10 @@
 
 /// Default limit of calls per second, which is also the default burst.
 const DEFAULT_CALLS_PER_S: u64 = 1_000;
-/// Default time limit of a call.
+/// Default time limit of a call up to the head of its answer, and of a pause in the answer.
 const DEFAULT_CALL_TIMEOUT_MS: u64 = 1_000;
+/// Lowest average rate at which an answer may arrive, in bytes per second.
+const MIN_ANSWER_BYTES_PER_S: u64 = 128 * 1_024;
 
 /// HTTP client of the platform, limited in the rate and duration of calls.
 pub struct HttpPlatform {
@@ -113,7 +118,8 @@
         }
     }
 
-    /// Sets the time limit of a call. The wait time of a range read is added to it.
+    /// Sets the time limit of a call up to the head of its answer, and of a pause in the answer. The
+    /// wait time of a range read is added to the first.
     pub fn limit_ms(mut self, limit_ms: u64) -> Self {
         self.limit_ms = limit_ms;
         self
@@ -136,27 +142,30 @@
             return Err(PlatformError::OverBudget);
         }
         let limit_ms = self.limit_ms + wait_ms;
-        let exchange = self.exchange(path, body);
-        let answer = tokio::time::timeout(Duration::from_millis(limit_ms), exchange)
+        let response = tokio::time::timeout(Duration::from_millis(limit_ms), self.send(path, body))
             .await
             .map_err(|_| PlatformError::TimedOut { limit_ms })??;
+        if response.status() != StatusCode::OK {
+            return Err(PlatformError::Status {
+                status: response.status().as_u16(),
+            });
+        }
+        let limit = TransferLimit {
+            max_pause_ms: self.limit_ms,
+            min_bytes_per_s: MIN_ANSWER_BYTES_PER_S,
+        };
+        let answer = read_answer(response.into_body(), limit).await?;
         serde_json::from_slice(&answer).map_err(unreachable)
     }
 
-    async fn exchange(&self, path: &str, body: Vec<u8>) -> Result<Bytes> {
+    async fn send(&self, path: &str, body: Vec<u8>) -> Result<Response<Incoming>> {
         let request = Request::builder()
             .method(Method::POST)
             .uri(format!("{}/{path}", self.base))
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(unreachable)?;
-        let response = self.client.request(request).await.map_err(unreachable)?;
-        if response.status() != StatusCode::OK {
-            return Err(PlatformError::Status {
-                status: response.status().as_u16(),
-            });
-        }
-        read_answer(response.into_body()).await
+        self.client.request(request).await.map_err(unreachable)
     }
 
     async fn write(&self, request: WriteRequest, version: u64) -> Result<wire::WriteAnswer> {
--- a/border/src/lib.rs
+++ b/border/src/lib.rs
@@ -18,6 +18,7 @@
 mod snapshot_store;
 
 pub use answer::MAX_ANSWER_BYTES;
+pub use answer::TransferLimit;
 pub use answer::read_answer;
 pub use call_budget::CallBudget;
 pub use claim_store::ClaimStore;
--- a/sniperund/tests/users/deployment.rs
+++ b/sniperund/tests/users/deployment.rs
@@ -198,6 +198,28 @@
         .expect("failed to start the instance")
 }
 
+/// Starts an instance that reaches the store at `store`, with the standard output that `output`
+/// returns for the path of its log file.
+fn start_process(store: SocketAddr, output: impl FnOnce(&PathBuf) -> Stdio) -> InstanceProcess {
+    static NUMBER: AtomicU32 = AtomicU32::new(1);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let ip = IpAddr::V4(Ipv4Addr::new(127, high | 1, low, number as u8));
+    let name = format!("edge-north-{}-{number}", std::process::id());
+    let settings = std::env::temp_dir().join(format!("{name}.json"));
+    let log = std::env::temp_dir().join(format!("{name}.log"));
+    let boot_settings = boot_settings(&name, ip, store);
+    std::fs::write(&settings, boot_settings.to_string())
+        .expect("failed to write the settings file");
+    let child = spawn(&settings, output(&log));
+    InstanceProcess {
+        ip,
+        child,
+        settings,
+        log,
+    }
+}
+
 /// Polls until a condition holds; panics after [`WAIT_TIMEOUT`].
 pub(crate) async fn wait_until(description: &str, mut condition: impl AsyncFnMut() -> bool) {
     let wait = async {
@@ -272,7 +294,12 @@
 
     /// Starts one more instance that logs to a file.
     pub(crate) fn start_instance(&self) -> InstanceProcess {
-        self.start_instance_with(|log| {
+        self.start_instance_at(self.store.address())
+    }
+
+    /// Starts one more instance that reaches the store at `store` and logs to a file.
+    pub(crate) fn start_instance_at(&self, store: SocketAddr) -> InstanceProcess {
+        start_process(store, |log| {
             let output = std::fs::File::create(log).expect("failed to create the log file");
             Stdio::from(output)
         })
@@ -284,23 +311,7 @@
         &self,
         output: impl FnOnce(&PathBuf) -> Stdio,
     ) -> InstanceProcess {
-        static NUMBER: AtomicU32 = AtomicU32::new(1);
-        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-        let [_, _, high, low] = std::process::id().to_be_bytes();
-        let ip = IpAddr::V4(Ipv4Addr::new(127, high | 1, low, number as u8));
-        let name = format!("edge-north-{}-{number}", std::process::id());
-        let settings = std::env::temp_dir().join(format!("{name}.json"));
-        let log = std::env::temp_dir().join(format!("{name}.log"));
-        let boot_settings = boot_settings(&name, ip, self.store.address());
-        std::fs::write(&settings, boot_settings.to_string())
-            .expect("failed to write the settings file");
-        let child = spawn(&settings, output(&log));
-        InstanceProcess {
-            ip,
-            child,
-            settings,
-            log,
-        }
+        start_process(self.store.address(), output)
     }
 
     /// Waits until every instance has logged that all others joined.
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod faulty_targets;
 mod foreign_entries;
+mod large_configuration;
 mod leaving;
 mod notices;
 mod outages;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod http;
 mod key_values;
+mod link;
 mod memory_platform;
 mod platform_server;
 mod script;
@@ -15,6 +16,7 @@
 pub use http::Server;
 pub use http::full_body;
 pub use key_values::KeyValues;
+pub use link::Link;
 pub use memory_platform::MemoryPlatform;
 pub use platform_server::PlatformServer;
 pub use script::PlatformFault;
