Read a large release at once, and once

Cause: an instance that hears of a newer release waits 150 ms for its broadcast and 250 ms for a peer's answer. Peers send a release of more than 100 routes to nobody who has one, so that both waits are in vain. Then it asks for a read each 0.7 s, while a read over a small link takes longer; each request was kept, so that the same release was read again, for another second of the link.

Change: an instance without a watch whose release is too large to be sent reads the next one as soon as it hears of it. The request states the number, and has no effect if a read under way brings it. Small releases come as before; the peer is still asked as well, as the registry may be unreachable from here.

Tests: a_large_configuration_is_read_once_over_a_small_link failed before (3,560,474 bytes for a value of 1,398,085) and passes; a_successor_of_a_large_release_is_read_as_ soon_as_it_is_known (policy).

--- a/policy/src/feed/lag.rs
+++ b/policy/src/feed/lag.rs
@@ -40,8 +40,8 @@
     AskPeer,
     /// Read the registry.
     Read {
-        /// Whether to read the release.
-        release: bool,
+        /// Number of the release to read; `None` if the own one is new enough.
+        release: Option<u64>,
         /// Whether to read the targets.
         targets: bool,
     },
@@ -60,6 +60,14 @@
 pub struct Lag {
     pending: Option<PendingCatchUp>,
     next_read_us: u64,
+    unsent_release: UnsentRelease,
+}
+
+/// A release that peers do not send, and the last request to read it.
+#[derive(Debug, Default)]
+struct UnsentRelease {
+    number: u64,
+    requested_us: u64,
 }
 
 impl Lag {
@@ -81,6 +89,21 @@
         self.record_peer_versions(now_us, own, peer)
     }
 
+    /// Records the number of a release that peers do not send. Returns whether to read it now, as no
+    /// broadcast or answer will bring it.
+    pub fn record_unsent_release(&mut self, now_us: u64, number: u64) -> bool {
+        let last = &self.unsent_release;
+        let is_due = now_us >= last.requested_us + MIN_READ_INTERVAL_US;
+        if number <= last.number && !is_due {
+            return false;
+        }
+        self.unsent_release = UnsentRelease {
+            number: number.max(last.number),
+            requested_us: now_us,
+        };
+        true
+    }
+
     /// Records the versions that a peer has, and returns the next step.
     pub fn record_peer_versions(
         &mut self,
@@ -118,7 +141,7 @@
         let reported = pending.reported;
         self.pending = None;
         CatchUpStep::Read {
-            release: reported.release > own.release,
+            release: (reported.release > own.release).then_some(reported.release),
             targets: reported.targets > own.targets,
         }
     }
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -64,6 +64,8 @@
 pub enum RegistryPart {
     /// The configuration.
     Release,
+    /// The configuration, unless one with at least this number has been read in the meantime.
+    NewerRelease(u64),
     /// The entries of the targets.
     Targets,
 }
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -109,6 +109,11 @@
         if !own.covers(peer) {
             self.peer_ahead = Some((from.clone(), peer));
         }
+        if self.must_read_release(peer.release)
+            && self.lag.record_unsent_release(now_us, peer.release)
+        {
+            self.reread_release(peer.release);
+        }
         let catch_up_step = self.lag.record_peer_versions(now_us, own, peer);
         self.apply_catch_up_step(now_us, from, catch_up_step);
     }
@@ -129,8 +134,10 @@
                 // The registry may be unreachable from here, and the first peer's answer
                 // may have been lost.
                 self.request_catch_up(now_us, from);
-                if release {
-                    self.actions.push(Action::Reread(RegistryPart::Release));
+                if let Some(number) = release
+                    && !self.must_read_release(number)
+                {
+                    self.reread_release(number);
                 }
                 if targets {
                     self.actions.push(Action::Reread(RegistryPart::Targets));
@@ -139,6 +146,20 @@
         }
     }
 
+    /// Whether release `number` has to be read from the registry at once: it is probably as large as
+    /// the current one, so that peers do not send it, and this instance holds no watch.
+    fn must_read_release(&self, number: u64) -> bool {
+        let current = self.registry_view.release_after(0);
+        let is_unsent =
+            current.is_some_and(|current| current.number < number && !is_broadcast(current));
+        is_unsent && !self.shared.watch_role().is_watcher()
+    }
+
+    fn reread_release(&mut self, number: u64) {
+        let part = RegistryPart::NewerRelease(number);
+        self.actions.push(Action::Reread(part));
+    }
+
     fn request_catch_up(&mut self, now_us: u64, peer: &Arc<str>) {
         let targets = self.registry_view.is_listed();
         let message = Message::CatchUp {
--- a/policy/tests/lag.rs
+++ b/policy/tests/lag.rs
@@ -26,6 +26,7 @@
 use policy::instance::Envelope;
 use policy::instance::EvidenceSharing;
 use policy::instance::PlatformAnswer;
+use policy::instance::RegistryPart;
 use policy::instance::RegistryUpdate;
 use policy::membership::Member;
 use policy::membership::Status;
@@ -62,7 +63,7 @@
 fn a_peer_is_asked_before_the_registry_is_read() {
     let mut lag = Lag::default();
     let read = CatchUpStep::Read {
-        release: false,
+        release: None,
         targets: true,
     };
     let mut report =
@@ -281,9 +282,8 @@
 }
 
 /// A release of 101 routes, above the limit of 100, is too large for a broadcast.
-#[test]
-fn a_large_release_is_sent_only_to_an_instance_without_one() {
-    let mut informed = informed(1);
+/// A release that peers do not send to an instance that has one.
+fn large_release(number: u64) -> Release {
     let route = |number: u32| Route {
         name: format!("r{number}").into(),
         host: Some("a.example".into()),
@@ -292,11 +292,18 @@
         shares: Vec::new(),
         terms: RouteTerms::default(),
     };
-    let large = Release {
-        number: 4,
+    Release {
+        number,
+        services: vec![service("gates")],
         routes: (0..101).map(route).collect(),
         ..release()
-    };
+    }
+}
+
+#[test]
+fn a_large_release_is_sent_only_to_an_instance_without_one() {
+    let mut informed = informed(1);
+    let large = large_release(4);
     informed.handle(0, Input::Registry(RegistryUpdate::Release(large)));
     let is_release = |message: &Message| matches!(message, Message::Release { .. });
     assert!(
@@ -311,6 +318,53 @@
     );
 }
 
+/// Receives a ping from a peer with release `number`; returns the releases that are then read.
+fn receive_number(instance: &mut Instance, now_us: u64, number: u64) -> Vec<RegistryPart> {
+    let envelope = Envelope {
+        from: "late".into(),
+        incarnation: 1,
+        note: number,
+        targets_changed: 0,
+        view_age_ms: None,
+        member_updates: Vec::new(),
+        message: Message::Ping { sequence: 1 },
+    };
+    let actions = instance.handle(now_us, Input::Received(envelope));
+    let rereads = actions.into_iter().filter_map(|action| match action {
+        Action::Reread(part) => Some(part),
+        _ => None,
+    });
+    rereads.collect()
+}
+
+/// Guards against an instance that waits for a broadcast and for an answer that never come, and then
+/// has too little time left to read a large release over a small link.
+#[test]
+fn a_successor_of_a_large_release_is_read_as_soon_as_it_is_known() {
+    let mut informed = informed(1);
+    let release = RegistryUpdate::Release(large_release(4));
+    informed.handle(0, Input::Registry(release));
+    let read = |number| vec![RegistryPart::NewerRelease(number)];
+    assert_eq!(receive_number(&mut informed, 1, 4), []);
+    assert_eq!(receive_number(&mut informed, 10 * MS_US, 5), read(5));
+    // The same number is requested again only after a while, as the read may have failed.
+    assert_eq!(receive_number(&mut informed, 20 * MS_US, 5), []);
+    assert_eq!(receive_number(&mut informed, 500 * MS_US, 5), []);
+    assert_eq!(receive_number(&mut informed, 600 * MS_US, 6), read(6));
+    assert_eq!(receive_number(&mut informed, 1_500 * MS_US, 6), read(6));
+    let release = RegistryUpdate::Release(large_release(6));
+    informed.handle(1_600 * MS_US, Input::Registry(release));
+    assert_eq!(receive_number(&mut informed, 3_000 * MS_US, 6), []);
+}
+
+/// A small release arrives by broadcast, without a read by each instance of a large fleet.
+#[test]
+fn a_successor_of_a_small_release_is_not_read_at_once() {
+    let mut informed = informed(1);
+    assert_eq!(receive_number(&mut informed, 10 * MS_US, 4), []);
+    assert_eq!(receive_number(&mut informed, 100 * MS_US, 4), []);
+}
+
 fn send_targets(instance: &mut Instance, revision: u64, names: &[&str]) {
     let targets = names.iter().map(|name| target(name)).collect();
     let update = RegistryUpdate::Targets { revision, targets };
--- a/sniperund/src/control/registry_follower.rs
+++ b/sniperund/src/control/registry_follower.rs
@@ -7,6 +7,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -76,16 +77,52 @@
 /// Signals that request a reread of a part of the registry.
 #[derive(Debug, Default)]
 pub struct RereadSignals {
-    release: Notify,
-    targets: Notify,
+    release: RereadSignal,
+    targets: RereadSignal,
 }
 
 impl RereadSignals {
     /// Requests a reread of `part`.
     pub fn request(&self, part: RegistryPart) {
         match part {
-            RegistryPart::Release => self.release.notify_one(),
-            RegistryPart::Targets => self.targets.notify_one(),
+            RegistryPart::Release => self.release.request(u64::MAX),
+            RegistryPart::NewerRelease(number) => self.release.request(number),
+            RegistryPart::Targets => self.targets.request(u64::MAX),
+        }
+    }
+}
+
+/// Requests to reread one part of the registry. Requests for a release that a read under way turns out
+/// to bring have no effect: a large one takes longer than the interval between requests.
+#[derive(Debug, Default)]
+struct RereadSignal {
+    requested: Notify,
+    /// Highest number of a release that was requested; `u64::MAX` requests a read in any case.
+    wanted_number: AtomicU64,
+    /// Number of the release that was read last.
+    read_number: AtomicU64,
+}
+
+impl RereadSignal {
+    fn request(&self, number: u64) {
+        self.wanted_number.fetch_max(number, Ordering::AcqRel);
+        self.requested.notify_one();
+    }
+
+    fn record_read(&self, update: &RegistryUpdate) {
+        if let RegistryUpdate::Release(release) = update {
+            self.read_number.store(release.number, Ordering::Release);
+        }
+    }
+
+    /// Waits for a request that no read has met.
+    async fn wait(&self) {
+        loop {
+            self.requested.notified().await;
+            let wanted_number = self.wanted_number.swap(0, Ordering::AcqRel);
+            if wanted_number > self.read_number.load(Ordering::Acquire) {
+                return;
+            }
         }
     }
 }
@@ -245,7 +282,7 @@
         name: &str,
         part: P,
         reachability: &Reachability,
-        reread: &Notify,
+        reread: &RereadSignal,
     ) {
         let mut call_schedule = CallSchedule::default();
         let mut next = NextCall::Read {
@@ -264,10 +301,10 @@
             }
             self.metrics.platform_calls.inc();
             let outcome = match next {
-                NextCall::Read { .. } => self.read(name, &part, reachability).await,
+                NextCall::Read { .. } => self.read(name, &part, reachability, reread).await,
                 NextCall::Watch { after, .. } => tokio::select! {
-                    outcome = self.watch(name, &part, after, reachability) => outcome,
-                    () = reread.notified() => CallOutcome::HistoryLost,
+                    outcome = self.watch(name, &part, after, reachability, reread) => outcome,
+                    () = reread.wait() => CallOutcome::HistoryLost,
                 },
             };
             next = call_schedule.next(self.clock.now_us(), outcome, &mut rand::rng());
@@ -279,12 +316,16 @@
         name: &str,
         part: &P,
         reachability: &Reachability,
+        reread: &RereadSignal,
     ) -> CallOutcome {
         match part.read().await {
             Ok(reading) => {
                 self.record_success(reachability);
                 match reading.value {
-                    Some(update) => self.handle.send(Input::Registry(update)),
+                    Some(update) => {
+                        reread.record_read(&update);
+                        self.handle.send(Input::Registry(update));
+                    }
                     None => log::info!("event=registry-empty part={name}"),
                 }
                 CallOutcome::Read(reading.revision)
@@ -299,6 +340,7 @@
         part: &P,
         after: u64,
         reachability: &Reachability,
+        reread: &RereadSignal,
     ) -> CallOutcome {
         match part.watch(after).await {
             Ok(WatchOutcome::Changes(reading)) => {
@@ -306,6 +348,7 @@
                 let revision = reading.revision;
                 match P::update(after, reading) {
                     Some(update) => {
+                        reread.record_read(&update);
                         self.handle.send(Input::Registry(update));
                         CallOutcome::Changes(revision)
                     }
@@ -322,12 +365,15 @@
 
     /// Waits while only other instances hold watches. Returns an immediate read once a reread is
     /// requested, the fallback read is due, calls fail or this instance becomes a watcher.
-    async fn wait_until_read_due(&self, reachability: &Reachability, reread: &Notify) -> NextCall {
+    async fn wait_until_read_due(
+        &self,
+        reachability: &Reachability,
+        reread: &RereadSignal,
+    ) -> NextCall {
         let watch_role = self.handle.shared().watch_role();
         let mut checks_left = CHECKS_PER_FALLBACK_READ;
         loop {
-            let reread_request =
-                tokio::time::timeout(WATCHER_CHECK_PERIOD, reread.notified()).await;
+            let reread_request = tokio::time::timeout(WATCHER_CHECK_PERIOD, reread.wait()).await;
             checks_left -= 1;
             let has_failures = reachability.failures.load(Ordering::Relaxed) > 0;
             if reread_request.is_ok() || watch_role.is_watcher() || has_failures || checks_left == 0
--- a/sniperund/tests/users/large_configuration.rs
+++ b/sniperund/tests/users/large_configuration.rs
@@ -1,5 +1,7 @@
 //! Configurations as large as a value of the store may be, over small links to the store.
 
+use std::time::Duration;
+
 use serde_json::Value;
 use serde_json::json;
 use standin::Link;
@@ -10,6 +12,9 @@
 
 /// Bandwidth of the smallest links of the users' deployments: 10 Mbit/s.
 const BYTES_PER_S: f64 = 10e6 / 8.0;
+/// Time in which instances that have started choose who watches the store, and in which a configuration
+/// in force would be read again.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
 /// Size of the largest value of the store, in bytes.
 const VALUE_BYTES: usize = 1_048_576;
 
@@ -124,3 +129,24 @@
     let last = format!("/p{}/a", routes - 1);
     assert_run_by(&deployment, "gates", &last).await;
 }
+
+/// Guards against instances that read a large configuration again while they read it, as they take longer
+/// than the interval at which they learn that they are behind.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_configuration_is_read_once_over_a_small_link() {
+    let (deployment, links) = start_with_small_links(2).await;
+    deployment.wait_for_members().await;
+    // From now on all of these few instances watch the store.
+    tokio::time::sleep(SETTLING_TIME).await;
+    let former_bytes: Vec<u64> = links.iter().map(Link::forwarded_bytes).collect();
+    let (document, _) = large_configuration(7, "gates");
+    deployment.store.put("op/config", &document);
+    wait_until_in_force(&deployment, 7).await;
+    tokio::time::sleep(SETTLING_TIME).await;
+    let encoded_bytes = document.to_string().len() as u64 * 4 / 3;
+    for (link, former_bytes) in links.iter().zip(former_bytes) {
+        let bytes = link.forwarded_bytes() - former_bytes;
+        // Besides, a part of the watch that was replaced by the read.
+        assert!(bytes < 2 * encoded_bytes, "{bytes} bytes were read");
+    }
+}
