Deny no route while a newer release is missing

Cause: 404, and 401 for an unknown key, were held to be true as long as the store answered this instance at all. An instance that is still reading a release, or cannot apply it, knows from each message of its peers that a newer one exists.

Change: a route or key that is not found gets 503 with a time to come back while a peer states a higher number, or a received release is invalid. Routes that are known are served as before.

Tests: instances_that_are_behind_do_not_deny_new_routes failed before (404 until the release was read, then 200) and passes (503 instead); an_instance_that_lacks_a_release_does_not_deny_routes (policy).

--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -100,6 +100,8 @@
     pub(super) lag: Lag,
     /// The last peer that sent newer versions than this instance has, and these versions.
     pub(super) peer_ahead: Option<(Arc<str>, KnownVersions)>,
+    /// Highest number of a release in force at a peer.
+    pub(super) newest_peer_release: u64,
     /// Number of the latest invalid release; stored so that it is logged only once.
     pub(super) logged_invalid_release: u64,
     /// Whether the registry has answered and this is not yet broadcast.
@@ -169,6 +171,7 @@
             quarantine: Quarantine::default(),
             lag: Lag::default(),
             peer_ahead: None,
+            newest_peer_release: 0,
             logged_invalid_release: 0,
             has_unsent_registry_answer: false,
             next_answer_broadcast_us: 0,
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -109,6 +109,8 @@
         if !own.covers(peer) {
             self.peer_ahead = Some((from.clone(), peer));
         }
+        self.newest_peer_release = self.newest_peer_release.max(peer.release);
+        self.update_lack_of_release();
         if self.must_read_release(peer.release)
             && self.lag.record_unsent_release(now_us, peer.release)
         {
@@ -332,6 +334,21 @@
 
     /// Updates the configuration in force to match the registry view.
     fn apply_registry_view(&mut self) {
+        self.apply_view_changes();
+        self.update_lack_of_release();
+    }
+
+    /// Records whether a release is in force at a peer, or was received and is invalid, that is newer
+    /// than the own one.
+    fn update_lack_of_release(&mut self) {
+        let received = self.registry_view.release_after(0);
+        let received = received.map_or(0, |release| release.number);
+        let newest = self.newest_peer_release.max(received);
+        let table_freshness = self.shared.table_freshness();
+        table_freshness.set_lacks_release(newest > self.note_log.number());
+    }
+
+    fn apply_view_changes(&mut self) {
         let Some((mut number, mut change)) =
             self.registry_view.change(self.note_log.configuration())
         else {
--- a/policy/src/instance/view_age.rs
+++ b/policy/src/instance/view_age.rs
@@ -41,7 +41,7 @@
 impl Instance {
     /// Records whether the registry answers this instance.
     pub(super) fn record_registry_reachability(&mut self, now_us: u64, reachable: bool) {
-        if self.shared.table_freshness().is_authoritative() != reachable {
+        if self.shared.table_freshness().is_source_reachable() != reachable {
             self.shared
                 .table_freshness()
                 .set_source_reachable(reachable);
--- a/policy/src/routing/table_freshness.rs
+++ b/policy/src/routing/table_freshness.rs
@@ -1,6 +1,7 @@
 //! Tracks whether an instance's tables are current.
 //!
-//! A frozen process misses updates, so its tables stay stale until it has caught up.
+//! A frozen process misses updates, so its tables stay stale until it has caught up. An instance that
+//! lacks a release known to exist serves what it knows, but cannot tell which routes do not exist.
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -18,6 +19,7 @@
     last_tick_us: AtomicU64,
     is_catching_up: AtomicBool,
     is_source_unreachable: AtomicBool,
+    lacks_release: AtomicBool,
 }
 
 impl Default for TableFreshness {
@@ -26,6 +28,7 @@
             last_tick_us: AtomicU64::new(u64::MAX),
             is_catching_up: AtomicBool::new(false),
             is_source_unreachable: AtomicBool::new(false),
+            lacks_release: AtomicBool::new(false),
         }
     }
 }
@@ -39,6 +42,11 @@
 
     /// Whether a route that is missing from the tables can be reported as non-existent.
     pub fn is_authoritative(&self) -> bool {
+        self.is_source_reachable() && !self.lacks_release.load(Ordering::Acquire)
+    }
+
+    /// Whether the source of the tables is reachable.
+    pub(crate) fn is_source_reachable(&self) -> bool {
         !self.is_source_unreachable.load(Ordering::Acquire)
     }
 
@@ -48,6 +56,11 @@
             .store(!reachable, Ordering::Release);
     }
 
+    /// Records whether a release is known to exist that is newer than the tables.
+    pub(crate) fn set_lacks_release(&self, lacks_release: bool) {
+        self.lacks_release.store(lacks_release, Ordering::Release);
+    }
+
     /// Records a tick, and whether the instance is still requesting missed updates from others.
     pub(crate) fn record_tick(&self, now_us: u64, is_catching_up: bool) {
         self.is_catching_up.store(is_catching_up, Ordering::Release);
--- a/policy/tests/lag.rs
+++ b/policy/tests/lag.rs
@@ -357,6 +357,26 @@
     assert_eq!(receive_number(&mut informed, 3_000 * MS_US, 6), []);
 }
 
+/// Guards against an instance that reports routes as non-existent which a newer release may have.
+#[test]
+fn an_instance_that_lacks_a_release_does_not_deny_routes() {
+    let mut informed = informed(1);
+    let can_deny = |instance: &Instance| instance.shared().table_freshness().is_authoritative();
+    assert!(can_deny(&informed));
+    receive_number(&mut informed, 10 * MS_US, 4);
+    assert!(!can_deny(&informed));
+    let release = RegistryUpdate::Release(large_release(4));
+    informed.handle(20 * MS_US, Input::Registry(release));
+    assert!(can_deny(&informed));
+    let unknown_service = Release {
+        services: Vec::new(),
+        ..large_release(5)
+    };
+    let release = RegistryUpdate::Release(unknown_service);
+    informed.handle(30 * MS_US, Input::Registry(release));
+    assert!(!can_deny(&informed));
+}
+
 /// A small release arrives by broadcast, without a read by each instance of a large fleet.
 #[test]
 fn a_successor_of_a_small_release_is_not_read_at_once() {
--- a/sniperund/tests/users/large_configuration.rs
+++ b/sniperund/tests/users/large_configuration.rs
@@ -150,3 +150,38 @@
         assert!(bytes < 2 * encoded_bytes, "{bytes} bytes were read");
     }
 }
+
+/// Guards against instances that deny routes of a configuration that they are still reading, although
+/// they know of it from others.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_that_are_behind_do_not_deny_new_routes() {
+    let mut deployment = Deployment::start(1).await;
+    // The configuration takes seconds.
+    let link = Link::start(deployment.store.address(), BYTES_PER_S / 5.0).await;
+    let link = link.expect("failed to start the link");
+    let behind = deployment.start_instance_at(link.address());
+    deployment.instances.push(behind);
+    wait_until_ready(&deployment).await;
+    deployment.wait_for_members().await;
+    let (document, routes) = large_configuration(7, "reads");
+    deployment.store.put("op/config", &document);
+    let last = format!("/p{}/a", routes - 1);
+    let mut statuses = Vec::new();
+    wait_until("the new route", async || {
+        let number = statuses.len();
+        let id = format!("9d{number:04x}");
+        let response = deployment.instances[1]
+            .send_request("GET", &last, &id)
+            .await;
+        let status = response.map_or(0, |response| response.status);
+        statuses.push(status);
+        status == 200
+    })
+    .await;
+    // Until a message of the other instance arrives, the instance cannot know of the configuration.
+    statuses.dedup();
+    assert!(
+        matches!(statuses[..], [503, 200] | [404, 503, 200]),
+        "{statuses:?}"
+    );
+}
