--- a/review/bed-3/src/main.rs
+++ b/review/bed-3/tests/main.rs
@@ -4,6 +4,7 @@
 mod added_route;
 mod large_release;
 mod proxy;
+mod restarted_target;
 mod route_name;
 mod target;
 
@@ -127,6 +128,7 @@
         "rejected-machine" => large_release::run_rejected_machine(trouble, scratch, record).await,
         "added-route" => added_route::run(trouble, scratch, record).await,
         "route-name" => route_name::run(trouble, scratch, record).await,
+        "restarted-target" => restarted_target::run(trouble, scratch, record).await,
         _ => Err(io::Error::other("no such case")),
     }
 }
--- a/review/bed-3/src/target.rs
+++ b/review/bed-3/tests/target.rs
@@ -1,4 +1,5 @@
-//! A target that can lose a part of its answers after it has run the requests.
+//! A target that can lose a part of its answers after it has run the requests, start again under its
+//! id, and say that it leaves.
 
 use std::io;
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 const WORK_TIME: Duration = Duration::from_millis(15);
 
@@ -38,6 +40,8 @@
 struct State {
     id: String,
     loses_answers: AtomicBool,
+    leaves: AtomicBool,
+    restarted: Notify,
     served: AtomicUsize,
     runs: Mutex<Vec<Run>>,
 }
@@ -49,6 +53,8 @@
         let state = Arc::new(State {
             id: id.to_owned(),
             loses_answers: AtomicBool::new(false),
+            leaves: AtomicBool::new(false),
+            restarted: Notify::new(),
             served: AtomicUsize::new(0),
             runs: Mutex::new(Vec::new()),
         });
@@ -57,15 +63,33 @@
             while let Ok((stream, _)) = listener.accept().await {
                 let state = shared.clone();
                 tokio::spawn(async move {
-                    let _ = state.serve(stream).await;
+                    tokio::select! {
+                        _ = state.serve(stream) => {}
+                        () = state.restarted.notified() => {}
+                    }
                 });
             }
         });
         Ok(Target { address, state })
     }
 
+    /// Ends all channels; the next lifetime has the same id and address.
+    pub fn restart(&self) {
+        self.state.restarted.notify_waiters();
+    }
+
+    /// Says in all answers from now on that it leaves.
+    pub fn leave(&self) {
+        self.state.leaves.store(true, Ordering::SeqCst);
+    }
+
     /// Entry in the store.
     pub fn entry(&self, service: &str) -> Value {
+        self.entry_of_lifetime(service, 1_700_000_000_000)
+    }
+
+    /// Entry in the store of the lifetime that began at `born`.
+    pub fn entry_of_lifetime(&self, service: &str, born: u64) -> Value {
         json!({
             "service": service,
             "address": self.address.to_string(),
@@ -75,7 +99,7 @@
             "state": "ready",
             "warmupLeft": "0ms",
             "seq": 1,
-            "born": 1_700_000_000_000_u64,
+            "born": born,
         })
     }
 
@@ -121,8 +145,12 @@
                 return stream.set_zero_linger();
             }
             let body = format!("ran {id} at {own}");
+            let sign = match self.leaves.load(Ordering::SeqCst) {
+                true => "server-leaving: 1\r\n",
+                false => "",
+            };
             let text = format!(
-                "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: 3e1b.07\r\ncontent-length: {}\r\n\r\n{body}",
+                "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: 3e1b.07\r\n{sign}content-length: {}\r\n\r\n{body}",
                 body.len()
             );
             stream.write_all(text.as_bytes()).await?;
