--- a/review/bed-3/tests/target.rs
+++ b/review/bed-3/tests/target.rs
@@ -119,9 +119,17 @@
         let mut bytes = Vec::new();
         while let Some(RawMessage { head, .. }) = read_message(&mut stream, &mut bytes).await? {
             let own = &self.id;
+            let leaves = self.leaves.load(Ordering::SeqCst);
+            // A target that leaves says so in all its answers.
+            let sign = if leaves { "server-leaving: 1\r\n" } else { "" };
             if head.starts_with("GET /health ") {
-                let text =
-                    format!("HTTP/1.1 200 OK\r\nx-instance-id: {own}\r\ncontent-length: 0\r\n\r\n");
+                let status = match leaves {
+                    true => "503 Service Unavailable",
+                    false => "200 OK",
+                };
+                let text = format!(
+                    "HTTP/1.1 {status}\r\nx-instance-id: {own}\r\n{sign}content-length: 0\r\n\r\n"
+                );
                 stream.write_all(text.as_bytes()).await?;
                 continue;
             }
@@ -129,7 +137,7 @@
             let expected = header(&head, "x-expect-instance");
             if expected.is_some_and(|expected| expected != *own) {
                 let text = format!(
-                    "HTTP/1.1 421 Misdirected Request\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+                    "HTTP/1.1 421 Misdirected Request\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\n{sign}content-length: 0\r\n\r\n"
                 );
                 stream.write_all(text.as_bytes()).await?;
                 continue;
@@ -145,10 +153,8 @@
                 return stream.set_zero_linger();
             }
             let body = format!("ran {id} at {own}");
-            let sign = match self.leaves.load(Ordering::SeqCst) {
-                true => "server-leaving: 1\r\n",
-                false => "",
-            };
+            let leaves = self.leaves.load(Ordering::SeqCst);
+            let sign = if leaves { "server-leaving: 1\r\n" } else { "" };
             let text = format!(
                 "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-response-signature: 3e1b.07\r\n{sign}content-length: {}\r\n\r\n{body}",
                 body.len()
