Fetch a release from peers when the registry turns an instance away

Cause: a release of more than 100 routes or 500 customers is sent to no peer that has one, since each instance is to read it from the registry. One that the registry turns away cannot, and nothing else brings it the release for as long as that lasts, although it knows from its peers that it exists.

Change: an instance that is behind asks a peer for the difference to its own release, or for the complete one, in parts of 200 items, two at a time: at once if the registry is unreachable from here, after half a second otherwise. A peer that does not answer within half a second is replaced by another one. Peers store the differences between the latest releases in force, so that an answer costs no comparison, and send more than one part to two peers at a time only. The result is checked against the numbers of items of the peer's release. Former builds refuse the two messages, which are new variants at the end; the registry is still read as before.

The logs could not show that an instance knew of a newer release; release-superseded and release-fetched do.

Tests, failed before and pass now: policy/tests/fleet/superseded_releases.rs (3): with up to half of the instances turned away, these stayed at the older release sniperund/tests/users/superseded.rs: not in force within 30 s policy/tests/release_parts.rs covers parts, differences and timeouts.

--- a/peers/tests/sizes.rs
+++ b/peers/tests/sizes.rs
@@ -1,9 +1,14 @@
 //! Upper bounds on the sizes of messages, which the documented capacity estimates assume.
 
+use model::configuration::Repeat;
+use model::configuration::Route;
+use model::configuration::RouteTerms;
 use model::configuration::Target;
 use peers::MAX_MESSAGE_BYTES;
 use peers::encode;
 use policy::evidence::Signal;
+use policy::feed::Release;
+use policy::feed::ReleasePart;
 use policy::instance::Alert;
 use policy::instance::Envelope;
 use policy::instance::LoadReport;
@@ -43,6 +48,34 @@
     assert!(size <= 100, "{size} bytes");
 }
 
+#[test]
+fn a_part_of_a_release_has_a_bounded_size() {
+    let route = |number: usize| Route {
+        name: format!("r-levels-{number}").into(),
+        host: Some("lepu270.example".into()),
+        path: format!("/levels/rhodope-{number}/").into(),
+        service: "huvo11a".into(),
+        shares: Vec::new(),
+        terms: RouteTerms {
+            repeat: Some(Repeat::Idempotent),
+            time_limit_ms: Some(6_000),
+            objective_ms: Some(2_000),
+            max_attempts: Some(3),
+            priority: Some(1),
+            ..RouteTerms::default()
+        },
+    };
+    let release = Release {
+        number: 9,
+        routes: (0..2_000).map(route).collect(),
+        ..Release::default()
+    };
+    let part = ReleasePart::of_release(&release, 3).expect("the release has ten parts");
+    let size = bytes(Message::ReleasePart(Box::new(part)));
+    // A message may delay alerts by 20 ms on links of 10 Mbit/s.
+    assert!(size <= 25_000, "{size} bytes");
+}
+
 #[test]
 fn a_load_report_has_a_bounded_size() {
     let loads_bytes = |count: usize| {
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -284,6 +284,27 @@
         /// Age of the instance's view of the registry, in milliseconds.
         view_age_ms: u64,
     },
+    /// A release was received from a peer in parts.
+    ReleaseFetched {
+        /// Number of the release.
+        number: u64,
+        /// Number of the release that the instance had before.
+        own_number: u64,
+        /// Id of the peer.
+        from: Arc<str>,
+        /// Number of parts.
+        parts: usize,
+    },
+    /// The instance knows of a release that is newer than its own (`true`), or has the newest
+    /// that it knows of (`false`).
+    ReleaseSuperseded {
+        /// Whether there is a newer one.
+        is_superseded: bool,
+        /// Number of the release in force.
+        own_number: u64,
+        /// Highest number of a release that is known to exist.
+        newest_number: u64,
+    },
     /// The registry has become reachable (`true`) or unreachable (`false`).
     RegistryReachable(bool),
     /// An instance has joined.
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -32,6 +32,7 @@
 use super::quotas::Quotas;
 use super::quotas::ReceivedReport;
 use super::readiness::Readiness;
+use super::release_exchange::Transfers;
 use super::retry_loans::RetryLoans;
 use super::table_builder::TableBuilder;
 use crate::evidence::DecisionTable;
@@ -40,6 +41,8 @@
 use crate::feed::KnownVersions;
 use crate::feed::Lag;
 use crate::feed::RegistryView;
+use crate::feed::ReleaseFetch;
+use crate::feed::ReleaseHistory;
 use crate::limits::PermitDecision;
 use crate::limits::PermitRank;
 use crate::membership::Change;
@@ -98,6 +101,9 @@
     pub(super) retry_loans: RetryLoans,
     pub(super) quarantine: Quarantine,
     pub(super) lag: Lag,
+    pub(super) release_history: ReleaseHistory,
+    pub(super) release_fetch: ReleaseFetch,
+    pub(super) transfers: Transfers,
     /// The last peer that sent newer versions than this instance has, and these versions.
     pub(super) peer_ahead: Option<(Arc<str>, KnownVersions)>,
     /// Highest number of a release in force at a peer.
@@ -170,6 +176,9 @@
             retry_loans: RetryLoans::default(),
             quarantine: Quarantine::default(),
             lag: Lag::default(),
+            release_history: ReleaseHistory::default(),
+            release_fetch: ReleaseFetch::default(),
+            transfers: Transfers::default(),
             peer_ahead: None,
             newest_peer_release: 0,
             logged_invalid_release: 0,
@@ -390,6 +399,8 @@
             Message::CatchUp { release, targets } => {
                 self.send_missing_updates(now_us, &from, release, targets)
             }
+            Message::PullRelease(request) => self.send_release_parts(now_us, &from, &request),
+            Message::ReleasePart(part) => self.handle_release_part(now_us, &from, *part),
             Message::Targets { revision, targets } => {
                 self.handle_targets(now_us, &from, revision, targets)
             }
--- a/policy/src/instance/message.rs
+++ b/policy/src/instance/message.rs
@@ -13,8 +13,10 @@
 use crate::evidence::Report;
 use crate::evidence::Signal;
 use crate::feed::EntryChanges;
+use crate::feed::PartsRequest;
 use crate::feed::Release;
 use crate::feed::ReleaseAccess;
+use crate::feed::ReleasePart;
 use crate::limits::HeldPermit;
 use crate::limits::PermitParams;
 use crate::limits::QuotaLease;
@@ -349,4 +351,9 @@
         /// Name of the customer, or the address of a caller without one.
         customer: Arc<str>,
     },
+    /// Requests parts of a release that the registry does not deliver to the sender; answered by
+    /// [`Message::ReleasePart`]. Builds that do not know it do not answer.
+    PullRelease(PartsRequest),
+    /// A part of a release.
+    ReleasePart(Box<ReleasePart>),
 }
--- a/policy/src/instance/mod.rs
+++ b/policy/src/instance/mod.rs
@@ -25,6 +25,7 @@
 mod ranked_owners;
 mod readiness;
 mod registry;
+mod release_exchange;
 mod retry_loans;
 mod settings;
 mod shared;
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -21,12 +21,13 @@
 use crate::feed::EntryChanges;
 use crate::feed::KnownVersions;
 use crate::feed::Release;
+use crate::feed::ReleaseDelta;
 use crate::notes::IdRange;
 use crate::routing::ChoiceStrategy;
 
-/// Maximum routes of a release that is sent to peers. Each instance reads a larger release
-/// from the registry itself, since a message of a megabyte would delay alerts; only an
-/// instance without any release still gets it from a peer.
+/// Maximum routes of a release that is sent to peers as a whole. Each instance reads a larger
+/// release from the registry itself, since a message of a megabyte would delay alerts. An instance
+/// that cannot gets it from a peer in parts; one without any release gets it as a whole too.
 const MAX_BROADCAST_ROUTES: usize = 100;
 /// Maximum customers of such a release.
 const MAX_BROADCAST_CUSTOMERS: usize = 500;
@@ -96,6 +97,7 @@
         if let Some((peer, known_versions)) = self.peer_ahead.take() {
             self.catch_up_with_peer(now_us, &peer, known_versions);
         }
+        self.fetch_release(now_us);
         self.registry_view.tick(now_us);
         if self.registry_view.take_reread(now_us) {
             self.actions.push(Action::Reread(RegistryPart::Targets));
@@ -111,6 +113,9 @@
         }
         self.newest_peer_release = self.newest_peer_release.max(peer.release);
         self.update_lack_of_release();
+        let received_number = self.received_release_number();
+        self.release_fetch
+            .record_peer(now_us, from, peer.release, received_number);
         if self.must_read_release(peer.release)
             && self.lag.record_unsent_release(now_us, peer.release)
         {
@@ -333,7 +338,7 @@
     }
 
     /// Updates the configuration in force to match the registry view.
-    fn apply_registry_view(&mut self) {
+    pub(super) fn apply_registry_view(&mut self) {
         self.apply_view_changes();
         self.update_lack_of_release();
     }
@@ -341,11 +346,17 @@
     /// Records whether a release is in force at a peer, or was received and is invalid, that is newer
     /// than the own one.
     fn update_lack_of_release(&mut self) {
-        let received = self.registry_view.release_after(0);
-        let received = received.map_or(0, |release| release.number);
-        let newest = self.newest_peer_release.max(received);
+        let own_number = self.note_log.number();
+        let newest_number = self.newest_peer_release.max(self.received_release_number());
+        let is_superseded = newest_number > own_number;
         let table_freshness = self.shared.table_freshness();
-        table_freshness.set_lacks_release(newest > self.note_log.number());
+        if table_freshness.set_lacks_release(is_superseded) != is_superseded {
+            self.actions.push(Action::Log(LogEvent::ReleaseSuperseded {
+                is_superseded,
+                own_number,
+                newest_number,
+            }));
+        }
     }
 
     fn apply_view_changes(&mut self) {
@@ -355,6 +366,7 @@
             return;
         };
         self.prepare_tables();
+        let base = self.note_log.configuration().clone();
         self.shared
             .set_idle_limit_ms(self.registry_view.idle_limit_ms().unwrap_or(0));
         if let Err(error) = self.note_log.apply_change(number, &change) {
@@ -370,6 +382,7 @@
                 return;
             }
         }
+        self.record_release_change(&base, number, &change);
         let has_new_number = number > self.routing_table.configuration.number;
         let put = change.targets.add.iter().chain(&change.targets.change);
         let put: Vec<Arc<str>> = put.map(|target| target.name.clone()).collect();
@@ -385,6 +398,19 @@
         }
     }
 
+    /// Stores the difference between two releases in force, for peers that have the earlier one.
+    fn record_release_change(&mut self, base: &Configuration, number: u64, change: &Note) {
+        let Some(release) = self.registry_view.release_after(0) else {
+            return;
+        };
+        if base.number > 0 && number > base.number && number == release.number {
+            let delta = ReleaseDelta::new(base, change, release);
+            self.release_history.add(delta);
+        } else if change.keys_required.is_some() {
+            self.release_history.clear();
+        }
+    }
+
     /// Sets the parameters with which routing tables are built.
     fn prepare_tables(&mut self) {
         if self.evidence == EvidenceSharing::Alerts {
--- a/policy/src/routing/table_freshness.rs
+++ b/policy/src/routing/table_freshness.rs
@@ -56,9 +56,10 @@
             .store(!reachable, Ordering::Release);
     }
 
-    /// Records whether a release is known to exist that is newer than the tables.
-    pub(crate) fn set_lacks_release(&self, lacks_release: bool) {
-        self.lacks_release.store(lacks_release, Ordering::Release);
+    /// Records whether a release is known to exist that is newer than the tables. Returns what was
+    /// recorded before.
+    pub(crate) fn set_lacks_release(&self, lacks_release: bool) -> bool {
+        self.lacks_release.swap(lacks_release, Ordering::AcqRel)
     }
 
     /// Records a tick, and whether the instance is still requesting missed updates from others.
--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -41,7 +41,7 @@
 pub(crate) const INSTANCES: usize = 18;
 pub(crate) const TARGETS: usize = 12;
 
-const MS_US: u64 = 1_000;
+pub(crate) const MS_US: u64 = 1_000;
 const TICK_PERIOD_US: u64 = 250 * MS_US;
 const POLL_PERIOD_US: u64 = 10 * MS_US;
 /// Pause of the follower after it has read changes.
@@ -61,6 +61,7 @@
 
 #[derive(Default)]
 struct Registry {
+    release: Release,
     revision: u64,
     targets: BTreeMap<Arc<str>, Target>,
     changes: Vec<(u64, TargetEntry)>,
@@ -91,6 +92,9 @@
     next_probe_us: u64,
     failures: u32,
     must_reread: bool,
+    known_release: u64,
+    must_read_release: bool,
+    next_release_us: u64,
 }
 
 struct Node {
@@ -104,6 +108,13 @@
     cut_until_us: u64,
 }
 
+impl Node {
+    fn is_registry_unreachable(&self, now_us: u64) -> bool {
+        let mut outages = self.outages.iter();
+        outages.any(|(from_us, until_us)| (*from_us..*until_us).contains(&now_us))
+    }
+}
+
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Tick(usize),
@@ -167,7 +178,7 @@
     }
 }
 
-fn release() -> Release {
+pub(crate) fn release() -> Release {
     let service = service("gates");
     Release {
         number: 1,
@@ -196,7 +207,10 @@
         targets: usize,
         retry_reserve: Option<f64>,
     ) -> Self {
-        let mut registry = Registry::default();
+        let mut registry = Registry {
+            release: release(),
+            ..Registry::default()
+        };
         for number in 0..targets as u64 {
             registry.put(TargetEntry::Present(target(number, false)));
         }
@@ -252,7 +266,7 @@
                 let members = PlatformAnswer::Instances(members.clone());
                 self.deliver(number, Input::Platform(members));
             }
-            self.deliver(number, Input::Registry(RegistryUpdate::Release(release())));
+            self.deliver_release(number);
         }
     }
 
@@ -314,7 +328,29 @@
             let members = PlatformAnswer::Instances(members.clone());
             self.deliver(number, Input::Platform(members));
         }
-        self.deliver(number, Input::Registry(RegistryUpdate::Release(release())));
+        self.deliver_release(number);
+    }
+
+    /// Writes a release to the registry.
+    pub(crate) fn publish_release(&mut self, release: Release) {
+        self.registry.release = release;
+    }
+
+    /// Makes the registry unreachable for a period for one instance.
+    pub(crate) fn block_registry_for(&mut self, number: usize, from_us: u64, until_us: u64) {
+        self.nodes[number].outages.push((from_us, until_us));
+    }
+
+    /// Number of the release in force at an instance.
+    pub(crate) fn release_in_force(&self, number: usize) -> u64 {
+        self.nodes[number].instance.configuration().number
+    }
+
+    fn deliver_release(&mut self, number: usize) {
+        let release = self.registry.release.clone();
+        self.nodes[number].follower.known_release = release.number;
+        let update = RegistryUpdate::Release(release);
+        self.deliver(number, Input::Registry(update));
     }
 
     /// Whether an instance counts another one as present.
@@ -524,6 +560,7 @@
             }
             Event::Poll(number) => {
                 self.poll(number);
+                self.poll_release(number);
                 self.record_placements(number);
                 self.schedule(at_us + POLL_PERIOD_US, Event::Poll(number));
             }
@@ -590,6 +627,13 @@
                 Action::Reread(RegistryPart::Targets) => {
                     self.nodes[number].follower.must_reread = true;
                 }
+                Action::Reread(RegistryPart::Release) => {
+                    self.nodes[number].follower.must_read_release = true;
+                }
+                Action::Reread(RegistryPart::NewerRelease(newer)) => {
+                    let follower = &mut self.nodes[number].follower;
+                    follower.must_read_release |= newer > follower.known_release;
+                }
                 _ => {}
             }
         }
@@ -624,11 +668,37 @@
         }
     }
 
+    /// Reads the release for an instance's follower if it is due.
+    fn poll_release(&mut self, number: usize) {
+        let now_us = self.now_us;
+        let node = &mut self.nodes[number];
+        let watches = node.instance.shared().watch_role().is_watcher();
+        let is_unreachable = node.is_registry_unreachable(now_us);
+        let follower = &mut node.follower;
+        let is_newer = follower.known_release < self.registry.release.number;
+        let must_call = follower.must_read_release || watches && is_newer;
+        if !must_call || now_us < follower.next_release_us {
+            return;
+        }
+        if is_unreachable {
+            follower.next_release_us = now_us + RETRY_PAUSE_US;
+            follower.failures += 1;
+            if follower.failures == FAILURES_UNTIL_UNREACHABLE {
+                self.deliver(number, Input::Registry(RegistryUpdate::Reachable(false)));
+            }
+            return;
+        }
+        follower.must_read_release = false;
+        self.deliver(number, Input::Registry(RegistryUpdate::Reachable(true)));
+        self.deliver_release(number);
+    }
+
     /// Makes the registry calls of an instance's follower that are due.
     fn poll(&mut self, number: usize) {
         let now_us = self.now_us;
         let node = &mut self.nodes[number];
         let watches = node.instance.shared().watch_role().is_watcher();
+        let is_unreachable = node.is_registry_unreachable(now_us);
         let follower = &mut node.follower;
         if watches && now_us >= follower.next_probe_us {
             follower.next_probe_us = now_us + PROBE_PERIOD_US;
@@ -636,9 +706,6 @@
         }
         let is_first = follower.known_revision.is_none();
         let has_changes = follower.known_revision != Some(self.registry.revision);
-        let is_unreachable =
-            |(from_us, until_us): &(u64, u64)| (*from_us..*until_us).contains(&now_us);
-        let is_unreachable = node.outages.iter().any(is_unreachable);
         let is_probe = follower.next_probe_us == now_us + PROBE_PERIOD_US;
         let must_call = is_first
             || follower.must_reread
--- a/policy/tests/fleet/main.rs
+++ b/policy/tests/fleet/main.rs
@@ -13,5 +13,6 @@
 mod rate_limits;
 mod retry_loans;
 mod scenarios;
+mod superseded_releases;
 #[path = "../support/mod.rs"]
 mod support;
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -693,6 +693,8 @@
         | Message::Entries { .. }
         | Message::RegistryAnswers { .. }
         | Message::CatchUp { .. }
+        | Message::PullRelease(_)
+        | Message::ReleasePart(_)
         | Message::Targets { .. } => "notes",
     }
 }
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -253,6 +253,25 @@
             LogEvent::WatchTakenOver { view_age_ms } => {
                 log::info!("event=registry-stand-in view_age_ms={view_age_ms}");
             }
+            LogEvent::ReleaseFetched {
+                number,
+                own_number,
+                from,
+                parts,
+            } => {
+                log::info!(
+                    "event=release-fetched note={number} before={own_number} from={from} parts={parts}"
+                );
+            }
+            LogEvent::ReleaseSuperseded {
+                is_superseded,
+                own_number,
+                newest_number,
+            } => {
+                log::info!(
+                    "event=release-superseded superseded={is_superseded} note={own_number} newest={newest_number}"
+                );
+            }
             LogEvent::RegistryReachable(true) => log::info!("event=registry-regained"),
             LogEvent::RegistryReachable(false) => log::warn!("event=registry-lost"),
             LogEvent::Joined { instance } => {
--- a/sniperund/tests/users/main.rs
+++ b/sniperund/tests/users/main.rs
@@ -19,4 +19,5 @@
 mod restored;
 mod statuses;
 mod stopping;
+mod superseded;
 mod unreachable;
--- a/standin/src/link.rs
+++ b/standin/src/link.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Bytes that are forwarded at once.
@@ -54,6 +55,7 @@
 pub struct Link {
     address: SocketAddr,
     bandwidth: Arc<Bandwidth>,
+    is_refusing: watch::Sender<bool>,
 }
 
 impl Link {
@@ -72,18 +74,35 @@
             silent_after_bytes: AtomicU64::new(u64::MAX),
         });
         let shared = bandwidth.clone();
+        let (is_refusing, refusing) = watch::channel(false);
         tokio::spawn(async move {
             while let Ok((near, _)) = listener.accept().await {
+                let mut refusing = refusing.clone();
+                if *refusing.borrow() {
+                    continue;
+                }
                 let Ok(far) = TcpStream::connect(to).await else {
                     continue;
                 };
                 let (near_read, near_write) = near.into_split();
                 let (far_read, far_write) = far.into_split();
-                tokio::spawn(forward(near_read, far_write, None));
-                tokio::spawn(forward(far_read, near_write, Some(shared.clone())));
+                let bandwidth = Some(shared.clone());
+                tokio::spawn(async move {
+                    tokio::select! {
+                        _ = futures::future::join(
+                            forward(near_read, far_write, None),
+                            forward(far_read, near_write, bandwidth),
+                        ) => {}
+                        _ = refusing.wait_for(|is_refusing| *is_refusing) => {}
+                    }
+                });
             }
         });
-        Ok(Self { address, bandwidth })
+        Ok(Self {
+            address,
+            bandwidth,
+            is_refusing,
+        })
     }
 
     /// Address at which the server is reached over the link.
@@ -96,6 +115,11 @@
         self.bandwidth.forwarded_bytes.load(Ordering::Relaxed)
     }
 
+    /// Sets whether the link ends all connections and takes no others.
+    pub fn set_refusing(&self, is_refusing: bool) {
+        self.is_refusing.send_replace(is_refusing);
+    }
+
     /// Lets nothing through any more, without an end of the connections, once the server has sent
     /// `bytes` in all.
     pub fn silence_after(&self, bytes: u64) {
