Repeat no request by a release that is superseded

Cause: whether a request may run again was decided once, when it was routed, by the release in force at that time. The instance may know from its peers that this release is superseded, or have the newer one in force by the time that the answer is lost; a repeat is the one thing that cannot be taken back.

Change: whether a request may run again is asked before each further attempt (after a failure, an error response, as a hedge, after a permit and after a lent retry), and once more right before it is sent. It may not while a newer release is known to exist, nor if a release that has come into force since serves its path by a route that is not idempotent. Requests that were not sent or that a target has refused still go to another target. While no peer has a newer release, such as in an outage of the registry for all, nothing changes.

Evidence: attempts that are not made for this reason are logged with retry_denied=Superseded.

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -3,7 +3,8 @@
 //! Decides when to claim the idempotency key of a request, when to send, retry or
 //! refuse the request, when to forward a response, and which outcome to report to the
 //! caller. A request that may not be repeated is retried only if no target can have
-//! run it.
+//! run it. The same holds for any request while a newer release than its own is known to
+//! exist, in which its route may be of another kind.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -58,7 +59,8 @@
     pub claims_key: bool,
     /// Whether the body can be sent again.
     pub replayable: bool,
-    /// Whether the request may be sent again after a target may have run it.
+    /// Whether the request may be sent again after a target may have run it, according to the
+    /// release by which it was routed.
     pub repeatable: bool,
     /// Maximum number of targets the request is sent to.
     pub max_attempts: usize,
@@ -222,6 +224,8 @@
     /// Whether the request is the trial of one in quarantine.
     is_trial: bool,
     has_handed_over: bool,
+    /// Whether a newer release forbids to repeat the request.
+    are_repeats_forbidden: bool,
     /// Bytes for which the request's body counts at its target.
     pub(super) body_bytes: u64,
     outcome: Outcome,
@@ -246,6 +250,7 @@
             last_answers_us: None,
             is_trial: false,
             has_handed_over: false,
+            are_repeats_forbidden: false,
             body_bytes: 0,
             outcome: Outcome::NotRun,
         }
@@ -315,6 +320,24 @@
         self.retry_denial
     }
 
+    /// Forbids to send the request again after a target may have run it, as the route by which a
+    /// newer release serves it may not be repeated.
+    pub fn forbid_repeats(&mut self) {
+        self.are_repeats_forbidden = true;
+    }
+
+    /// Whether the request may be sent again now after a target may have run it.
+    pub fn is_repeatable(&self) -> bool {
+        self.request.repeatable
+            && !self.are_repeats_forbidden
+            && !self.table.load.table_freshness.is_superseded()
+    }
+
+    /// Whether the request may be sent to a target now.
+    fn may_send(&self) -> bool {
+        self.is_repeatable() || (!self.may_have_run && self.in_flight() == 0)
+    }
+
     /// Sets whether the body can be sent again, which is known once reading it has begun.
     pub fn set_replayable(&mut self, replayable: bool) {
         self.request.replayable = replayable;
@@ -422,6 +445,9 @@
         if !invariant::check(Invariant::AtMostOnce, may_send) {
             return self.give_up(now_us, ResultCode::TargetTruncated, rng);
         }
+        if !self.may_send() {
+            return self.refuse_repeat(now_us, rng);
+        }
         if !self.table.load.table_freshness.is_current(now_us) {
             return self.give_up(now_us, ResultCode::NotReady, rng);
         }
@@ -441,7 +467,7 @@
         }
         match self.table.choose(now_us, self.choice_params(now_us), rng) {
             Choice::Target(candidate, slot) => {
-                self.request_permit_or_start(now_us, candidate, slot)
+                self.request_permit_or_start(now_us, candidate, slot, rng)
             }
             Choice::AllBusy if self.is_paused_too_long(now_us) => {
                 self.give_up(now_us, ResultCode::Overloaded, rng)
@@ -454,9 +480,15 @@
         }
     }
 
-    fn request_permit_or_start(&mut self, now_us: u64, candidate: usize, slot: Slot) -> Step {
+    fn request_permit_or_start(
+        &mut self,
+        now_us: u64,
+        candidate: usize,
+        slot: Slot,
+        rng: &mut impl Rng,
+    ) -> Step {
         if !self.table.needs_permit(now_us, candidate) {
-            return self.start_attempt(now_us, candidate, slot);
+            return self.start_attempt(now_us, candidate, slot, rng);
         }
         self.state = State::AwaitingPermit;
         self.awaiting_permit = Some(AwaitedPermit {
@@ -510,7 +542,7 @@
             }
         };
         if is_permitted {
-            return self.start_attempt(now_us, candidate, slot);
+            return self.start_attempt(now_us, candidate, slot, rng);
         }
         drop(slot);
         self.denied.push(candidate);
@@ -523,7 +555,7 @@
             false => None,
         };
         match other {
-            Some((candidate, slot)) => self.request_permit_or_start(now_us, candidate, slot),
+            Some((candidate, slot)) => self.request_permit_or_start(now_us, candidate, slot, rng),
             None => self.give_up(now_us, ResultCode::Overloaded, rng),
         }
     }
@@ -538,13 +570,22 @@
         }
     }
 
-    pub(super) fn start_attempt(&mut self, now_us: u64, candidate: usize, slot: Slot) -> Step {
+    pub(super) fn start_attempt(
+        &mut self,
+        now_us: u64,
+        candidate: usize,
+        slot: Slot,
+        rng: &mut impl Rng,
+    ) -> Step {
         if let Some(left_us) = self.quarantine_left_us(now_us) {
             return match self.in_flight() {
                 0 => self.refuse_quarantined(left_us),
                 _ => Step::Continue,
             };
         }
+        if !self.may_send() {
+            return self.refuse_repeat(now_us, rng);
+        }
         self.state = State::Sent;
         self.denied.clear();
         self.tried.push(candidate);
@@ -568,6 +609,16 @@
         quarantine.left_us(now_us, &self.request.fingerprint)
     }
 
+    /// Waits for the attempts in flight, or ends the request, in place of a repetition that a newer
+    /// release may not allow.
+    fn refuse_repeat(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
+        self.retry_denial = Some(RetryDenial::Superseded);
+        match self.in_flight() {
+            0 => self.give_up(now_us, ResultCode::TargetTruncated, rng),
+            _ => Step::Continue,
+        }
+    }
+
     fn refuse_quarantined(&mut self, left_us: u64) -> Step {
         let outcome = self.reportable_outcome(Outcome::NotRun);
         let reply = quarantine_reply(outcome, left_us);
@@ -648,7 +699,7 @@
         }
         let is_server_error = status >= 500;
         if is_server_error
-            && self.request.repeatable
+            && self.is_repeatable()
             && self.in_flight() == 1
             && self.has_attempt_left(now_us)
             && self.take_retry_for_urgency()
--- a/policy/src/exchange/hand_over.rs
+++ b/policy/src/exchange/hand_over.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Forbids to ask a further instance after one may have taken the request.
+    pub fn forbid_repeats(&mut self) {
+        self.repeatable = false;
+    }
+
     /// Decides what follows the outcome at an instance; `has_next` if there is another one to ask.
     pub fn record(&mut self, outcome: HelperOutcome, has_next: bool) -> HandOverStep {
         let is_last_refusal = match outcome {
--- a/policy/src/exchange/retries.rs
+++ b/policy/src/exchange/retries.rs
@@ -26,6 +26,8 @@
 pub enum RetryDenial {
     /// The request, or its body, may not be sent again.
     NotRepeatable,
+    /// A newer release exists, in which the request may not be repeatable.
+    Superseded,
     /// The request has been sent to as many targets as allowed, or to all there are.
     NoAttemptLeft,
     /// Neither the instance nor the peers it asked have a retry left.
@@ -84,6 +86,10 @@
         if !self.request.repeatable || self.loan.is_some() || !self.is_hedge_due(now_us) {
             return Step::Continue;
         }
+        if !self.is_repeatable() {
+            self.retry_denial = Some(RetryDenial::Superseded);
+            return Step::Continue;
+        }
         if self.table.load.overload.is_overloaded() {
             self.retry_denial = Some(RetryDenial::Overloaded);
             return Step::Continue;
@@ -100,7 +106,7 @@
             .retries
             .take_above(self.kept_share_of_hedges())
         {
-            return self.start_attempt(now_us, candidate, slot);
+            return self.start_attempt(now_us, candidate, slot, rng);
         }
         let has_asked_lately = self
             .last_loan_us
@@ -143,7 +149,7 @@
 
     fn send_hedge(&mut self, now_us: u64, rng: &mut impl Rng) -> Step {
         match self.choose_hedge(now_us, rng) {
-            Some((candidate, slot)) => self.start_attempt(now_us, candidate, slot),
+            Some((candidate, slot)) => self.start_attempt(now_us, candidate, slot, rng),
             None => Step::Continue,
         }
     }
@@ -171,6 +177,10 @@
             self.retry_denial = Some(RetryDenial::NotRepeatable);
             return false;
         }
+        if self.may_have_run && !self.is_repeatable() {
+            self.retry_denial = Some(RetryDenial::Superseded);
+            return false;
+        }
         let is_left = self.attempts.len() - self.unsent_attempts < self.request.max_attempts
             && self.unsent_attempts < MAX_UNSENT_ATTEMPTS
             && now_us < self.request.deadline_us
--- a/policy/src/routing/table_freshness.rs
+++ b/policy/src/routing/table_freshness.rs
@@ -1,7 +1,8 @@
 //! Tracks whether an instance's tables are current.
 //!
 //! A frozen process misses updates, so its tables stay stale until it has caught up. An instance that
-//! lacks a release known to exist serves what it knows, but cannot tell which routes do not exist.
+//! lacks a release known to exist serves what it knows, but can tell neither which routes do not
+//! exist nor which requests may still be repeated.
 
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -42,7 +43,12 @@
 
     /// Whether a route that is missing from the tables can be reported as non-existent.
     pub fn is_authoritative(&self) -> bool {
-        self.is_source_reachable() && !self.lacks_release.load(Ordering::Acquire)
+        self.is_source_reachable() && !self.is_superseded()
+    }
+
+    /// Whether a release is known to exist that is newer than the tables.
+    pub fn is_superseded(&self) -> bool {
+        self.lacks_release.load(Ordering::Acquire)
     }
 
     /// Whether the source of the tables is reachable.
--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -346,6 +346,11 @@
         self.nodes[number].instance.configuration().number
     }
 
+    /// Delivers a message to an instance, as if a peer had sent it.
+    pub(crate) fn receive(&mut self, number: usize, envelope: Envelope) {
+        self.deliver(number, Input::Received(envelope));
+    }
+
     fn deliver_release(&mut self, number: usize) {
         let release = self.registry.release.clone();
         self.nodes[number].follower.known_release = release.number;
--- a/policy/tests/fleet/superseded_releases.rs
+++ b/policy/tests/fleet/superseded_releases.rs
@@ -3,7 +3,19 @@
 use model::configuration::Repeat;
 use model::configuration::Route;
 use model::configuration::RouteTerms;
+use policy::exchange::Event;
+use policy::exchange::Exchange;
+use policy::exchange::Failure;
+use policy::exchange::MAX_ATTEMPTS;
+use policy::exchange::Request;
+use policy::exchange::RetryDenial;
+use policy::exchange::Step;
 use policy::feed::Release;
+use policy::instance::Envelope;
+use policy::instance::Message;
+use policy::quarantine::Fingerprint;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 use crate::fleet::Fleet;
 use crate::fleet::INSTANCES;
@@ -128,3 +140,118 @@
         );
     }
 }
+
+/// A message of a peer in whose process a release is in force that nobody else has.
+fn message_of_a_peer_ahead(number: u64) -> Envelope {
+    Envelope {
+        from: "i17".into(),
+        incarnation: 1,
+        note: number,
+        targets_changed: 0,
+        view_age_ms: None,
+        member_updates: Vec::new(),
+        message: Message::Ping { sequence: 1 },
+    }
+}
+
+/// A request that was sent to a target once.
+fn sent_request(fleet: &Fleet, rng: &mut ChaCha8Rng) -> Exchange {
+    let now_us = fleet.now_us();
+    let request = Request {
+        caller_deadline_us: now_us + 6 * SECOND_US,
+        deadline_us: now_us + 6 * SECOND_US,
+        claims_key: false,
+        fingerprint: Fingerprint::default(),
+        may_hand_over: false,
+        is_handed_over: false,
+        replayable: true,
+        repeatable: true,
+        max_attempts: MAX_ATTEMPTS,
+        priority: None,
+        objective_us: Some(SECOND_US),
+        began_us: now_us,
+    };
+    let table = fleet.table(0).services["gates"].clone();
+    let mut exchange = Exchange::new(request, table);
+    let step = exchange.on(now_us, Event::Begin, rng);
+    assert!(matches!(step, Step::Send { attempt: 0, .. }), "{step:?}");
+    exchange
+}
+
+const CUT: Event = Event::Failed {
+    attempt: 0,
+    failure: Failure::Cut,
+};
+const NOT_SENT: Event = Event::Failed {
+    attempt: 0,
+    failure: Failure::NotSent,
+};
+
+/// Guards against a request that runs twice, since a newer release becomes known between the decision
+/// to repeat it and the retry that a peer lends for it.
+#[test]
+fn a_lent_retry_is_not_used_once_the_release_is_superseded() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut fleet = Fleet::with_retry_reserve(1, 12, Some(0.0));
+    fleet.run(4 * SECOND_US);
+    let lent = Event::RetryAnswered { is_lent: true };
+    for is_superseded in [false, true] {
+        let mut exchange = sent_request(&fleet, &mut rng);
+        let mut failed = exchange.on(fleet.now_us(), CUT, &mut rng);
+        while let Step::Send { .. } = failed {
+            // The instance's own budget has a retry left.
+            exchange = sent_request(&fleet, &mut rng);
+            failed = exchange.on(fleet.now_us(), CUT, &mut rng);
+        }
+        assert_eq!(failed, Step::BorrowRetry);
+        if is_superseded {
+            fleet.receive(0, message_of_a_peer_ahead(99));
+        }
+        let step = exchange.on(fleet.now_us(), lent, &mut rng);
+        match is_superseded {
+            false => assert!(matches!(step, Step::Send { .. }), "{step:?}"),
+            true => {
+                assert!(matches!(step, Step::Reply(_)), "{step:?}");
+                assert_eq!(exchange.retry_denial(), Some(RetryDenial::Superseded));
+            }
+        }
+    }
+}
+
+/// Guards against requests that are lost for want of a release: one that no target has begun to run is
+/// sent to another in any case.
+#[test]
+fn a_request_that_was_not_sent_goes_to_another_target_although_the_release_is_superseded() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut fleet = Fleet::new(1);
+    fleet.run(4 * SECOND_US);
+    fleet.receive(0, message_of_a_peer_ahead(99));
+    let mut exchange = sent_request(&fleet, &mut rng);
+    let step = exchange.on(fleet.now_us(), NOT_SENT, &mut rng);
+    assert!(matches!(step, Step::Send { attempt: 1, .. }), "{step:?}");
+    let failed = Event::Failed {
+        attempt: 1,
+        failure: Failure::Refused,
+    };
+    let step = exchange.on(fleet.now_us(), failed, &mut rng);
+    assert!(
+        matches!(step, Step::Send { .. } | Step::BorrowRetry),
+        "{step:?}"
+    );
+}
+
+/// Guards against requests that lose their retries although no newer release can exist anywhere.
+#[test]
+fn an_outage_of_the_registry_for_all_costs_no_retries() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut fleet = Fleet::new(1);
+    fleet.run(4 * SECOND_US);
+    fleet.block_registry(INSTANCES, 4 * SECOND_US, 40 * SECOND_US);
+    fleet.run(30 * SECOND_US);
+    let mut exchange = sent_request(&fleet, &mut rng);
+    let step = exchange.on(fleet.now_us(), CUT, &mut rng);
+    assert!(
+        matches!(step, Step::Send { .. } | Step::BorrowRetry),
+        "{step:?}"
+    );
+}
--- a/sniperund/src/callers/admitted_request.rs
+++ b/sniperund/src/callers/admitted_request.rs
@@ -63,6 +63,10 @@
     /// Number of the release note under which the request was routed.
     pub(super) note: u64,
     pub(super) repeatable: bool,
+    /// Number of the release by which it was last checked whether the request may be repeated.
+    pub(super) checked_release: u64,
+    /// Host by which the request was routed.
+    pub(super) host: Arc<str>,
     pub(super) exchange: Exchange,
     pub(super) record: CommandRecord,
     /// Released with the response.
--- a/sniperund/src/callers/hand_over.rs
+++ b/sniperund/src/callers/hand_over.rs
@@ -89,6 +89,10 @@
         while let Some(helper) = helpers.next() {
             let answer = self.ask_helper(&helper).await;
             self.log_answer(&helper, &answer);
+            self.apply_newer_release();
+            if !self.request.exchange.is_repeatable() {
+                hand_over.forbid_repeats();
+            }
             let step = hand_over.record(answer.outcome(), helpers.peek().is_some());
             match (step, answer) {
                 (HandOverStep::Forward, HelperAnswer::Response(response, connection)) => {
--- a/sniperund/src/callers/runner.rs
+++ b/sniperund/src/callers/runner.rs
@@ -52,6 +52,7 @@
 use super::sending::ResponseHead;
 use super::sending::build_request;
 use super::sending::send_attempt;
+use super::service::is_repeatable;
 use crate::control::PermitGuard;
 use crate::control::borrow_retry;
 use crate::metrics::RequestLabels;
@@ -176,6 +177,7 @@
     }
 
     pub(super) fn handle_event(&mut self, event: Event) -> Step {
+        self.apply_newer_release();
         let now_us = self.proxy_state.clock.now_us();
         let last_answers_us = self.request.limits.last_answers_us();
         self.request.exchange.set_last_answers_us(last_answers_us);
@@ -189,6 +191,25 @@
         step
     }
 
+    /// Forbids to repeat a request which a release that has come into force since it was routed
+    /// serves by a route that may not be repeated.
+    pub(super) fn apply_newer_release(&mut self) {
+        let table = self.proxy_state.control.shared().table();
+        let number = table.configuration.number;
+        if number == self.request.checked_release {
+            return;
+        }
+        self.request.checked_release = number;
+        let path = self.request.parts.uri.path();
+        let Some(route) = table.configuration.route(&self.request.host, path) else {
+            return;
+        };
+        let service = table.services.get(&route.service);
+        if !service.is_some_and(|service| is_repeatable(route, service)) {
+            self.request.exchange.forbid_repeats();
+        }
+    }
+
     async fn claim_key(&mut self) -> Step {
         let request = &mut self.request;
         let claimed = request.limits.wait(request.record.try_claim()).await;
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -348,7 +348,7 @@
     }
 }
 
-fn is_repeatable(route: &Route, service: &ServiceTable) -> bool {
+pub(super) fn is_repeatable(route: &Route, service: &ServiceTable) -> bool {
     let route_setting = route
         .terms
         .repeat
@@ -440,6 +440,8 @@
             class,
             note: table.configuration.number,
             repeatable: request.repeatable,
+            checked_release: table.configuration.number,
+            host: host.into(),
             exchange: Exchange::new(request, routed.service).with_body_bytes(body_bytes),
             record: routed.record,
             guards: Some(guards),
--- a/sniperund/tests/users/superseded.rs
+++ b/sniperund/tests/users/superseded.rs
@@ -1,16 +1,28 @@
 //! Requests that are routed by a release to which a newer one exists.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use peers::Counters;
+use peers::Sender;
+use policy::instance::Envelope;
+use policy::instance::Message;
 use serde_json::Value;
 use serde_json::json;
 use standin::Link;
 use standin::TargetScript;
+use standin::users::PEERS_PORT;
 use standin::users::configuration;
 
 use crate::deployment::Deployment;
+use crate::deployment::InstanceProcess;
 use crate::deployment::wait_until;
 
 /// Routes of a configuration that is not sent to peers as a whole.
 const IDLE_ROUTES: usize = 150;
+/// Time in which instances that have started choose who watches the store.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
 /// Bandwidth that limits nothing.
 const BYTES_PER_S: f64 = 1e9;
 
@@ -46,6 +58,21 @@
     }
 }
 
+/// Tells an instance, as a peer does, that a release is in force there which nobody has.
+fn announce_release(instance: &InstanceProcess, number: u64) {
+    let envelope = Envelope {
+        from: "edge-north-gone".into(),
+        incarnation: 1,
+        note: number,
+        targets_changed: 0,
+        view_age_ms: None,
+        member_updates: Vec::new(),
+        message: Message::Ping { sequence: 1 },
+    };
+    let address = SocketAddr::new(instance.caller_address().ip(), PEERS_PORT);
+    Sender::new(Arc::new(Counters::default())).send(address, &envelope);
+}
+
 /// Guards against an instance that the store turns away and that stays at an older configuration, by
 /// which it repeats requests that may run once.
 #[tokio::test(flavor = "multi_thread")]
@@ -82,3 +109,55 @@
     assert_eq!(answer.map(|answer| answer.status), Some(502));
     assert_eq!(runs(&deployment, "6f01"), 1);
 }
+
+/// Guards against a request that runs twice, since its route was idempotent in a release that the
+/// instance knows to be superseded.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_repeated_while_a_newer_release_is_known_to_exist() {
+    let deployment = Deployment::start(1).await;
+    let instance = &deployment.instances[0];
+    lose_answers(&deployment);
+    announce_release(instance, 99);
+    instance
+        .wait_for_log("event=release-superseded superseded=true note=5 newest=99\n")
+        .await;
+    let answer = instance.send_request("GET", "/read/a", "6f02").await;
+    assert_eq!(answer.map(|answer| answer.status), Some(502));
+    assert_eq!(runs(&deployment, "6f02"), 1);
+    // The store has the release, by which the route leads to targets that have lost no answer yet.
+    deployment
+        .store
+        .put("op/config", &configuration(99, "gates"));
+    instance
+        .wait_for_log("event=release-superseded superseded=false note=99 newest=99\n")
+        .await;
+    let _ = instance.send_request("GET", "/moved/a", "6f03").await;
+    assert_eq!(runs(&deployment, "6f03"), 2);
+}
+
+/// Guards against a request that runs twice, since its route was idempotent when it arrived and is not
+/// any more when its answer is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_under_way_is_not_repeated_once_its_route_forbids_it() {
+    let deployment = Deployment::start(1).await;
+    let instance = &deployment.instances[0];
+    tokio::time::sleep(SETTLING_TIME).await;
+    lose_answers(&deployment);
+    for target in &deployment.targets {
+        target.set_work_time(Duration::from_millis(1_000));
+    }
+    let request = instance.send_request("POST", "/moved/pay/a", "6f04");
+    let change = async {
+        wait_until("the request to run", async || runs(&deployment, "6f04") > 0).await;
+        deployment
+            .store
+            .put("op/config", &large_configuration(9, true));
+    };
+    let (answer, ()) = tokio::join!(request, change);
+    assert!(
+        instance.read_log().contains("event=note-in-force note=9\n"),
+        "the release came into force too late for this test"
+    );
+    assert_eq!(answer.map(|answer| answer.status), Some(502));
+    assert_eq!(runs(&deployment, "6f04"), 1);
+}
