Mark requests that another instance must not repeat

What callers would see: an order that runs twice, where an instance that reaches no target hands it to one with an older release, in which its route is idempotent.

Cause: the instance that is asked routes and repeats a request by its own release alone. A request relayed to the issuer of its ticket has the same gap: the issuer ignores the ticket if it takes the request for idempotent.

Change: a request that may run once, by the release of the instance that passes it on, carries sniperun-at-most-once; the receiver repeats it only if both releases allow that. Former builds ignore the header, and targets do not get it.

--- a/sniperund/src/callers/hand_over.rs
+++ b/sniperund/src/callers/hand_over.rs
@@ -1,7 +1,8 @@
 //! Hands a request to another instance when this one reaches no target of its service.
 //!
 //! The other instance treats it as a caller's request and does not hand it on. A request is handed
-//! to the next instance only if it cannot have run, or may run again.
+//! to the next instance only if it cannot have run, or may run again. The other instance may have
+//! another release: it repeats the request only if both releases allow that.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -132,6 +133,9 @@
             .header_protocol
             .set_time_left(left_ms, headers);
         headers.insert(names::RELAYED, HeaderValue::from_static("1"));
+        if !self.request.exchange.is_repeatable() {
+            headers.insert(names::AT_MOST_ONCE, HeaderValue::from_static("1"));
+        }
         match connection.send(request).await {
             Ok(response) => HelperAnswer::Response(response.into(), connection),
             Err(SendFailure::NotSent | SendFailure::Unreachable) => HelperAnswer::NotRun,
--- a/sniperund/src/callers/headers.rs
+++ b/sniperund/src/callers/headers.rs
@@ -18,6 +18,8 @@
     pub const TICKET: &str = "sniperun-ticket";
     /// Marks a request that another instance has relayed.
     pub const RELAYED: &str = "sniperun-relayed";
+    /// Marks a relayed request that must run at most once, whatever the release of the receiver says.
+    pub const AT_MOST_ONCE: &str = "sniperun-at-most-once";
     /// Target that has responded to a relayed request.
     pub const TARGET: &str = "sniperun-target";
     /// Incarnation of that target's process.
@@ -66,6 +68,7 @@
         names::DEADLINE_MS,
         names::TICKET,
         names::RELAYED,
+        names::AT_MOST_ONCE,
     ];
     for name in instance_headers {
         headers.remove(name);
--- a/sniperund/src/callers/sending.rs
+++ b/sniperund/src/callers/sending.rs
@@ -38,6 +38,7 @@
     }
     remove_hop_by_hop(headers);
     headers.remove(names::RELAYED);
+    headers.remove(names::AT_MOST_ONCE);
     request
 }
 
--- a/sniperund/src/callers/service.rs
+++ b/sniperund/src/callers/service.rs
@@ -175,6 +175,8 @@
     /// `None` if callers need no keys.
     identity: Option<CallerIdentity>,
     route: Arc<Route>,
+    /// Whether the request may be sent again after a target may have run it.
+    repeatable: bool,
     service: Arc<ServiceTable>,
     record: CommandRecord,
     began_us: u64,
@@ -245,7 +247,8 @@
             .time_limit_ms
             .map(|time_limit_ms| began_us + time_limit_ms * MICROS_PER_MILLI),
     };
-    let repeatable = is_repeatable(&route, &service);
+    let repeatable =
+        is_repeatable(&route, &service) && !request.headers().contains_key(names::AT_MOST_ONCE);
     let record = match command_id {
         Some(CommandId::Key(key)) if !repeatable => {
             let customer = match &identity {
@@ -291,6 +294,7 @@
         request_params,
         identity,
         route,
+        repeatable,
         service,
         record,
         began_us,
@@ -415,7 +419,7 @@
         caller_deadline_us: routed.caller_deadline_us,
         claims_key: routed.record.claims_key(),
         replayable: body.is_replayable(),
-        repeatable: is_repeatable(&routed.route, &routed.service),
+        repeatable: routed.repeatable,
         max_attempts: routed
             .route
             .terms
--- a/sniperund/src/callers/ticket_relay.rs
+++ b/sniperund/src/callers/ticket_relay.rs
@@ -45,9 +45,10 @@
     };
     let mut request = request.map(BodyExt::boxed);
     remove_hop_by_hop(request.headers_mut());
-    request
-        .headers_mut()
-        .insert(names::RELAYED, HeaderValue::from_static("1"));
+    for name in [names::RELAYED, names::AT_MOST_ONCE] {
+        let headers = request.headers_mut();
+        headers.insert(name, HeaderValue::from_static("1"));
+    }
     let Ok(sent) = limits.wait(connection.send(request)).await else {
         return build_refusal(
             &*proxy_state.header_protocol,
--- a/sniperund/tests/users/superseded.rs
+++ b/sniperund/tests/users/superseded.rs
@@ -8,15 +8,19 @@
 use peers::Sender;
 use policy::instance::Envelope;
 use policy::instance::Message;
+use policy::membership::Member;
+use policy::membership::Status;
 use serde_json::Value;
 use serde_json::json;
 use standin::Link;
 use standin::TargetScript;
+use standin::UsersTarget;
 use standin::users::PEERS_PORT;
 use standin::users::configuration;
 
 use crate::deployment::Deployment;
 use crate::deployment::InstanceProcess;
+use crate::deployment::ephemeral_address;
 use crate::deployment::wait_until;
 
 /// Routes of a configuration that is not sent to peers as a whole.
@@ -161,3 +165,64 @@
     assert_eq!(answer.map(|answer| answer.status), Some(502));
     assert_eq!(runs(&deployment, "6f04"), 1);
 }
+
+/// Guards against a relayed request that runs twice, since the instance that serves it has an older
+/// release than the one that relays it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_another_instance_relays_as_an_order_is_not_repeated() {
+    let relayed = "sniperun-relayed: 1\r\n";
+    let order = "sniperun-relayed: 1\r\nsniperun-at-most-once: 1\r\n";
+    for (lines, expected_runs) in [(relayed, 2), (order, 1)] {
+        let deployment = Deployment::start(1).await;
+        lose_answers(&deployment);
+        let _ = deployment.instances[0]
+            .send_request_with("GET", "/read/a", "6f05", lines)
+            .await;
+        assert_eq!(runs(&deployment, "6f05"), expected_runs, "{lines}");
+        let heads = deployment.targets.iter();
+        let mut heads = heads.flat_map(|target| target.observed().heads);
+        assert!(heads.all(|head| !head.contains("sniperun-")));
+    }
+}
+
+/// Guards against an instance that hands an order over without a word that it must run once, as the
+/// other instance may route it by an older release.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_that_is_handed_over_is_marked() {
+    let mut deployment = Deployment::start(0).await;
+    let helper = UsersTarget::bind(ephemeral_address(), "i-helper").await;
+    let helper = helper.expect("failed to start the helper");
+    let member = Member {
+        id: "edge-north-helper".into(),
+        data_centre: "north".into(),
+        caller_address: helper.address(),
+        peer_address: helper.address(),
+        incarnation: 1,
+        status: Status::Alive,
+    };
+    let member = serde_json::to_value(member).expect("a member has a JSON form");
+    deployment
+        .store
+        .put("sniperun-instances/edge-north-helper", &member);
+    let instance = deployment.start_instance();
+    wait_until("readiness", async || {
+        instance.readiness_status().await == Some(200)
+    })
+    .await;
+    deployment.targets.clear();
+    for (method, path, is_marked) in [("GET", "/read/a", false), ("POST", "/command/a", true)] {
+        let mut relayed = None;
+        wait_until("a request to be handed over", async || {
+            let _ = instance.send_request(method, path, "6f06").await;
+            let heads = helper.observed().heads.into_iter();
+            let mut heads = heads.filter(|head| head.starts_with(method));
+            relayed = heads.next();
+            relayed.is_some()
+        })
+        .await;
+        let head = relayed.unwrap_or_default();
+        assert!(head.contains("sniperun-relayed: 1"), "{head}");
+        let has_mark = head.contains("sniperun-at-most-once: 1");
+        assert_eq!(has_mark, is_marked, "{head}");
+    }
+}
