Check the process that follows one which has said that it leaves

Cause: a response does not name the process that it comes from. What it says is kept for the process of the target's entry. A target that restarts under its name while its entry cannot be written, or is written late, and says that it leaves, has spoken for the former process as far as the instance knows; the entry of the new one then opens the target again. No outage is needed for it.

Change: the process that follows under a name for which a statement was heard counts as leaving too, until a status check shows whether it does. A target that leaves says so in all its responses, so that any response to the check, of whatever status, decides: with the sign it is a statement of the new process, without it the target is in use again. The check starts as soon as the entry is in force, and is repeated if there is no usable response or if something was heard under the name since it began. The time of last requests counts from the first response that was passed on. No clock of a target is compared with one of an instance.

Ruled out: to close a name for good, or for a time. A sound successor would be lost; the tests keep it, also after a second process that has left.

Evidence: target-departure-checked and target-stays in the logs say what became of each process.

--- a/border/src/header_protocol.rs
+++ b/border/src/header_protocol.rs
@@ -85,6 +85,12 @@
         TargetNotices::default()
     }
 
+    /// Whether the response to a request for the health path comes from the target, as far as it
+    /// tells; by default it does.
+    fn is_from_target(&self, _target: &Target, _status: StatusCode, _headers: &HeaderMap) -> bool {
+        true
+    }
+
     /// Rewrites the headers of a target's response for the caller.
     fn prepare_response_headers(&self, headers: &mut HeaderMap);
 
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -35,6 +35,13 @@
         /// Health path of the target's service.
         path: Arc<str>,
     },
+    /// Request a target's health path and report whether the response says that the target leaves.
+    CheckDeparture {
+        /// The target.
+        target: Arc<Target>,
+        /// Health path of the target's service.
+        path: Arc<str>,
+    },
     /// Call the platform and report its answer.
     Call(PlatformCall),
     /// Read a part of the registry again, because this instance may have an old version.
@@ -205,6 +212,11 @@
         /// Id of the instance that it has said so to, or that forwards its broadcast.
         by: Arc<str>,
     },
+    /// A process that counted as leaving, since a process under its name had said so, does not leave.
+    DepartureRefuted {
+        /// The target's process.
+        process: TargetProcess,
+    },
     /// A target has refused a request and wants no others from this instance for a time.
     PauseRequested {
         /// The target's process.
--- a/policy/src/instance/input.rs
+++ b/policy/src/instance/input.rs
@@ -14,6 +14,7 @@
 use crate::notes::NumberedNote;
 use crate::quarantine::Crash;
 use crate::quarantine::Fingerprint;
+use crate::routing::TargetProcess;
 
 /// An event that the instance handles.
 #[derive(Clone, Debug)]
@@ -39,6 +40,13 @@
         /// Whether the response was good.
         good: bool,
     },
+    /// A status check that the instance requested has ended.
+    DepartureChecked {
+        /// The process that was checked.
+        process: TargetProcess,
+        /// Whether it says that it leaves; `None` without a response of the target.
+        is_leaving: Option<bool>,
+    },
     /// A call to the platform was answered or has failed.
     Platform(PlatformAnswer),
     /// The registry sent an update, or its reachability has changed.
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -247,6 +247,10 @@
                 target,
                 good,
             } => self.handle_probe_result(now_us, &service, &target, good),
+            Input::DepartureChecked {
+                process,
+                is_leaving,
+            } => self.handle_departure_check(now_us, &process, is_leaving),
             Input::Platform(answer) => self.handle_platform_answer(now_us, answer),
             Input::Registry(update) => self.handle_registry_update(now_us, update),
             Input::RequestPermit(request) => self.request_permit(now_us, request),
@@ -259,6 +263,7 @@
             Input::Retries(limits) => self.set_retry_limits(limits),
             Input::Drain => self.drain(now_us),
         }
+        self.check_departures(now_us);
         self.publish();
         std::mem::take(&mut self.actions)
     }
--- a/policy/src/instance/table_builder.rs
+++ b/policy/src/instance/table_builder.rs
@@ -80,10 +80,14 @@
         let load = match known {
             Some((old, load)) if can_share_load(old, target) => load.clone(),
             replaced => {
-                let load = self.former_loads.take(target).unwrap_or_else(|| {
+                let former_load = self.former_loads.take(target);
+                let load = former_load.unwrap_or_else(|| {
                     let load = TargetLoad::new(target.slots);
                     Arc::new(load.with_departure_limit(self.departure_limit_us))
                 });
+                if !self.departures.has_stated(&TargetProcess::of(target)) {
+                    load.clear_departure();
+                }
                 // Tables still in use may refer to the target's former address or process.
                 if let Some((former, former_load)) = replaced {
                     former_load.close();
--- a/policy/src/routing/load.rs
+++ b/policy/src/routing/load.rs
@@ -120,6 +120,11 @@
             .fetch_min(stated_us, Ordering::AcqRel);
     }
 
+    /// Takes back that the target has said so, as it was another process that did.
+    pub fn clear_departure(&self) {
+        self.departure_stated_us.store(NEVER_US, Ordering::Release);
+    }
+
     /// Records that another instance has heard that the target leaves.
     pub fn report_departure(&self) {
         self.is_departure_reported.store(true, Ordering::Release);
--- a/policy/tests/fleet/departures.rs
+++ b/policy/tests/fleet/departures.rs
@@ -13,6 +13,7 @@
 use crate::overload_simulation::LeavingArrival;
 use crate::overload_simulation::OverloadSimulation;
 use crate::overload_simulation::Scenario;
+use crate::overload_simulation::StatedDeparture;
 use crate::scenarios::simulate_scenarios;
 
 /// Random scenarios simulated in CI; `DEPARTURE_DAYS` sets another number, `DEPARTURE_FROM` the
@@ -23,8 +24,7 @@
 const DRAIN_US: u64 = 2 * SECOND_US;
 
 /// Requests that callers sent later than the bound allows.
-fn late_arrivals(seed: u64) -> Vec<LeavingArrival> {
-    let scenario = Scenario::random_with_departures(seed);
+fn late_arrivals(seed: u64, scenario: Scenario) -> Vec<LeavingArrival> {
     let result = OverloadSimulation::new(seed, scenario).run();
     let arrivals = result.leaving_arrivals.into_iter();
     arrivals
@@ -148,10 +148,10 @@
     }
 }
 
-#[test]
-fn targets_that_say_they_leave_get_no_late_requests() {
-    let broken = simulate_scenarios("DEPARTURE", DEFAULT_SCENARIOS, |seed| {
-        Some(late_arrivals(seed)).filter(|late| !late.is_empty())
+/// Simulates random scenarios, and fails if any has late requests.
+fn assert_no_late_requests(prefix: &str, scenario: fn(u64) -> Scenario) {
+    let broken = simulate_scenarios(prefix, DEFAULT_SCENARIOS, |seed| {
+        Some(late_arrivals(seed, scenario(seed))).filter(|late| !late.is_empty())
     });
     let late: usize = broken.iter().map(|(_, late)| late.len()).sum();
     println!(
@@ -161,3 +161,154 @@
     let first: Vec<String> = broken.iter().take(8).map(describe).collect();
     assert!(broken.is_empty(), "{}", first.join("; "));
 }
+
+#[test]
+fn targets_that_say_they_leave_get_no_late_requests() {
+    assert_no_late_requests("DEPARTURE", Scenario::random_with_departures);
+}
+
+/// Guards against a process that says that it leaves before the registry has its entry, so that its
+/// word is taken for that of the process before it.
+#[test]
+fn targets_whose_entries_come_late_get_no_late_requests() {
+    assert_no_late_requests("LATE_ENTRY", Scenario::random_with_late_entries);
+}
+
+/// The target 3 leaves by its own word from the third second on, and the next process under its name
+/// starts in the seventh.
+const RESTARTED: StatedDeparture = StatedDeparture {
+    target: 3,
+    from_us: 3 * SECOND_US,
+    ends_us: 6 * SECOND_US,
+    next_us: 7 * SECOND_US,
+    next_incarnation: 77,
+};
+
+/// Whether an instance's counters of the target 3 mark it as leaving, and are closed.
+fn leaving_and_closed(fleet: &Fleet, number: usize) -> Option<(bool, bool)> {
+    let table = fleet.table(number);
+    let mut candidates = table.services["gates"].candidates.iter();
+    let target = candidates.find(|candidate| &*candidate.target.name == "t003")?;
+    Some((
+        target.load.is_leaving(),
+        target.load.is_closed(fleet.now_us()),
+    ))
+}
+
+/// Guards against the same with a single target: the next process has left when its entry comes.
+#[test]
+fn a_process_that_leaves_before_its_entry_comes_stays_closed() {
+    let mut fleet = Fleet::new(8);
+    let lasting = StatedDeparture {
+        ends_us: 60 * SECOND_US,
+        next_us: 61 * SECOND_US,
+        ..RESTARTED
+    };
+    fleet.set_departures(&[lasting]);
+    fleet.run(3 * SECOND_US);
+    fleet.notice(0, departure());
+    fleet.run(8 * SECOND_US);
+    fleet.put_entry(3, 77, 6, false);
+    for second in 9..20 {
+        fleet.run(second * SECOND_US);
+        assert_eq!(leaving_and_closed(&fleet, 0), Some((true, true)));
+    }
+    // What it says in a response to a check is known to the others too.
+    let aware = instances_that_avoid(&fleet);
+    assert!(aware >= INSTANCES - 2, "{aware}");
+}
+
+/// Guards against a target that stays out of use for the word of an earlier process, also if more than
+/// one has left before.
+#[test]
+fn the_process_after_one_that_leaves_is_used_after_a_check() {
+    let mut fleet = Fleet::new(9);
+    let second = StatedDeparture {
+        from_us: 12 * SECOND_US,
+        ends_us: 14 * SECOND_US,
+        next_us: 15 * SECOND_US,
+        next_incarnation: 78,
+        ..RESTARTED
+    };
+    fleet.set_departures(&[RESTARTED, second]);
+    fleet.run(3 * SECOND_US);
+    fleet.notice(0, departure());
+    fleet.run(8 * SECOND_US);
+    fleet.put_entry(3, 77, 6, false);
+    fleet.run(9 * SECOND_US);
+    assert_eq!(leaving_and_closed(&fleet, 0), Some((false, false)));
+    fleet.run(13 * SECOND_US);
+    let noticed = NoticedTarget {
+        process: process(77),
+        ..departure()
+    };
+    fleet.notice(0, noticed);
+    fleet.run(16 * SECOND_US);
+    assert_eq!(leaving_and_closed(&fleet, 0), Some((true, true)));
+    fleet.put_entry(3, 78, 6, false);
+    fleet.run(17 * SECOND_US);
+    assert_eq!(leaving_and_closed(&fleet, 0), Some((false, false)));
+    // One for each of the two processes, at the instance that was told.
+    assert_eq!(fleet.checks(), 2);
+}
+
+/// Guards against a target that is used without an answer to its check, and against one that is not
+/// checked again.
+#[test]
+fn a_check_without_an_answer_is_repeated() {
+    let mut fleet = Fleet::new(10);
+    let slow_start = StatedDeparture {
+        next_us: 12 * SECOND_US,
+        ..RESTARTED
+    };
+    fleet.set_departures(&[slow_start]);
+    fleet.run(3 * SECOND_US);
+    fleet.notice(0, departure());
+    fleet.run(7 * SECOND_US);
+    fleet.put_entry(3, 77, 6, false);
+    fleet.run(12 * SECOND_US);
+    assert_eq!(leaving_and_closed(&fleet, 0), Some((true, true)));
+    fleet.run(15 * SECOND_US);
+    assert_eq!(leaving_and_closed(&fleet, 0), Some((false, false)));
+    assert!(fleet.checks() <= 4, "{}", fleet.checks());
+}
+
+/// Guards against a target that gets requests for longer since its process is known by a check: the time
+/// counts from the first response with the sign, also once the entry has changed.
+#[test]
+fn the_time_of_last_requests_counts_from_the_first_statement() {
+    let mut fleet = Fleet::new(12);
+    let lasting = StatedDeparture {
+        ends_us: 60 * SECOND_US,
+        next_us: 61 * SECOND_US,
+        ..RESTARTED
+    };
+    fleet.set_departures(&[lasting]);
+    fleet.run(3 * SECOND_US);
+    fleet.notice(0, departure());
+    fleet.put_entry(3, 77, 6, false);
+    fleet.run(4 * SECOND_US);
+    fleet.put_entry(3, 77, 5, false);
+    fleet.run(5 * SECOND_US);
+    assert_eq!(fleet.checks(), 1);
+    assert_eq!(leaving_and_closed(&fleet, 0), Some((true, true)));
+}
+
+/// Guards against a response that arrives after the next entry, under the name of the former process.
+#[test]
+fn a_statement_for_a_former_process_closes_the_present_one_until_it_is_checked() {
+    let mut fleet = Fleet::new(11);
+    let lasting = StatedDeparture {
+        ends_us: 60 * SECOND_US,
+        next_us: 61 * SECOND_US,
+        ..RESTARTED
+    };
+    fleet.set_departures(&[lasting]);
+    fleet.run(3 * SECOND_US);
+    fleet.put_entry(3, 77, 6, false);
+    fleet.run(5 * SECOND_US);
+    assert_eq!(leaving_and_closed(&fleet, 0), Some((false, false)));
+    fleet.notice(0, departure());
+    fleet.run(8 * SECOND_US);
+    assert_eq!(leaving_and_closed(&fleet, 0), Some((true, true)));
+}
--- a/policy/tests/fleet/fleet.rs
+++ b/policy/tests/fleet/fleet.rs
@@ -31,10 +31,12 @@
 use policy::quarantine::Crash;
 use policy::quarantine::Fingerprint;
 use policy::routing::RoutingTable;
+use policy::routing::TargetProcess;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::overload_simulation::StatedDeparture;
 use crate::support::service;
 
 pub(crate) const SECOND_US: u64 = 1_000_000;
@@ -47,6 +49,9 @@
 /// Pause of the follower after it has read changes.
 const BATCH_PAUSE_US: u64 = 450 * MS_US;
 const PROBE_PERIOD_US: u64 = SECOND_US;
+/// A status check takes between one and this number of steps.
+const CHECK_STEPS: u64 = 20;
+const CHECK_STEP_US: u64 = 10 * MS_US;
 /// Pause of the follower after a failed call.
 const RETRY_PAUSE_US: u64 = 300 * MS_US;
 /// Consecutive failures after which the follower reports the registry as unreachable.
@@ -123,6 +128,8 @@
     Leave,
     Expire,
     Restore,
+    /// The status check of a target, by number, ends at an instance.
+    Checked(usize, u64, u64),
 }
 
 /// A simulated fleet with its network and registry.
@@ -143,6 +150,10 @@
     answers: VecDeque<(u64, PermitAnswer)>,
     retry_answers: VecDeque<(u64, bool)>,
     retry_reserve: Option<f64>,
+    /// Status checks so far.
+    checks: u64,
+    /// When processes of targets leave, end and are replaced.
+    departures: Vec<StatedDeparture>,
     /// Instances of a build that does not know permit requests with a priority.
     former_builds: BTreeSet<usize>,
     /// Permit requests with a priority that were sent to them.
@@ -231,6 +242,8 @@
             answers: VecDeque::new(),
             retry_answers: VecDeque::new(),
             retry_reserve,
+            checks: 0,
+            departures: Vec::new(),
             former_builds: BTreeSet::new(),
             rejected_requests: 0,
         };
@@ -551,7 +564,10 @@
             return false;
         };
         self.now_us = at_us;
-        if let Event::Tick(number) | Event::Poll(number) | Event::Deliver(number) = event
+        if let Event::Tick(number)
+        | Event::Poll(number)
+        | Event::Deliver(number)
+        | Event::Checked(number, ..) = event
             && let Some(until_us) = self.paused_until_us(number)
         {
             // In the order in which they came.
@@ -574,6 +590,9 @@
                     self.deliver(number, Input::Received(envelope));
                 }
             }
+            Event::Checked(number, target, incarnation) => {
+                self.end_check(number, target, incarnation)
+            }
             Event::Leave => self.leave(),
             Event::Expire => {
                 let names: Vec<_> = self.registry.targets.keys().cloned().collect();
@@ -629,6 +648,16 @@
                 Action::RetryAnswer { number, is_lent } => {
                     self.retry_answers.push_back((number, is_lent));
                 }
+                Action::CheckDeparture { target, .. } => {
+                    let at_us = self.now_us + (1 + self.checks % CHECK_STEPS) * CHECK_STEP_US;
+                    self.checks += 1;
+                    let target_number = target.name.trim_start_matches('t').parse();
+                    let target_number = target_number.expect("targets are numbered");
+                    self.schedule(
+                        at_us,
+                        Event::Checked(number, target_number, target.incarnation),
+                    );
+                }
                 Action::Reread(RegistryPart::Targets) => {
                     self.nodes[number].follower.must_reread = true;
                 }
@@ -644,6 +673,41 @@
         }
     }
 
+    /// Sets when processes of targets leave, end and are replaced, which they say in responses to
+    /// status checks.
+    pub(crate) fn set_departures(&mut self, departures: &[StatedDeparture]) {
+        self.departures = departures.to_vec();
+    }
+
+    /// Number of status checks so far.
+    pub(crate) fn checks(&self) -> u64 {
+        self.checks
+    }
+
+    /// Ends a status check with what the present process of the target says.
+    fn end_check(&mut self, number: usize, target: u64, incarnation: u64) {
+        let now_us = self.now_us;
+        let of_target = |departure: &&StatedDeparture| departure.target as u64 == target;
+        let mut departures = self.departures.iter().filter(of_target);
+        let is_leaving =
+            |departure: &StatedDeparture| (departure.from_us..departure.ends_us).contains(&now_us);
+        let is_down =
+            |departure: &StatedDeparture| (departure.ends_us..departure.next_us).contains(&now_us);
+        let is_leaving = match departures.clone().any(is_down) {
+            true => None,
+            false => Some(departures.any(is_leaving)),
+        };
+        let process = TargetProcess {
+            target: format!("t{target:03}").into(),
+            incarnation,
+        };
+        let checked = Input::DepartureChecked {
+            process,
+            is_leaving,
+        };
+        self.deliver(number, checked);
+    }
+
     fn send(&mut self, to: SocketAddr, envelope: Envelope) {
         let number = usize::from(to.port()) - 1_000;
         let from = envelope.from.trim_start_matches('i').parse::<usize>();
--- a/policy/tests/fleet/overload_simulation.rs
+++ b/policy/tests/fleet/overload_simulation.rs
@@ -116,7 +116,7 @@
 }
 
 /// What the registry says of a target.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Entry {
     /// Nothing.
     Removed,
@@ -300,6 +300,37 @@
         }
     }
 
+    /// Creates a random scenario as [`Self::random_with_departures`] does, in which the entries of
+    /// new processes are written late, as while the targets cannot reach the registry. Some of these
+    /// processes leave before, and the next ones may stay.
+    pub(crate) fn random_with_late_entries(seed: u64) -> Self {
+        let mut scenario = Self::random_with_departures(seed);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+        let first_departures = scenario.departures.clone();
+        for departure in first_departures {
+            let (from_us, incarnation) = (departure.next_us, departure.next_incarnation);
+            let entry_us = from_us + rng.random_range(500_000..8 * SECOND_US);
+            for change in &mut scenario.entry_changes {
+                let is_late = change.target == departure.target
+                    && change.entry == Entry::Present(incarnation, SLOTS as u32, false)
+                    && change.at_us < entry_us;
+                if is_late {
+                    change.at_us = entry_us;
+                }
+            }
+            let mut following = scenario.departures.iter_mut().filter(|other| {
+                other.target == departure.target && other.from_us > departure.from_us
+            });
+            // The next process leaves soon, mostly before its entry is written.
+            if let Some(next) = following.next()
+                && rng.random_bool(0.7)
+            {
+                next.from_us = from_us + rng.random_range(200_000..3 * SECOND_US);
+            }
+        }
+        scenario
+    }
+
     /// The process behind a target's name, and since when it says that it leaves; `None` if there
     /// is none at that time.
     fn process(&self, target: usize, at_us: u64) -> Option<(u64, Option<u64>)> {
@@ -578,6 +609,7 @@
         for (number, change) in self.scenario.entry_changes.clone().iter().enumerate() {
             self.schedule(change.at_us, SimEvent::ChangeEntry(number));
         }
+        self.fleet.set_departures(&self.scenario.departures);
         for (instances, from_us, until_us) in self.scenario.registry_outages.clone() {
             self.fleet.block_registry(instances, from_us, until_us);
         }
--- a/proof/src/sim.rs
+++ b/proof/src/sim.rs
@@ -547,6 +547,7 @@
             }) => self.stats.ejections.push((self.now_us, target)),
             Action::Log(_)
             | Action::Reread(_)
+            | Action::CheckDeparture { .. }
             | Action::Permit { .. }
             | Action::RetryAnswer { .. }
             | Action::QuotaAnswered => {}
--- a/sniperund/src/app/app.rs
+++ b/sniperund/src/app/app.rs
@@ -127,6 +127,7 @@
             platform: environment.platform.clone(),
             reread_signals: reread_signals.clone(),
             prober: Prober,
+            header_protocol: environment.header_protocol.clone(),
             metrics: metrics.clone(),
             permits: permits.clone(),
             retry_loans: retry_loans.clone(),
--- a/sniperund/src/control/control_loop.rs
+++ b/sniperund/src/control/control_loop.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use border::HeaderProtocol;
 use border::Platform;
 use peers::Sender;
 use policy::Input;
@@ -37,6 +38,8 @@
     pub reread_signals: Arc<RereadSignals>,
     /// Runs health probes of targets.
     pub prober: Prober,
+    /// Reads what targets say about themselves in responses to status checks.
+    pub header_protocol: Arc<dyn HeaderProtocol>,
     /// Metrics that the execution of actions updates.
     pub metrics: Arc<Metrics>,
     /// Pending permit requests for targets of overloaded services.
@@ -66,6 +69,7 @@
             platform: parts.platform,
             reread_signals: parts.reread_signals,
             prober: parts.prober,
+            header_protocol: parts.header_protocol,
             metrics: parts.metrics,
             permits: parts.permits,
             retry_loans: parts.retry_loans,
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use border::HeaderProtocol;
 use border::NoteStore;
 use border::Platform;
 use border::SnapshotStore;
@@ -14,6 +15,7 @@
 use policy::instance::LogEvent;
 use policy::instance::PlatformAnswer;
 use policy::instance::PlatformCall;
+use policy::routing::TargetProcess;
 use tokio::sync::Notify;
 
 use super::ControlHandle;
@@ -34,6 +36,7 @@
     pub(super) platform: Option<Arc<dyn Platform>>,
     pub(super) reread_signals: Arc<RereadSignals>,
     pub(super) prober: Prober,
+    pub(super) header_protocol: Arc<dyn HeaderProtocol>,
     pub(super) metrics: Arc<Metrics>,
     pub(super) permits: Arc<PendingPermits>,
     pub(super) retry_loans: Arc<PendingRetryLoans>,
@@ -48,6 +51,7 @@
                 address, envelope, ..
             } => self.sender.send(address, &envelope),
             Action::Probe { target, path } => self.probe(target, path),
+            Action::CheckDeparture { target, path } => self.check_departure(target, path),
             Action::Call(call) => self.call(call),
             Action::Reread(part) => self.reread_signals.request(part),
             Action::Permit { number, answer } => self.permits.answer(number, answer),
@@ -70,6 +74,24 @@
         });
     }
 
+    fn check_departure(&self, target: Arc<Target>, path: Arc<str>) {
+        let handle = self.handle.clone();
+        let prober = self.prober;
+        let header_protocol = self.header_protocol.clone();
+        tokio::spawn(async move {
+            let is_leaving = prober.is_leaving(&target, &path, &*header_protocol).await;
+            log::info!(
+                "event=target-departure-checked target={} incarnation={} leaves={is_leaving:?}",
+                target.name,
+                target.incarnation
+            );
+            handle.send(Input::DepartureChecked {
+                process: TargetProcess::of(&target),
+                is_leaving,
+            });
+        });
+    }
+
     fn call(&self, call: PlatformCall) {
         let Some(platform) = self.platform.clone() else {
             log::error!("event=platform-call-without-platform call={call:?}");
@@ -174,6 +196,13 @@
                     process.incarnation
                 );
             }
+            LogEvent::DepartureRefuted { process } => {
+                log::info!(
+                    "event=target-stays target={} incarnation={}",
+                    process.target,
+                    process.incarnation
+                );
+            }
             LogEvent::PauseRequested { process, pause_ms } => {
                 log::info!(
                     "event=target-pauses target={} incarnation={} pause_ms={pause_ms}",
--- a/sniperund/tests/users/leaving.rs
+++ b/sniperund/tests/users/leaving.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use standin::StoreFault;
 use standin::TargetScript;
 
 use crate::deployment::Deployment;
@@ -172,3 +173,29 @@
         assert!(more <= 2, "{script:?}: {more} more requests");
     }
 }
+
+/// Guards against a process that says that it leaves before the store has its entry: the sign is kept for
+/// the former process, and the entry of the new one would open the target again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_leaves_before_its_entry_is_written_gets_no_late_requests() {
+    let deployment = Deployment::start(2).await;
+    let mut callers = Callers { sent: 0 };
+    let target = &deployment.targets[0];
+    deployment.store.set_fault(StoreFault::Busy);
+    target.set_extra_headers(LEAVING);
+    let heard_at = callers.hear_from(&deployment, 0).await;
+    callers.send_for(&deployment, DRAIN).await;
+    deployment.store.set_fault(StoreFault::None);
+    let mut entry = target.entry("reads", "ready");
+    entry["born"] = 1_700_000_009_000_u64.into();
+    let key = format!("servers/{}", target.id());
+    deployment.store.put(&key, &entry);
+    for instance in &deployment.instances {
+        let line = format!("event=targets-in-force put=\"{}\"", target.id());
+        instance.wait_for_log(&line).await;
+    }
+    let failures = callers.send_for(&deployment, WATCHED).await;
+    assert_eq!(failures, Vec::<u16>::new());
+    let late = late_arrivals(&deployment, 0, &heard_at);
+    assert!(late.is_empty(), "{} late requests: {late:?}", late.len());
+}
