Repeat no request at an instance that hears from nobody

What callers would see: an order that runs twice, at an instance that reaches neither the registry nor its peers, while a release that forbids to repeat it is in force at all others.

Cause: an instance without any contact takes its release for the newest one.

Change: an instance that has had peers, hears from none of them for 2.5 s and cannot reach the registry repeats no request that may have run. An outage of the registry for all changes nothing, as the instances hear from each other; an instance without peers is never isolated.

Price: the last instance that is left, while the registry is down, does not send reads again whose answers were lost. Within the first 2.5 s nothing can be known.

Test, failed before (on: the request is sent again) and passes now: superseded_releases::an_instance_that_hears_from_nobody_repeats_no_request

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -330,7 +330,7 @@
     pub fn is_repeatable(&self) -> bool {
         self.request.repeatable
             && !self.are_repeats_forbidden
-            && !self.table.load.table_freshness.is_superseded()
+            && !self.table.load.table_freshness.may_be_superseded()
     }
 
     /// Whether the request may be sent to a target now.
--- a/policy/src/instance/action.rs
+++ b/policy/src/instance/action.rs
@@ -317,6 +317,9 @@
         /// Highest number of a release that is known to exist.
         newest_number: u64,
     },
+    /// The instance hears neither from its peers nor from the registry (`true`), or does again
+    /// (`false`).
+    Isolated(bool),
     /// The registry has become reachable (`true`) or unreachable (`false`).
     RegistryReachable(bool),
     /// An instance has joined.
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -97,6 +97,7 @@
         if let Some((peer, known_versions)) = self.peer_ahead.take() {
             self.catch_up_with_peer(now_us, &peer, known_versions);
         }
+        self.update_isolation(now_us);
         self.fetch_release(now_us);
         self.registry_view.tick(now_us);
         if self.registry_view.take_reread(now_us) {
@@ -359,6 +360,20 @@
         }
     }
 
+    /// Records whether this instance, which has had peers, hears neither from them nor from the
+    /// registry: a newer release may be in force elsewhere.
+    fn update_isolation(&mut self, now_us: u64) {
+        let table_freshness = self.shared.table_freshness();
+        let has_had_peers = self.last_message_us > 0;
+        let is_isolated = has_had_peers
+            && self.is_silent_around(now_us)
+            && !table_freshness.is_source_reachable();
+        if table_freshness.set_isolated(is_isolated) != is_isolated {
+            self.actions
+                .push(Action::Log(LogEvent::Isolated(is_isolated)));
+        }
+    }
+
     fn apply_view_changes(&mut self) {
         let Some((mut number, mut change)) =
             self.registry_view.change(self.note_log.configuration())
--- a/policy/src/routing/table_freshness.rs
+++ b/policy/src/routing/table_freshness.rs
@@ -21,6 +21,7 @@
     is_catching_up: AtomicBool,
     is_source_unreachable: AtomicBool,
     lacks_release: AtomicBool,
+    is_isolated: AtomicBool,
 }
 
 impl Default for TableFreshness {
@@ -30,6 +31,7 @@
             is_catching_up: AtomicBool::new(false),
             is_source_unreachable: AtomicBool::new(false),
             lacks_release: AtomicBool::new(false),
+            is_isolated: AtomicBool::new(false),
         }
     }
 }
@@ -43,12 +45,13 @@
 
     /// Whether a route that is missing from the tables can be reported as non-existent.
     pub fn is_authoritative(&self) -> bool {
-        self.is_source_reachable() && !self.is_superseded()
+        self.is_source_reachable() && !self.lacks_release.load(Ordering::Acquire)
     }
 
-    /// Whether a release is known to exist that is newer than the tables.
-    pub fn is_superseded(&self) -> bool {
-        self.lacks_release.load(Ordering::Acquire)
+    /// Whether a release is known to exist that is newer than the tables, or may be in force at other
+    /// instances since this one hears from nobody.
+    pub fn may_be_superseded(&self) -> bool {
+        self.lacks_release.load(Ordering::Acquire) || self.is_isolated.load(Ordering::Acquire)
     }
 
     /// Whether the source of the tables is reachable.
@@ -68,6 +71,12 @@
         self.lacks_release.swap(lacks_release, Ordering::AcqRel)
     }
 
+    /// Records whether the instance hears neither from its peers nor from the source of the tables.
+    /// Returns what was recorded before.
+    pub(crate) fn set_isolated(&self, is_isolated: bool) -> bool {
+        self.is_isolated.swap(is_isolated, Ordering::AcqRel)
+    }
+
     /// Records a tick, and whether the instance is still requesting missed updates from others.
     pub(crate) fn record_tick(&self, now_us: u64, is_catching_up: bool) {
         self.is_catching_up.store(is_catching_up, Ordering::Release);
--- a/policy/tests/fleet/superseded_releases.rs
+++ b/policy/tests/fleet/superseded_releases.rs
@@ -255,3 +255,29 @@
         "{step:?}"
     );
 }
+
+/// Guards against a request that runs twice at an instance which hears from nobody, while a release that
+/// forbids to repeat it is in force at all others.
+#[test]
+fn an_instance_that_hears_from_nobody_repeats_no_request() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut fleet = Fleet::new(1);
+    fleet.run(4 * SECOND_US);
+    fleet.block_registry_for(0, 4 * SECOND_US, 20 * SECOND_US);
+    fleet.cut(0, 20 * SECOND_US);
+    fleet.publish_release(large_release(9, MANY_ROUTES, 1));
+    fleet.run(8 * SECOND_US);
+    assert_eq!(instances_without(&fleet, 9), [0]);
+    let mut exchange = sent_request(&fleet, &mut rng);
+    let step = exchange.on(fleet.now_us(), CUT, &mut rng);
+    assert!(matches!(step, Step::Reply(_)), "{step:?}");
+    assert_eq!(exchange.retry_denial(), Some(RetryDenial::Superseded));
+    fleet.run(24 * SECOND_US);
+    assert_eq!(instances_without(&fleet, 9), Vec::<usize>::new());
+    let mut exchange = sent_request(&fleet, &mut rng);
+    let step = exchange.on(fleet.now_us(), CUT, &mut rng);
+    assert!(
+        matches!(step, Step::Send { .. } | Step::BorrowRetry),
+        "{step:?}"
+    );
+}
--- a/sniperund/src/control/driver.rs
+++ b/sniperund/src/control/driver.rs
@@ -301,6 +301,9 @@
                     "event=release-superseded superseded={is_superseded} note={own_number} newest={newest_number}"
                 );
             }
+            LogEvent::Isolated(is_isolated) => {
+                log::warn!("event=isolated isolated={is_isolated}");
+            }
             LogEvent::RegistryReachable(true) => log::info!("event=registry-regained"),
             LogEvent::RegistryReachable(false) => log::warn!("event=registry-lost"),
             LogEvent::Joined { instance } => {
