Soak: change the kind of a route while the store turns an instance away

Each plan now turns one instance away for 9 s, adds a route for orders below the moving one meanwhile, and lets targets lose answers 2 to 4 s later; 7 in 10 plans have 100 to 400 further routes. The steps are drawn from a stream of their own, so that the other faults of a seed stay the same.

An order runs once if it is sent later than configApply after the acknowledgement, unless the links of its instance to the others are cut or no other instance could know.

--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -84,11 +84,12 @@
 }
 
 fn draw_kind(rng: &mut ChaCha8Rng) -> RequestKind {
-    match rng.random_range(0..40) {
+    match rng.random_range(0..48) {
         0..15 => RequestKind::Read,
         15..30 => RequestKind::Command,
         30..38 => RequestKind::MovingRoute,
-        38 => RequestKind::Guest,
+        38..46 => RequestKind::Order,
+        46 => RequestKind::Guest,
         _ => RequestKind::Stranger,
     }
 }
@@ -129,6 +130,7 @@
         RequestKind::Read | RequestKind::Guest | RequestKind::Stranger => ("GET", "/read/x"),
         RequestKind::Command => ("POST", "/command/x"),
         RequestKind::MovingRoute => ("GET", "/moved/x"),
+        RequestKind::Order => ("POST", "/moved/order/x"),
     };
     let text = RawMessage::request(method, path, &request.id, TIME_LIMIT_MS, body);
     let key = key_of(request.customer.as_deref().unwrap_or("nobody"));
--- a/soak/src/checks/mod.rs
+++ b/soak/src/checks/mod.rs
@@ -18,6 +18,7 @@
 pub fn check(record: &Record) -> Vec<Violation> {
     let checks = [
         requests::runs_once,
+        requests::orders_run_once,
         requests::refusals_are_true,
         requests::answers_are_own,
         requests::attempts_are_bound,
--- a/soak/src/checks/requests.rs
+++ b/soak/src/checks/requests.rs
@@ -6,13 +6,16 @@
 
 use super::TIMEOUT_MS;
 use super::Violation;
+use super::routing::APPLY_MS;
 use super::violation::violation;
+use crate::Change;
 use crate::Component;
 use crate::Record;
 use crate::Request;
 use crate::RequestEnd;
 use crate::RequestKind;
 use crate::STABLE_WINDOW_MS;
+use crate::testbed::SERVICE_WITH_ORDERS;
 
 /// `lossSlack`: a request that is cut within this time may have crossed the close of its
 /// connection.
@@ -38,6 +41,55 @@
     repeated.map(to_violation).collect()
 }
 
+/// Checks that an order runs at most once if the configuration that makes it one has had the time to
+/// come into force. Exempt are orders that a later configuration may serve as idempotent requests, and
+/// those at instances that no message of others reaches, or while none of the others can know.
+pub(super) fn orders_run_once(record: &Record) -> Vec<Violation> {
+    let runs = runs(record);
+    let orders = record.requests.iter();
+    let orders = orders.filter(|request| request.kind == RequestKind::Order);
+    let is_violation = |request: &&Request| {
+        runs.get(&request.id).is_some_and(|runs| *runs > 1)
+            && orders_since_ms(record, request)
+                .is_some_and(|since_ms| request.sent_ms > since_ms + APPLY_MS)
+    };
+    let to_violation = |request: &Request| {
+        let description = format!("order {} ran {} times", request.id, runs[&request.id]);
+        violation("orders run once", Some(&request.id), description)
+    };
+    orders.filter(is_violation).map(to_violation).collect()
+}
+
+/// Since when the instance of an order can know that it must run at most once, and does until the end
+/// of the order; `None` if it cannot, or need not.
+fn orders_since_ms(record: &Record, order: &Request) -> Option<u64> {
+    let moves = record
+        .changes
+        .iter()
+        .filter_map(|(at_ms, change)| match change {
+            Change::RouteMoved { service } => Some((*at_ms, &**service == SERVICE_WITH_ORDERS)),
+            _ => None,
+        });
+    let moves: Vec<(u64, bool)> = moves
+        .filter(|(at_ms, _)| *at_ms <= order.ended_ms)
+        .collect();
+    let first = moves.iter().rposition(|(_, has_orders)| !has_orders);
+    let (added_ms, _) = *moves.get(first.map_or(0, |last| last + 1))?;
+    let is_reached = record.is_fault_free(
+        &Component::Peers(order.instance),
+        added_ms,
+        order.ended_ms,
+        0,
+    );
+    let instances = record.requests.iter().map(|request| request.instance);
+    let others: BTreeSet<usize> = instances.filter(|other| *other != order.instance).collect();
+    let applied_ms = added_ms + APPLY_MS;
+    let is_calm = |component: Component| record.is_fault_free(&component, added_ms, applied_ms, 0);
+    let is_informed = |other: usize| is_calm(Component::Instance(other));
+    let is_known = is_calm(Component::Store) && others.into_iter().any(is_informed);
+    (is_reached && is_known).then_some(added_ms)
+}
+
 /// Checks that a command has not run if an instance refused it as not run.
 pub(super) fn refusals_are_true(record: &Record) -> Vec<Violation> {
     let runs = runs(record);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -27,6 +27,10 @@
 const RETRY_SLACK_VALUES: std::ops::Range<u32> = 20..56;
 /// Time for which all instances are down.
 const KILL_ALL_DURATION_MS: std::ops::Range<u64> = 50..1_000;
+/// Further routes of a configuration that is not sent between instances as a whole.
+const IDLE_ROUTES: std::ops::Range<usize> = 100..400;
+/// Time for which the store turns an instance away: the longest of the users' site files.
+const REJECTION_MS: u64 = 9_000;
 /// Duration of a fault: shorter and longer than the two to three seconds after which bounds
 /// must hold.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..4_500;
@@ -86,6 +90,9 @@
     /// Points the moving route to a service, which may be the current one.
     #[display("the route moves")]
     MoveRoute,
+    /// Points the moving route to the service whose configurations have a route for orders.
+    #[display("orders must run at most once")]
+    AddOrders,
 }
 
 /// A fault with its start and duration.
@@ -106,6 +113,8 @@
     pub seed: u64,
     /// Faults ordered by start.
     pub steps: Vec<Step>,
+    /// Routes of each configuration that get no requests.
+    pub idle_routes: usize,
 }
 
 impl Plan {
@@ -132,8 +141,14 @@
             }
         }));
         steps.extend(draw_foreign_entries(seed, size));
+        let (rejection, idle_routes) = draw_rejection(seed, size);
+        steps.extend(rejection);
         steps.sort_by_key(|step| step.at_ms);
-        Self { seed, steps }
+        Self {
+            seed,
+            steps,
+            idle_routes,
+        }
     }
 
     /// Returns when the last fault ends, in milliseconds from the start of the plan.
@@ -169,6 +184,42 @@
     steps
 }
 
+/// Draws a change of a route's kind while the store turns one instance away and, some seconds later,
+/// targets lose answers; in most plans, configurations are too large to be sent between instances as
+/// a whole. Returns the number of further routes too.
+fn draw_rejection(seed: u64, size: Size) -> (Vec<Step>, usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(2);
+    let idle_routes = match rng.random_bool(0.7) {
+        true => rng.random_range(IDLE_ROUTES),
+        false => 0,
+    };
+    let instance = rng.random_range(0..size.instances);
+    let at_ms = WARM_UP_MS + rng.random_range(0..FAULT_START_RANGE_MS / 2);
+    let changed_ms = at_ms + rng.random_range(300..1_000);
+    let lost_ms = changed_ms + rng.random_range(2_000..4_000);
+    let mut steps = vec![
+        Step {
+            at_ms,
+            duration_ms: REJECTION_MS,
+            fault: Fault::StoreLink(instance, Mode::CutBack),
+        },
+        Step {
+            at_ms: changed_ms,
+            duration_ms: 0,
+            fault: Fault::AddOrders,
+        },
+    ];
+    let losing = (0..2 * size.targets_per_service).filter(|_| rng.random_bool(0.4));
+    let losing: Vec<usize> = losing.collect();
+    steps.extend(losing.into_iter().map(|target| Step {
+        at_ms: lost_ms,
+        duration_ms: rng.random_range(1_000..3_000),
+        fault: Fault::TargetBehavior(target, TargetScript::LosesAnswers),
+    }));
+    (steps, idle_routes)
+}
+
 fn draw_fault(rng: &mut ChaCha8Rng, size: Size) -> Fault {
     let instance = rng.random_range(0..size.instances);
     let target = rng.random_range(0..2 * size.targets_per_service);
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -14,6 +14,9 @@
     Command,
     /// Idempotent request on the route that moves between services.
     MovingRoute,
+    /// Request below the moving route that must run at most once while some configurations are in
+    /// force, and is idempotent in the others.
+    Order,
     /// Idempotent request with a key that only some configurations contain.
     Guest,
     /// Idempotent request with a key that no configuration contains.
@@ -114,6 +117,8 @@
     Store,
     /// Instance by number.
     Instance(usize),
+    /// Link from other instances to an instance, by its number.
+    Peers(usize),
     /// Target by id.
     Target(Arc<str>),
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -55,7 +55,8 @@
 pub async fn run(seed: u64, size: Size, program: &Path, folder: &Path) -> io::Result<Outcome> {
     let plan = Plan::from_seed(seed, size);
     let dropped_connections = Link::dropped_connections();
-    let testbed = Testbed::start(program.to_owned(), folder.to_owned(), size).await?;
+    let (program, folder) = (program.to_owned(), folder.to_owned());
+    let testbed = Testbed::start(program, folder, size, plan.idle_routes).await?;
     let from_ms = testbed.now_ms();
     let readiness_poll = tokio::spawn(testbed.clone().poll_readiness());
     let callers: Vec<_> = (0..size.callers)
@@ -144,6 +145,7 @@
             if let Some(link) = &testbed.instances[number].peer_link {
                 inject_link_fault(link, mode, duration).await;
                 testbed.record_fault(start_ms, Component::Instance(number));
+                testbed.record_fault(start_ms, Component::Peers(number));
             }
         }
         Fault::StoreLink(number, mode) => {
@@ -202,6 +204,7 @@
             testbed.record_fault(start_ms, Component::Store);
         }
         Fault::MoveRoute => testbed.put_configuration(start_ms as usize),
+        Fault::AddOrders => testbed.put_configuration_with_orders(),
     }
     Ok(())
 }
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -45,6 +45,9 @@
 /// Customer whose key is withdrawn while the moving route points to another service than
 /// [`SERVICE_WITH_GUEST`].
 pub(crate) const GUEST: &str = "guest";
+/// Service to which the moving route points in the configurations that have a route for orders below
+/// it, whose requests must run at most once.
+pub(crate) const SERVICE_WITH_ORDERS: &str = "gates";
 /// Processing time of a request at a target.
 const PROCESSING_TIME: Duration = Duration::from_millis(15);
 /// Pause between readiness checks of the load balancer, and the timeout of a check.
@@ -99,6 +102,8 @@
     finished: AtomicBool,
     version: AtomicU32,
     next_target: AtomicU32,
+    /// Routes of each configuration that get no requests.
+    idle_routes: usize,
 }
 
 impl Testbed {
@@ -107,6 +112,7 @@
         program: PathBuf,
         folder: PathBuf,
         size: Size,
+        idle_routes: usize,
     ) -> io::Result<Arc<Self>> {
         let store = UsersStore::bind(ephemeral_address()).await?;
         let block = next_address_block();
@@ -131,6 +137,7 @@
             finished: AtomicBool::new(false),
             version: AtomicU32::new(5),
             next_target: AtomicU32::new(0),
+            idle_routes,
         });
         for service in SERVICES {
             for _ in 0..size.targets_per_service {
@@ -283,12 +290,32 @@
         if service == SERVICE_WITH_GUEST {
             document["tenants"][GUEST] = json!({"apiKeys": [key_of(GUEST)]});
         }
+        let base = document["routes"]["r-moved"].clone();
+        for number in 0..self.idle_routes {
+            let mut route = base.clone();
+            route["pathPrefix"] = json!(format!("/idle-{number}/"));
+            document["routes"][format!("r-idle-{number}")] = route;
+        }
+        if service == SERVICE_WITH_ORDERS {
+            let mut route = base;
+            route["pathPrefix"] = json!("/moved/order/");
+            route["kind"] = json!("non_idempotent");
+            document["routes"]["r-order"] = route;
+        }
         self.store.put(CONFIGURATION_KEY, &document);
         self.record_change(Change::RouteMoved {
             service: service.into(),
         });
     }
 
+    /// Writes a configuration with the route for orders.
+    pub(crate) fn put_configuration_with_orders(&self) {
+        let service = SERVICES
+            .iter()
+            .position(|service| *service == SERVICE_WITH_ORDERS);
+        self.put_configuration(service.unwrap_or(0));
+    }
+
     /// Marks a target as draining in the store.
     pub(crate) fn drain_target(&self, handle: &TargetHandle) {
         self.put_target(handle, "draining");
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -109,6 +109,29 @@
     assert_eq!(violated_invariants(&record), ["runs once"]);
 }
 
+#[test]
+fn an_order_that_ran_twice() {
+    let mut record = valid_record();
+    // Another instance that can tell the first one of the configuration.
+    serve(&mut record, "o2", RequestKind::Read, 100, "t0");
+    record.requests.last_mut().expect("one was added").instance = 1;
+    serve(&mut record, "o", RequestKind::Order, 5_500, "t0");
+    record.ran.push(("o".into(), "t1".into()));
+    let moved = |at_ms: u64, service: &str| {
+        let service = service.into();
+        (at_ms, Change::RouteMoved { service })
+    };
+    // Idempotent in all configurations, or in one that may not be in force any more.
+    record.changes = vec![moved(0, "reads")];
+    assert_eq!(violated_invariants(&record), Vec::<&str>::new());
+    record.changes.push(moved(3_600, "gates"));
+    assert_eq!(violated_invariants(&record), Vec::<&str>::new());
+    record.changes[1] = moved(3_400, "gates");
+    assert_eq!(violated_invariants(&record), ["orders run once"]);
+    record.changes.push(moved(5_510, "reads"));
+    assert_eq!(violated_invariants(&record), Vec::<&str>::new());
+}
+
 #[test]
 fn a_refused_command_that_ran() {
     let mut record = valid_record();
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -27,5 +27,5 @@
             names.insert(text.split('(').next().unwrap_or_default().to_owned());
         }
     }
-    assert_eq!(names.len(), 16, "{names:?}");
+    assert_eq!(names.len(), 17, "{names:?}");
 }
