Leave the end of keys to the registry also for fetched releases

Cause: a release that a peer sends whole is not applied if it would end the need for keys, as it may have passed a build that ignores customers. The parts of a release that is fetched from a peer went past that check, so that an instance which the registry turns away would have admitted every caller. Found by reading the change, before its landing.

Change: one function applies what peers send, whole or in parts. What it refuses is not fetched again, since it would be refused again on each tick.

Test, failed before and passes now: superseded_releases::a_release_without_customers_ends_the_need_for_keys_by_the_registry_only

--- a/policy/src/feed/release_fetch.rs
+++ b/policy/src/feed/release_fetch.rs
@@ -75,12 +75,14 @@
     unresponsive: Option<Arc<str>>,
     /// Whether a difference did not fit the own release.
     needs_complete: bool,
+    /// Highest number of a fetched release that only the registry may confirm; 0 if there is none.
+    refused_number: u64,
 }
 
 impl ReleaseFetch {
     /// Records the number of the release in force at a peer.
     pub fn record_peer(&mut self, now_us: u64, peer: &Arc<str>, number: u64, own_number: u64) {
-        if number > own_number {
+        if number > own_number.max(self.refused_number) {
             self.peers.insert(peer.clone(), number);
             self.behind_since_us.get_or_insert(now_us);
         }
@@ -94,10 +96,14 @@
         is_present: impl Fn(&Arc<str>) -> bool,
         rng: &mut impl Rng,
     ) -> Option<AddressedRequest> {
+        let known_number = terms.own_number.max(self.refused_number);
         self.peers
-            .retain(|peer, number| *number > terms.own_number && is_present(peer));
+            .retain(|peer, number| *number > known_number && is_present(peer));
         if self.peers.is_empty() {
-            *self = Self::default();
+            *self = Self {
+                refused_number: self.refused_number,
+                ..Self::default()
+            };
             return None;
         }
         let behind_us = now_us.saturating_sub(*self.behind_since_us.get_or_insert(now_us));
@@ -179,6 +185,11 @@
         })
     }
 
+    /// Records that a fetched release was not applied, so that it is not fetched again.
+    pub fn record_refused(&mut self, number: u64) {
+        self.refused_number = self.refused_number.max(number);
+    }
+
     fn finish(&mut self, own: Option<&Release>) -> FetchStep {
         let Some(incoming) = self.pending.take().and_then(|pending| pending.incoming) else {
             return FetchStep::Wait;
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -242,13 +242,19 @@
             let ids = id_range.select_ids(&self.other_ids());
             self.broadcast_release(now_us, &release, &ids);
         }
+        self.apply_peer_release(release);
+    }
+
+    /// Applies a release that a peer has sent, unless it would admit every caller.
+    pub(super) fn apply_peer_release(&mut self, release: Release) {
         let view = &self.registry_view;
         let is_newer = view
             .release_after(release.number.saturating_sub(1))
             .is_none();
         if is_newer && release.customers.is_none() && view.requires_keys() {
-            // The sender may be of a former version, which ignores customers, so that the release
-            // would admit every caller. The registry's copy tells whether it has customers.
+            // The release may have passed an instance of a former version, which ignores customers.
+            // The registry's copy tells whether it has any.
+            self.release_fetch.record_refused(release.number);
             self.actions.push(Action::Reread(RegistryPart::Release));
             return;
         }
--- a/policy/src/instance/release_exchange.rs
+++ b/policy/src/instance/release_exchange.rs
@@ -121,9 +121,7 @@
                     from: from.clone(),
                     parts,
                 }));
-                if self.registry_view.apply_release(release) {
-                    self.apply_registry_view();
-                }
+                self.apply_peer_release(release);
             }
             FetchStep::Unusable => self.fetch_release(now_us),
         }
--- a/policy/tests/fleet/superseded_releases.rs
+++ b/policy/tests/fleet/superseded_releases.rs
@@ -1,5 +1,6 @@
 //! Instances that the registry turns away while a new release comes into force at the others.
 
+use model::configuration::Customer;
 use model::configuration::Repeat;
 use model::configuration::Route;
 use model::configuration::RouteTerms;
@@ -141,6 +142,32 @@
     }
 }
 
+/// Guards against an instance that admits every caller, since a peer has the release without customers:
+/// it may have passed an instance of a build that ignores them.
+#[test]
+fn a_release_without_customers_ends_the_need_for_keys_by_the_registry_only() {
+    let mut fleet = Fleet::new(1);
+    fleet.run(4 * SECOND_US);
+    let customer = Customer {
+        name: "kilo".into(),
+        in_flight: 8,
+        keys: None,
+        quota: None,
+        priority: None,
+    };
+    fleet.publish_release(Release {
+        customers: Some(vec![customer]),
+        ..large_release(5, MANY_ROUTES, 0)
+    });
+    fleet.run(8 * SECOND_US);
+    fleet.block_registry_for(3, 8 * SECOND_US, 14 * SECOND_US);
+    fleet.publish_release(large_release(9, MANY_ROUTES, 0));
+    fleet.run(14 * SECOND_US);
+    assert_eq!(instances_without(&fleet, 9), [3]);
+    fleet.run(18 * SECOND_US);
+    assert_eq!(instances_without(&fleet, 9), Vec::<usize>::new());
+}
+
 /// A message of a peer in whose process a release is in force that nobody else has.
 fn message_of_a_peer_ahead(number: u64) -> Envelope {
     Envelope {
--- a/policy/tests/release_parts.rs
+++ b/policy/tests/release_parts.rs
@@ -216,3 +216,29 @@
         None
     );
 }
+
+#[test]
+fn a_release_that_was_refused_is_not_fetched_again() {
+    let mut fetch = ReleaseFetch::default();
+    let peer: Arc<str> = "a".into();
+    let mut rng = rng();
+    fetch.record_peer(0, &peer, 9, 5);
+    assert!(
+        fetch
+            .next_request(0, terms(5), |_| true, &mut rng)
+            .is_some()
+    );
+    fetch.record_refused(9);
+    fetch.record_peer(SECOND_US, &peer, 9, 5);
+    let later_us = 10 * SECOND_US;
+    assert_eq!(
+        fetch.next_request(later_us, terms(5), |_| true, &mut rng),
+        None
+    );
+    fetch.record_peer(later_us, &peer, 11, 5);
+    assert!(
+        fetch
+            .next_request(later_us, terms(5), |_| true, &mut rng)
+            .is_some()
+    );
+}
