--- a/sniperund/tests/users/superseded.rs
+++ b/sniperund/tests/users/superseded.rs
@@ -11,11 +11,11 @@
 use policy::membership::Member;
 use policy::membership::Status;
 use serde_json::Value;
-use serde_json::json;
 use standin::Link;
 use standin::TargetScript;
 use standin::UsersTarget;
 use standin::users::PEERS_PORT;
+use standin::users::add_route;
 use standin::users::configuration;
 
 use crate::deployment::Deployment;
@@ -34,17 +34,12 @@
 /// most once, if `has_orders` is set.
 fn large_configuration(version: u32, has_orders: bool) -> Value {
     let mut document = configuration(version, "reads");
-    let base = document["routes"]["r-moved"].clone();
     for number in 0..IDLE_ROUTES {
-        let mut route = base.clone();
-        route["pathPrefix"] = json!(format!("/idle-{number}/"));
-        document["routes"][format!("r-idle-{number}")] = route;
+        let (name, path) = (format!("r-idle-{number}"), format!("/idle-{number}/"));
+        add_route(&mut document, &name, &path, "idempotent");
     }
     if has_orders {
-        let mut route = base;
-        route["pathPrefix"] = json!("/moved/pay/");
-        route["kind"] = json!("non_idempotent");
-        document["routes"]["r-pay"] = route;
+        add_route(&mut document, "r-pay", "/moved/pay/", "non_idempotent");
     }
     document
 }
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -19,6 +19,7 @@
 use standin::UsersStore;
 use standin::UsersTarget;
 use standin::users::CONFIGURATION_KEY;
+use standin::users::add_route;
 use standin::users::configuration;
 use standin::users::wire::header;
 use standin::users::wire::read_message;
@@ -290,17 +291,12 @@
         if service == SERVICE_WITH_GUEST {
             document["tenants"][GUEST] = json!({"apiKeys": [key_of(GUEST)]});
         }
-        let base = document["routes"]["r-moved"].clone();
         for number in 0..self.idle_routes {
-            let mut route = base.clone();
-            route["pathPrefix"] = json!(format!("/idle-{number}/"));
-            document["routes"][format!("r-idle-{number}")] = route;
+            let (name, path) = (format!("r-idle-{number}"), format!("/idle-{number}/"));
+            add_route(&mut document, &name, &path, "idempotent");
         }
         if service == SERVICE_WITH_ORDERS {
-            let mut route = base;
-            route["pathPrefix"] = json!("/moved/order/");
-            route["kind"] = json!("non_idempotent");
-            document["routes"]["r-order"] = route;
+            add_route(&mut document, "r-order", "/moved/order/", "non_idempotent");
         }
         self.store.put(CONFIGURATION_KEY, &document);
         self.record_change(Change::RouteMoved {
--- a/standin/src/users/documents.rs
+++ b/standin/src/users/documents.rs
@@ -42,6 +42,14 @@
     })
 }
 
+/// Adds a route to a configuration that is like `/moved/` but for its path and kind.
+pub fn add_route(configuration: &mut Value, name: &str, path: &str, kind: &str) {
+    let mut route = configuration["routes"]["r-moved"].clone();
+    route["pathPrefix"] = json!(path);
+    route["kind"] = json!(kind);
+    configuration["routes"][name] = route;
+}
+
 /// Builds the settings file of an instance at `ip` that uses the store at `store`.
 pub fn boot_settings(name: &str, ip: IpAddr, store: SocketAddr) -> Value {
     json!({
--- a/standin/src/users/mod.rs
+++ b/standin/src/users/mod.rs
@@ -12,6 +12,7 @@
 pub use documents::PEERS_PORT;
 pub use documents::READY_PORT;
 pub use documents::SETTINGS_VARIABLE;
+pub use documents::add_route;
 pub use documents::boot_settings;
 pub use documents::configuration;
 pub use store::StoreFault;
