Send no hedge by tables that may be stale after a freeze

What callers would see: a request that runs twice, at an instance whose process was suspended while its route stopped being idempotent.

Cause: whether a request may run again was asked of releases that are known or that a cut may hide, and not of those that a suspended process has missed. A retry after a failure asked whether the tables are current; a hedge and the next instance of a hand-over did not.

Change: the one function that is asked before each repeat counts tables that are not current as superseded, until the instance has caught up. Before, only the retry did.

Test, failed before (on: the request is sent to a second target) and passes now: superseded_releases::a_process_that_was_suspended_sends_no_hedge_by_its_old_tables

--- a/policy/src/exchange/exchange.rs
+++ b/policy/src/exchange/exchange.rs
@@ -4,7 +4,7 @@
 //! refuse the request, when to forward a response, and which outcome to report to the
 //! caller. A request that may not be repeated is retried only if no target can have
 //! run it. The same holds for any request while a newer release than its own is known to
-//! exist, in which its route may be of another kind.
+//! exist, or may have been missed, in which its route may be of another kind.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -327,15 +327,17 @@
     }
 
     /// Whether the request may be sent again now after a target may have run it.
-    pub fn is_repeatable(&self) -> bool {
+    pub fn is_repeatable(&self, now_us: u64) -> bool {
+        let table_freshness = &self.table.load.table_freshness;
         self.request.repeatable
             && !self.are_repeats_forbidden
-            && !self.table.load.table_freshness.may_be_superseded()
+            && !table_freshness.may_be_superseded()
+            && table_freshness.is_current(now_us)
     }
 
     /// Whether the request may be sent to a target now.
-    fn may_send(&self) -> bool {
-        self.is_repeatable() || (!self.may_have_run && self.in_flight() == 0)
+    fn may_send(&self, now_us: u64) -> bool {
+        self.is_repeatable(now_us) || (!self.may_have_run && self.in_flight() == 0)
     }
 
     /// Sets whether the body can be sent again, which is known once reading it has begun.
@@ -445,7 +447,7 @@
         if !invariant::check(Invariant::AtMostOnce, may_send) {
             return self.give_up(now_us, ResultCode::TargetTruncated, rng);
         }
-        if !self.may_send() {
+        if !self.may_send(now_us) {
             return self.refuse_repeat(now_us, rng);
         }
         if !self.table.load.table_freshness.is_current(now_us) {
@@ -583,7 +585,7 @@
                 _ => Step::Continue,
             };
         }
-        if !self.may_send() {
+        if !self.may_send(now_us) {
             return self.refuse_repeat(now_us, rng);
         }
         self.state = State::Sent;
@@ -699,7 +701,7 @@
         }
         let is_server_error = status >= 500;
         if is_server_error
-            && self.is_repeatable()
+            && self.is_repeatable(now_us)
             && self.in_flight() == 1
             && self.has_attempt_left(now_us)
             && self.take_retry_for_urgency()
--- a/policy/src/exchange/retries.rs
+++ b/policy/src/exchange/retries.rs
@@ -26,7 +26,7 @@
 pub enum RetryDenial {
     /// The request, or its body, may not be sent again.
     NotRepeatable,
-    /// A newer release exists, in which the request may not be repeatable.
+    /// A newer release exists or may exist, in which the request may not be repeatable.
     Superseded,
     /// The request has been sent to as many targets as allowed, or to all there are.
     NoAttemptLeft,
@@ -86,7 +86,7 @@
         if !self.request.repeatable || self.loan.is_some() || !self.is_hedge_due(now_us) {
             return Step::Continue;
         }
-        if !self.is_repeatable() {
+        if !self.is_repeatable(now_us) {
             self.retry_denial = Some(RetryDenial::Superseded);
             return Step::Continue;
         }
@@ -177,7 +177,7 @@
             self.retry_denial = Some(RetryDenial::NotRepeatable);
             return false;
         }
-        if self.may_have_run && !self.is_repeatable() {
+        if self.may_have_run && !self.is_repeatable(now_us) {
             self.retry_denial = Some(RetryDenial::Superseded);
             return false;
         }
--- a/policy/tests/fleet/superseded_releases.rs
+++ b/policy/tests/fleet/superseded_releases.rs
@@ -308,3 +308,19 @@
         "{step:?}"
     );
 }
+
+/// Guards against a request that runs twice, since a process that was suspended, and has missed a release
+/// meanwhile, sends it to another target by its old tables before it has caught up.
+#[test]
+fn a_process_that_was_suspended_sends_no_hedge_by_its_old_tables() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut fleet = Fleet::new(1);
+    fleet.run(4 * SECOND_US);
+    let now_us = fleet.now_us();
+    let mut exchange = sent_request(&fleet, &mut rng);
+    let step = exchange.on(now_us + SECOND_US, Event::HedgeDue, &mut rng);
+    assert!(matches!(step, Step::Send { .. }), "{step:?}");
+    let mut exchange = sent_request(&fleet, &mut rng);
+    let step = exchange.on(now_us + 5 * SECOND_US, Event::HedgeDue, &mut rng);
+    assert_eq!(step, Step::Continue);
+}
--- a/sniperund/src/callers/hand_over.rs
+++ b/sniperund/src/callers/hand_over.rs
@@ -91,7 +91,7 @@
             let answer = self.ask_helper(&helper).await;
             self.log_answer(&helper, &answer);
             self.apply_newer_release();
-            if !self.request.exchange.is_repeatable() {
+            if !self.is_repeatable() {
                 hand_over.forbid_repeats();
             }
             let step = hand_over.record(answer.outcome(), helpers.peek().is_some());
@@ -133,7 +133,7 @@
             .header_protocol
             .set_time_left(left_ms, headers);
         headers.insert(names::RELAYED, HeaderValue::from_static("1"));
-        if !self.request.exchange.is_repeatable() {
+        if !self.is_repeatable() {
             headers.insert(names::AT_MOST_ONCE, HeaderValue::from_static("1"));
         }
         match connection.send(request).await {
@@ -143,6 +143,12 @@
         }
     }
 
+    /// Whether the request may be sent again after a target may have run it.
+    fn is_repeatable(&self) -> bool {
+        let now_us = self.proxy_state.clock.now_us();
+        self.request.exchange.is_repeatable(now_us)
+    }
+
     fn log_answer(&self, helper: &Helper, answer: &HelperAnswer) {
         let answer = match answer {
             HelperAnswer::Response(response, _) => response.status().as_u16().to_string(),
