Refuse a release without customers of its peer only

Cause: a release that would end the need for keys was refused under its number, also when a former build had broadcast it. An instance that the registry turns away then fetched that release from no peer, also from one that has it with its customers.

Change: the refusal is kept for the peer from which the release was fetched, until the instance has a release as new. What others broadcast refuses nothing. Each peer is asked once for a release.

Names: are_peers_silent; the number of a fetch's terms is that of the release received last.

--- a/policy/src/feed/release_fetch.rs
+++ b/policy/src/feed/release_fetch.rs
@@ -31,7 +31,7 @@
 /// Whether and how the release can be read elsewhere.
 #[derive(Clone, Copy, Debug)]
 pub struct FetchTerms {
-    /// Number of the own release.
+    /// Number of the release that was received last.
     pub own_number: u64,
     /// Whether the registry is reachable from this instance.
     pub is_registry_reachable: bool,
@@ -75,14 +75,15 @@
     unresponsive: Option<Arc<str>>,
     /// Whether a difference did not fit the own release.
     needs_complete: bool,
-    /// Highest number of a fetched release that only the registry may confirm; 0 if there is none.
-    refused_number: u64,
+    /// Peers whose release was fetched and refused, and its number.
+    refused: BTreeMap<Arc<str>, u64>,
 }
 
 impl ReleaseFetch {
     /// Records the number of the release in force at a peer.
     pub fn record_peer(&mut self, now_us: u64, peer: &Arc<str>, number: u64, own_number: u64) {
-        if number > own_number.max(self.refused_number) {
+        let refused_number = self.refused.get(peer).copied().unwrap_or(0);
+        if number > own_number.max(refused_number) {
             self.peers.insert(peer.clone(), number);
             self.behind_since_us.get_or_insert(now_us);
         }
@@ -96,12 +97,13 @@
         is_present: impl Fn(&Arc<str>) -> bool,
         rng: &mut impl Rng,
     ) -> Option<AddressedRequest> {
-        let known_number = terms.own_number.max(self.refused_number);
+        self.refused
+            .retain(|peer, number| *number > terms.own_number && is_present(peer));
         self.peers
-            .retain(|peer, number| *number > known_number && is_present(peer));
+            .retain(|peer, number| *number > terms.own_number && is_present(peer));
         if self.peers.is_empty() {
             *self = Self {
-                refused_number: self.refused_number,
+                refused: std::mem::take(&mut self.refused),
                 ..Self::default()
             };
             return None;
@@ -140,7 +142,7 @@
         Some(AddressedRequest { to: from, request })
     }
 
-    /// Records a part and returns what follows; `own` is the release in force.
+    /// Records a part and returns what follows; `own` is the release that was received last.
     pub fn record_part(
         &mut self,
         now_us: u64,
@@ -185,9 +187,11 @@
         })
     }
 
-    /// Records that a fetched release was not applied, so that it is not fetched again.
-    pub fn record_refused(&mut self, number: u64) {
-        self.refused_number = self.refused_number.max(number);
+    /// Records that the release of a peer was fetched and not applied, so that this peer is not asked
+    /// for it again.
+    pub fn record_refused(&mut self, peer: &Arc<str>, number: u64) {
+        self.peers.remove(peer);
+        self.refused.insert(peer.clone(), number);
     }
 
     fn finish(&mut self, own: Option<&Release>) -> FetchStep {
--- a/policy/src/instance/instance.rs
+++ b/policy/src/instance/instance.rs
@@ -324,11 +324,11 @@
 
     /// Whether there are peers, and none of them has sent a message lately.
     fn has_no_recent_message(&self, now_us: u64) -> bool {
-        !self.peer_ids.is_empty() && self.is_silent_around(now_us)
+        !self.peer_ids.is_empty() && self.are_peers_silent(now_us)
     }
 
-    /// Whether no instance has sent a message lately.
-    pub(super) fn is_silent_around(&self, now_us: u64) -> bool {
+    /// Whether no peer has sent a message lately.
+    pub(super) fn are_peers_silent(&self, now_us: u64) -> bool {
         now_us.saturating_sub(self.last_message_us) > PEER_SILENCE_US
     }
 
--- a/policy/src/instance/registry.rs
+++ b/policy/src/instance/registry.rs
@@ -245,8 +245,9 @@
         self.apply_peer_release(release);
     }
 
-    /// Applies a release that a peer has sent, unless it would admit every caller.
-    pub(super) fn apply_peer_release(&mut self, release: Release) {
+    /// Applies a release that a peer has sent. Returns `false` if it is refused, as it would admit
+    /// every caller.
+    pub(super) fn apply_peer_release(&mut self, release: Release) -> bool {
         let view = &self.registry_view;
         let is_newer = view
             .release_after(release.number.saturating_sub(1))
@@ -254,13 +255,13 @@
         if is_newer && release.customers.is_none() && view.requires_keys() {
             // The release may have passed an instance of a former version, which ignores customers.
             // The registry's copy tells whether it has any.
-            self.release_fetch.record_refused(release.number);
             self.actions.push(Action::Reread(RegistryPart::Release));
-            return;
+            return false;
         }
         if self.registry_view.apply_release(release) {
             self.apply_registry_view();
         }
+        true
     }
 
     /// Applies and forwards target changes that a watcher has broadcast.
@@ -372,7 +373,7 @@
         let table_freshness = self.shared.table_freshness();
         let has_had_peers = self.last_message_us > 0;
         let is_isolated = has_had_peers
-            && self.is_silent_around(now_us)
+            && self.are_peers_silent(now_us)
             && !table_freshness.is_source_reachable();
         if table_freshness.set_isolated(is_isolated) != is_isolated {
             self.actions
--- a/policy/src/instance/release_exchange.rs
+++ b/policy/src/instance/release_exchange.rs
@@ -121,7 +121,10 @@
                     from: from.clone(),
                     parts,
                 }));
-                self.apply_peer_release(release);
+                let number = release.number;
+                if !self.apply_peer_release(release) {
+                    self.release_fetch.record_refused(from, number);
+                }
             }
             FetchStep::Unusable => self.fetch_release(now_us),
         }
