--- a/policy/src/feed/release_part.rs
+++ b/policy/src/feed/release_part.rs
@@ -10,8 +10,8 @@
 use super::release_delta::ReleaseDelta;
 use super::release_delta::RemovedItems;
 
-/// Items of a part. Of routes as long as those of the users' deployments, a part has about 25 KB:
-/// 20 ms of the smallest links, which is how long it may delay an alert.
+/// Maximum number of items of a part, which has some 25 KB then and delays an alert by 20 ms on a link
+/// of 10 Mbit/s.
 const ITEMS_PER_PART: usize = 200;
 
 /// Number of items of a release, by kind.
--- a/policy/tests/fleet/departures.rs
+++ b/policy/tests/fleet/departures.rs
@@ -184,6 +184,13 @@
     next_incarnation: 77,
 };
 
+/// The same, and the process behind the name says that it leaves until the end of a test.
+const LASTING: StatedDeparture = StatedDeparture {
+    ends_us: 60 * SECOND_US,
+    next_us: 61 * SECOND_US,
+    ..RESTARTED
+};
+
 /// Whether an instance's counters of the target 3 mark it as leaving, and are closed.
 fn leaving_and_closed(fleet: &Fleet, number: usize) -> Option<(bool, bool)> {
     let table = fleet.table(number);
@@ -199,12 +206,7 @@
 #[test]
 fn a_process_that_leaves_before_its_entry_comes_stays_closed() {
     let mut fleet = Fleet::new(8);
-    let lasting = StatedDeparture {
-        ends_us: 60 * SECOND_US,
-        next_us: 61 * SECOND_US,
-        ..RESTARTED
-    };
-    fleet.set_departures(&[lasting]);
+    fleet.set_departures(&[LASTING]);
     fleet.run(3 * SECOND_US);
     fleet.notice(0, departure());
     fleet.run(8 * SECOND_US);
@@ -278,12 +280,7 @@
 #[test]
 fn the_time_of_last_requests_counts_from_the_first_statement() {
     let mut fleet = Fleet::new(12);
-    let lasting = StatedDeparture {
-        ends_us: 60 * SECOND_US,
-        next_us: 61 * SECOND_US,
-        ..RESTARTED
-    };
-    fleet.set_departures(&[lasting]);
+    fleet.set_departures(&[LASTING]);
     fleet.run(3 * SECOND_US);
     fleet.notice(0, departure());
     fleet.put_entry(3, 77, 6, false);
@@ -298,12 +295,7 @@
 #[test]
 fn a_statement_for_a_former_process_closes_the_present_one_until_it_is_checked() {
     let mut fleet = Fleet::new(11);
-    let lasting = StatedDeparture {
-        ends_us: 60 * SECOND_US,
-        next_us: 61 * SECOND_US,
-        ..RESTARTED
-    };
-    fleet.set_departures(&[lasting]);
+    fleet.set_departures(&[LASTING]);
     fleet.run(3 * SECOND_US);
     fleet.put_entry(3, 77, 6, false);
     fleet.run(5 * SECOND_US);
